--- /dev/null
+++ b/core/event_loop.cpp
@@ -0,0 +1,141 @@
+// The GLib side of the KJ event loop, timers and signals.
+
+#include "core/event_loop.h"
+
+#include "core/logging.h"
+
+#include <glib-unix.h>
+
+namespace hawthornpin {
+
+glib_event_port::~glib_event_port() noexcept(false)
+{
+    if (m_idle_source != 0)
+        g_source_remove(m_idle_source);
+}
+
+bool glib_event_port::wait()
+{
+    g_main_context_iteration(nullptr, TRUE);
+    return false;
+}
+
+bool glib_event_port::poll()
+{
+    while (g_main_context_iteration(nullptr, FALSE) != FALSE) {
+    }
+    return false;
+}
+
+void glib_event_port::setRunnable(bool runnable)
+{
+    if (!runnable || m_idle_source != 0 || m_loop == nullptr)
+        return;
+    m_idle_source = g_idle_add_full(G_PRIORITY_DEFAULT, run_turns, this, nullptr);
+}
+
+void glib_event_port::wake() const
+{
+    g_main_context_wakeup(nullptr);
+}
+
+gboolean glib_event_port::run_turns(gpointer data)
+{
+    auto* port = static_cast<glib_event_port*>(data);
+    // Bounds the turns so that timers and new connections are served under a flood of calls.
+    constexpr uint max_turns = 1000;
+    port->m_loop->run(max_turns);
+    if (port->m_loop->isRunnable())
+        return G_SOURCE_CONTINUE;
+    port->m_idle_source = 0;
+    return G_SOURCE_REMOVE;
+}
+
+event_loop::event_loop()
+    : m_loop(std::make_unique<kj::EventLoop>(m_port)), m_main_loop(g_main_loop_new(nullptr, FALSE))
+{
+    m_port.attach(*m_loop);
+    m_wait_scope = std::make_unique<kj::WaitScope>(*m_loop);
+}
+
+event_loop::~event_loop()
+{
+    g_main_loop_unref(m_main_loop);
+}
+
+void event_loop::run()
+{
+    g_main_loop_run(m_main_loop);
+}
+
+void event_loop::stop()
+{
+    g_main_loop_quit(m_main_loop);
+}
+
+timer::timer(unsigned delay_ms, std::function<bool()> action)
+    : m_action(std::move(action)), m_source(g_timeout_add(delay_ms, fire, this))
+{
+}
+
+timer::~timer()
+{
+    if (m_source != 0)
+        g_source_remove(m_source);
+}
+
+gboolean timer::fire(gpointer data)
+{
+    auto* self = static_cast<timer*>(data);
+    if (self->m_action())
+        return G_SOURCE_CONTINUE;
+    self->m_source = 0;
+    return G_SOURCE_REMOVE;
+}
+
+signal_watch::signal_watch(int signal_number, std::function<void()> action)
+    : m_action(std::move(action)), m_source(g_unix_signal_add(signal_number, fire, this))
+{
+}
+
+signal_watch::~signal_watch()
+{
+    g_source_remove(m_source);
+}
+
+gboolean signal_watch::fire(gpointer data)
+{
+    static_cast<signal_watch*>(data)->m_action();
+    return G_SOURCE_CONTINUE;
+}
+
+namespace {
+
+// Fulfils a KJ promise from a GLib timeout.
+class delay_adapter {
+public:
+    delay_adapter(kj::PromiseFulfiller<void>& fulfiller, unsigned delay_ms)
+        : m_timer(delay_ms, [&fulfiller] {
+              fulfiller.fulfill();
+              return false;
+          })
+    {
+    }
+
+private:
+    timer m_timer;
+};
+
+} // namespace
+
+kj::Promise<void> after_delay(unsigned delay_ms)
+{
+    return kj::newAdaptedPromise<void, delay_adapter>(delay_ms);
+}
+
+void background_tasks::taskFailed(kj::Exception&& exception)
+{
+    log_event(log_level::warning, "background_task_failed", {{"detail", exception.getDescription().cStr()}});
+}
+
+} // namespace hawthornpin
--- /dev/null
+++ b/core/instant.h
@@ -0,0 +1,41 @@
+// Points in time as the decision code sees them.
+//
+// A process reads the wall clock once, at start, and then only adds monotonic time to it. A ledger that
+// dropped an expired record can therefore never see the same ticket become valid again.
+
+#pragma once
+
+#include <chrono>
+
+namespace hawthornpin {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+// Microseconds since the Unix epoch; never goes back within one process.
+using instant = std::chrono::sys_time<microseconds>;
+
+// Gives the current instant of this process.
+class process_clock {
+public:
+    process_clock();
+
+    instant now() const;
+
+private:
+    instant m_started_wall;
+    std::chrono::steady_clock::time_point m_started_steady;
+};
+
+// Whole milliseconds since the Unix epoch.
+inline long long to_unix_ms(instant when)
+{
+    return std::chrono::duration_cast<milliseconds>(when.time_since_epoch()).count();
+}
+
+inline instant from_unix_ms(long long value)
+{
+    return instant(milliseconds(value));
+}
+
+} // namespace hawthornpin
--- /dev/null
+++ b/core/logging.h
@@ -0,0 +1,27 @@
+// Structured logs: one JSON object a line on standard error, by log4cxx.
+//
+// Events carry the program, its id and availability zone. Caller keys and payloads are never logged.
+
+#pragma once
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace hawthornpin {
+
+enum class log_level { debug, info, warning, error };
+
+// One named value of an event.
+struct log_field {
+    const char* m_name;
+    std::string m_value;
+};
+
+// Configures the process's log. Call once, before the first event. `minimum` filters.
+void start_logging(const std::string& program, const std::string& id, const std::string& zone, log_level minimum);
+
+// Writes one event. `event` is a short fixed name such as "job_failed".
+void log_event(log_level level, const char* event, std::initializer_list<log_field> fields = {});
+
+} // namespace hawthornpin
--- /dev/null
+++ b/core/metrics.h
@@ -0,0 +1,92 @@
+// Counters, gauges and time distributions of one process, written in the Prometheus text format.
+
+#pragma once
+
+#include "core/verdict.h"
+
+#include <sstream>
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace hawthornpin {
+
+// Events counted by kind. `sent` counts requests that this process sent to another of ours.
+enum class counter {
+    tickets_minted,
+    jobs_submitted,
+    jobs_joined,
+    jobs_completed,
+    jobs_failed,
+    jobs_cancelled,
+    tasks_started,
+    tasks_finished,
+    grants_sent,
+    grants_received,
+    grants_returned_unstarted,
+    submits_sent,
+    fetches_sent,
+    cancels_sent,
+    revokes_sent,
+    idle_notices_sent,
+    announces_sent,
+    exchanges_sent,
+    log_polls,
+    log_appends,
+    config_changes_applied,
+    config_changes_rejected,
+    log_tail_lost,
+    members_suspected,
+    workers_quarantined,
+    leases_renewed,
+    leases_lapsed,
+    connections_closed_for_budget,
+    rpc_authentication_failures,
+};
+inline constexpr std::size_t counter_count = static_cast<std::size_t>(counter::rpc_authentication_failures) + 1;
+
+// Durations in seconds.
+enum class distribution { job_response, queue_wait, task_run };
+inline constexpr std::size_t distribution_count = 3;
+
+// All metrics of a process. Owned by the daemon and passed by reference; not thread-safe.
+class metrics {
+public:
+    metrics();
+
+    void count(counter which, std::uint64_t amount = 1);
+    void count_refusal(reason why, std::uint64_t amount = 1);
+    void count_retry(reason why, std::uint64_t amount = 1);
+    void observe(distribution which, double seconds);
+    void set_gauge(const std::string& name, double value);
+
+    std::uint64_t value(counter which) const;
+    std::uint64_t refusals(reason why) const;
+
+    // The whole state in the Prometheus text exposition format, version 0.0.4.
+    std::string to_exposition() const;
+
+private:
+    using accumulator =
+        boost::accumulators::accumulator_set<double,
+                                             boost::accumulators::stats<boost::accumulators::tag::count,
+                                                                        boost::accumulators::tag::sum,
+                                                                        boost::accumulators::tag::extended_p_square_quantile>>;
+
+    std::array<std::uint64_t, counter_count> m_counters{};
+    std::array<std::uint64_t, reason_count> m_refusals{};
+    std::array<std::uint64_t, reason_count> m_retries{};
+    std::map<std::string, double> m_gauges;
+    std::vector<accumulator> m_distributions;
+};
+
+} // namespace hawthornpin
--- /dev/null
+++ b/core/settings.h
@@ -0,0 +1,70 @@
+// Strict settings: INI files read by GKeyFile and checked against a table of known keys.
+
+#pragma once
+
+#include "core/instant.h"
+#include "core/last_reason.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace hawthornpin {
+
+// What a value must look like. Durations end in us, ms, s, min or h; sizes in B, KiB or MiB.
+enum class setting_kind { text, name, integer, duration, size, decimal, flag, address, address_list, choice, digest };
+
+// One known key. Limits apply to integers, durations (microseconds), sizes (bytes) and decimals.
+struct setting_spec {
+    std::string m_section;
+    std::string m_key;
+    setting_kind m_kind = setting_kind::text;
+    // Empty means that the key must be given.
+    std::optional<std::string> m_default;
+    double m_minimum = 0;
+    double m_maximum = 0;
+    std::string m_help;
+    // The allowed words of a choice.
+    std::vector<std::string> m_choices;
+};
+
+using settings_table = std::vector<setting_spec>;
+
+// Checked values. Reading a key that is not in the table is a programming error and throws std::out_of_range.
+class settings {
+public:
+    const std::string& text(const std::string& section, const std::string& key) const;
+    std::int64_t integer(const std::string& section, const std::string& key) const;
+    double decimal(const std::string& section, const std::string& key) const;
+    bool is_set(const std::string& section, const std::string& key) const;
+    microseconds duration(const std::string& section, const std::string& key) const;
+    std::vector<std::string> list(const std::string& section, const std::string& key) const;
+
+    friend bool operator==(const settings&, const settings&) = default;
+
+private:
+    friend class settings_reader;
+    // Keyed by "section.key"; every key of the table has a value that passed its check.
+    std::map<std::string, std::string> m_values;
+};
+
+// Checks `content` against the table. `file_name` only appears in messages, with the line of the fault.
+std::optional<settings> read_settings(const std::string& content, const std::string& file_name,
+                                      const settings_table& table, last_reason& why);
+
+// Reads and checks a file.
+std::optional<settings> read_settings_file(const std::string& path, const settings_table& table, last_reason& why);
+
+// Reads a whole file; nothing if it can't be read.
+std::optional<std::string> read_file(const std::string& path, last_reason& why);
+
+// Parses "250ms" and the like to microseconds, "64KiB" to bytes.
+std::optional<std::int64_t> parse_duration(const std::string& text);
+std::optional<std::int64_t> parse_size(const std::string& text);
+
+// A reference of the table in Markdown, as docs/operators/settings.md has it.
+std::string to_markdown(const settings_table& table);
+
+} // namespace hawthornpin
--- /dev/null
+++ b/dispatch/job_ledger.h
@@ -0,0 +1,135 @@
+// The job ledger of a home: the one place that decides whether a ticket may still start anything.
+//
+// Pure. Records stay until the ticket has expired and answers need not be kept any longer; they are never
+// dropped earlier to save memory. When memory runs out, new jobs are refused instead.
+
+#pragma once
+
+#include "dispatch/messages.h"
+
+#include <map>
+#include <optional>
+#include <unordered_map>
+
+namespace hawthornpin {
+
+enum class task_phase {
+    // Waits for a slot; provably not started.
+    queued,
+    // Granted to a worker, this one included; may have started.
+    granted,
+    // Ran to a successful end.
+    done,
+    // Will never start.
+    dropped,
+    // Ended without a successful answer after it may have started.
+    lost,
+};
+
+struct task_record {
+    std::string m_payload;
+    std::string m_answer;
+    task_phase m_phase = task_phase::queued;
+    std::uint32_t m_attempt = 0;
+    agent_identity m_worker;
+};
+
+enum class job_phase {
+    // Tasks wait or run.
+    running,
+    // Failed or cancelled; revocations are out and the verdict waits for them.
+    ending,
+    // The answer is final.
+    ended,
+};
+
+// Invariants: m_queued and m_granted count the tasks in these phases; m_answer is set exactly when ended;
+// tombstones are ended records without tasks.
+struct job_record {
+    ticket m_ticket;
+    std::string m_team;
+    std::string m_digest;
+    task_needs m_needs;
+    // Estimated run time of each task, as it was when the job was queued.
+    milliseconds m_estimated{0};
+    std::vector<task_record> m_tasks;
+    job_phase m_phase = job_phase::running;
+    int m_queued = 0;
+    int m_granted = 0;
+    int m_done = 0;
+    bool m_may_have_run = false;
+    bool m_has_run = false;
+    reason m_end_reason = reason::none;
+    std::optional<job_answer> m_answer;
+    instant m_accepted_at;
+    instant m_deadline;
+    instant m_ending_deadline;
+    // The record is kept at least until then.
+    instant m_keep_until;
+    std::size_t m_bytes = 0;
+};
+
+struct ledger_limits {
+    std::size_t m_max_records = 200'000;
+    std::size_t m_max_bytes = 48 * 1024 * 1024;
+    milliseconds m_answer_keep{60'000};
+    // How long the verdict of an ending job waits for revocations.
+    milliseconds m_revoke_wait{1'000};
+};
+
+struct job_ledger {
+    ledger_limits m_limits;
+    std::unordered_map<ticket_id, job_record> m_jobs;
+    std::multimap<instant, ticket_id> m_by_keep;
+    std::multimap<instant, ticket_id> m_by_deadline;
+    std::size_t m_bytes = 0;
+    // Unknown tickets that expire at or before this instant are refused. It rises when a refusal could not
+    // be recorded for want of room, so that a late duplicate of it can't start.
+    instant m_refused_horizon;
+    int m_live_jobs = 0;
+};
+
+// What a submit came to: a fresh record, an earlier one, or a refusal.
+enum class admit_kind { accepted, joined, refused };
+
+struct admit_result {
+    admit_kind m_kind = admit_kind::refused;
+    outcome m_refusal;
+};
+
+job_record* find_job(job_ledger& ledger, const ticket_id& id);
+
+// The outcome for an earlier or hopeless ticket; empty if a fresh record may be made. Never starts anything.
+std::optional<admit_result> judge_known(job_ledger& ledger, const submission& job, instant now);
+
+// Whether another job of this size has room.
+bool has_room(const job_ledger& ledger, const submission& job);
+
+// Records a fresh job with all tasks queued.
+job_record& record_job(job_ledger& ledger, const submission& job, milliseconds estimated, instant now);
+
+// Records that the ticket was refused and will never start. Falls back to the refused horizon without room.
+void record_refusal(job_ledger& ledger, const ticket& refused, const job_answer& answer, instant now);
+
+// Phase changes of tasks; each checks its precondition and returns false where it does not hold.
+bool mark_granted(job_record& job, std::uint32_t task, const agent_identity& worker);
+bool mark_returned(job_record& job, std::uint32_t task, std::uint32_t attempt);
+bool mark_done(job_ledger& ledger, job_record& job, std::uint32_t task, std::uint32_t attempt, std::string answer);
+bool mark_lost(job_record& job, std::uint32_t task, std::uint32_t attempt, bool is_certain);
+
+// Drops all queued tasks and records why the job ends; returns how many were dropped.
+int begin_end(job_record& job, reason why);
+
+// Fixes the final answer once nothing is outstanding, or regardless if `is_forced`. True if it was fixed now.
+bool conclude(job_ledger& ledger, job_record& job, bool is_forced);
+
+// Tickets past their deadline, earliest first; they leave the deadline index.
+std::vector<ticket_id> take_overdue(job_ledger& ledger, instant now);
+
+// Puts a job into the deadline index again.
+void watch_deadline(job_ledger& ledger, const ticket_id& id, instant when);
+
+// Drops records that need not be kept any longer.
+void drop_expired(job_ledger& ledger, instant now);
+
+} // namespace hawthornpin
--- /dev/null
+++ b/http/api_server.h
@@ -0,0 +1,91 @@
+// An HTTP server by libsoup whose handler returns KJ promises. Input is bounded before memory is spent.
+
+#pragma once
+
+#include "core/event_loop.h"
+#include "core/last_reason.h"
+#include "core/verdict.h"
+
+#include <kj/async.h>
+#include <libsoup/soup.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace hawthornpin {
+
+struct api_request {
+    std::string m_method;
+    std::string m_path;
+    std::string m_query;
+    std::string m_body;
+    std::string m_authorization;
+    std::string m_prefer;
+    std::string m_budget_ms;
+    // Set when the input broke a limit of the server; the body is empty then.
+    reason m_input_fault = reason::none;
+};
+
+struct api_response {
+    unsigned m_status = 200;
+    std::string m_body;
+    std::string m_content_type = "application/json";
+    // Extra headers; empty ones are left out.
+    std::string m_verdict;
+    std::string m_retry_after;
+    // Closes the connection without an answer; for stand-ins that break on purpose.
+    bool m_is_dropped = false;
+};
+
+struct api_limits {
+    std::size_t m_max_body_bytes = 16 * 1024 * 1024;
+    std::size_t m_max_header_bytes = 8 * 1024;
+    // A client that sends nothing for this long is cut off.
+    unsigned m_idle_seconds = 30;
+};
+
+using api_handler = std::function<kj::Promise<api_response>(api_request)>;
+
+// Listens on one address from construction until stop_listening().
+class api_server {
+public:
+    api_server(api_handler handler, api_limits limits);
+    ~api_server();
+    api_server(const api_server&) = delete;
+    api_server& operator=(const api_server&) = delete;
+
+    // Starts to listen on IP:port; false with a reason on failure.
+    bool listen(const std::string& address, last_reason& why);
+    void stop_listening();
+
+    // The IP:port listened on.
+    std::string address() const;
+    // Requests whose response is not written yet.
+    int in_progress() const { return m_in_progress; }
+
+private:
+    struct exchange;
+
+    static void on_early(SoupServer* server, SoupServerMessage* message, const char* path, GHashTable* query,
+                         gpointer data);
+    static void on_request(SoupServer* server, SoupServerMessage* message, const char* path, GHashTable* query,
+                           gpointer data);
+    void respond(SoupServerMessage* message, const api_response& response);
+
+    api_handler m_handler;
+    api_limits m_limits;
+    SoupServer* m_server;
+    int m_in_progress = 0;
+    background_tasks m_tasks;
+};
+
+// The value of a key in a query string, empty if it is not there.
+std::string query_value(const std::string& query, const char* key);
+
+// The segments of a path, without empty ones.
+std::vector<std::string> split_path(const std::string& path);
+
+} // namespace hawthornpin
--- /dev/null
+++ b/main/agent_process.cpp
@@ -0,0 +1,426 @@
+// Wiring of the agent: timers, the target, actions and shutdown.
+
+#include "main/agent_process.h"
+
+#include "core/json.h"
+#include "core/logging.h"
+#include "core/random.h"
+#include "main/agent_node.h"
+#include "main/process_gauges.h"
+#include "main/process_settings.h"
+#include "rpc/wire.h"
+
+#include <algorithm>
+
+namespace hawthornpin {
+
+namespace {
+
+constexpr unsigned tick_ms = 20;
+// Time for the last announcement to go out.
+constexpr unsigned farewell_ms = 50;
+// Connections kept for the target, its control, the operator and ones that are just closing.
+constexpr std::size_t reserved_connections = 4;
+
+agent_identity draw_identity(const settings& values)
+{
+    return {values.text("agent", "id"), draw_incarnation()};
+}
+
+announcer_settings make_announcer_settings(const settings& values, const agent_identity& self)
+{
+    return {values.list("entries", "seeds"), static_cast<std::size_t>(values.integer("entries", "fanout")),
+            values.text("agent", "service"), self};
+}
+
+// Outgoing links get half of what the target leaves of the budget.
+std::size_t link_budget(const settings& values)
+{
+    constexpr std::size_t typical_slots = 8;
+    const auto total = static_cast<std::size_t>(values.integer("limits", "connections"));
+    return (total - std::min(total / 2, typical_slots + reserved_connections)) / 2;
+}
+
+milliseconds lease_of(const settings& values)
+{
+    return std::chrono::duration_cast<milliseconds>(values.duration("timing", "lease"));
+}
+
+} // namespace
+
+agent_process::agent_process(event_loop& loop, const settings& values)
+    : m_loop(loop), m_settings(values), m_identity(draw_identity(values)),
+      m_target(values.text("agent", "target_address"), static_cast<unsigned>(values.integer("limits", "connections"))),
+      m_links(values.text("keys", "cluster_key"), link_budget(values)),
+      m_announcer(make_announcer_settings(values, m_identity), make_announcer_hooks(), m_links, m_clock, m_metrics),
+      m_operator_server(make_operator_handler(make_operator_hooks(), m_metrics), api_limits())
+{
+    m_drain.m_limits.m_linger = milliseconds(0);
+    m_drain.m_limits.m_grace = std::chrono::duration_cast<milliseconds>(values.duration("timing", "grace"));
+}
+
+agent_process::~agent_process() = default;
+
+announcer_hooks agent_process::make_announcer_hooks()
+{
+    announcer_hooks hooks;
+    hooks.m_describe_self = [this] { return describe_self(); };
+    hooks.m_take_members = [this](const std::vector<member>& members) {
+        actions wanted;
+        on_members(*m_dispatcher, members, m_clock.now(), wanted);
+        carry_out(wanted);
+    };
+    hooks.m_take_config = [this](const contract& service, const std::map<std::string, team>& teams) {
+        apply_contract(*m_dispatcher, service, teams);
+        log_event(log_level::info, "contract_in_force", {{"service", service.service()}});
+    };
+    hooks.m_give_way = [this] { begin_leaving(); };
+    return hooks;
+}
+
+operator_hooks agent_process::make_operator_hooks()
+{
+    operator_hooks hooks;
+    hooks.m_find_unreadiness = [this] { return find_unreadiness(); };
+    hooks.m_begin_drain = [this] { begin_leaving(); };
+    hooks.m_list_members = [this] { return list_members(); };
+    hooks.m_update_gauges = [this](metrics& counts) { update_gauges(counts); };
+    return hooks;
+}
+
+bool agent_process::start(last_reason& why)
+{
+    auto socket = listen_on(m_settings.text("agent", "rpc_address"), why);
+    if (!socket || !m_operator_server.listen(m_settings.text("agent", "operator_address"), why))
+        return false;
+    rpc_server_limits limits;
+    limits.m_max_connections = link_budget(m_settings);
+    m_server = std::make_unique<rpc_server>(std::move(*socket), m_settings.text("keys", "cluster_key"),
+                                            kj::heap<node_server>(*this), limits, m_metrics);
+    m_timers.push_back(std::make_unique<timer>(timer_ms(m_settings, "timing", "target_poll"), [this] {
+        look_at_target();
+        return true;
+    }));
+    look_at_target();
+    log_event(log_level::info, "agent_started", {{"rpc_address", m_server->address()}});
+    return true;
+}
+
+void agent_process::look_at_target()
+{
+    if (m_is_looking_at_target)
+        return;
+    m_is_looking_at_target = true;
+    m_tasks.add(m_target.status().then([this](std::optional<target_status> status) {
+        m_is_looking_at_target = false;
+        take_status(status);
+    }));
+}
+
+void agent_process::take_status(const std::optional<target_status>& status)
+{
+    if (status.has_value() != m_has_target)
+        log_event(log_level::info, status ? "target_reached" : "target_lost");
+    m_has_target = status.has_value();
+    if (!m_dispatcher) {
+        if (status)
+            begin_serving(*status);
+        return;
+    }
+    int foreign = 0;
+    if (status) {
+        foreign = static_cast<int>(
+            std::count_if(status->m_grants.begin(), status->m_grants.end(), [this](const std::string& text) {
+                const auto id = grant_id_from_text(text);
+                return !id || !m_dispatcher->m_grants.m_grants.contains(*id);
+            }));
+    }
+    const bool is_stopped = !status || status->m_is_leaving || status->m_is_throttled;
+    actions wanted;
+    on_target_status(*m_dispatcher, foreign, is_stopped, m_clock.now(), wanted);
+    carry_out(wanted);
+}
+
+void agent_process::begin_serving(const target_status& status)
+{
+    worker_builder builder(m_identity, m_settings.text("agent", "service"));
+    builder
+        .set_place({m_settings.text("place", "region"), m_settings.text("place", "zone"),
+                    m_settings.text("place", "rack")})
+        .set_address(m_server->address())
+        .set_capacity(status.m_slots, status.m_memory_mib, status.m_accelerators);
+    last_reason why;
+    const auto self = builder.build(why);
+    if (!self) {
+        log_event(log_level::error, "target_unusable", {{"detail", why.text()}});
+        return;
+    }
+    m_dispatcher = std::make_unique<dispatcher>(*self, read_dispatch(m_settings), draw_unpredictable());
+    m_timers.push_back(std::make_unique<timer>(tick_ms, [this] { return tick(); }));
+    m_timers.push_back(std::make_unique<timer>(timer_ms(m_settings, "timing", "heartbeat"), [this] {
+        m_announcer.announce();
+        return true;
+    }));
+    constexpr unsigned renewals_per_lease = 3;
+    m_timers.push_back(std::make_unique<timer>(timer_ms(m_settings, "timing", "lease") / renewals_per_lease, [this] {
+        renew_leases();
+        return true;
+    }));
+    take_status(status);
+    m_announcer.announce();
+}
+
+bool agent_process::tick()
+{
+    actions wanted;
+    on_tick(*m_dispatcher, m_clock.now(), wanted);
+    carry_out(wanted);
+    if (is_draining(m_drain) && !m_is_finished)
+        advance_leaving();
+    return true;
+}
+
+void agent_process::renew_leases()
+{
+    std::vector<std::string> running;
+    for (const grant_id& id : m_dispatcher->m_grants.m_running) {
+        if (!m_dispatcher->m_grants.m_grants.at(id).m_is_stopping)
+            running.push_back(to_text(id));
+    }
+    if (running.empty())
+        return;
+    m_metrics.count(counter::leases_renewed, running.size());
+    m_tasks.add(m_target.renew(running, lease_of(m_settings)));
+}
+
+void agent_process::begin_leaving()
+{
+    if (is_draining(m_drain))
+        return;
+    log_event(log_level::info, "leaving");
+    begin_drain(m_drain, m_clock.now());
+    if (!m_dispatcher) {
+        m_loop.stop();
+        return;
+    }
+    actions wanted;
+    on_leave(*m_dispatcher, m_clock.now(), wanted);
+    carry_out(wanted);
+    m_announcer.announce();
+}
+
+void agent_process::advance_leaving()
+{
+    // The answers of jobs at home are given out as long as somebody waits for them.
+    std::size_t waiting = m_offered.size();
+    for (const auto& [id, waiters] : m_waiters)
+        waiting += waiters.size();
+    const int in_progress = work_in_progress(*m_dispatcher) + static_cast<int>(waiting);
+    if (advance_drain(m_drain, in_progress, m_clock.now()) != drain_step::finished)
+        return;
+    log_event(log_level::info, "left", {{"cut_off", std::to_string(in_progress)}});
+    m_is_finished = true;
+    m_announcer.announce();
+    m_timers.push_back(std::make_unique<timer>(farewell_ms, [this] {
+        m_loop.stop();
+        return false;
+    }));
+}
+
+void agent_process::carry_out(actions& wanted)
+{
+    // Carrying out an action never adds to the list: its consequences are later events.
+    for (const action& one : wanted)
+        std::visit([this](const auto& value) { carry_out_one(value); }, one);
+    take_dispatch_counts();
+}
+
+void agent_process::carry_out_one(const start_task& wanted)
+{
+    const grant_id id = wanted.m_id;
+    const auto started = m_clock.now();
+    m_tasks.add(m_target.start(id, wanted.m_payload, wanted.m_budget, lease_of(m_settings))
+                    .then([this, id, started](task_end end) {
+                        const bool is_too_large = m_dispatcher->m_contract &&
+                                                  end.m_answer.size() > m_dispatcher->m_contract->max_answer_bytes();
+                        if (is_too_large)
+                            end = {{verdict::ran, reason::answer_too_large, ticket_state::closed}, {}};
+                        const std::chrono::duration<double> took = m_clock.now() - started;
+                        m_metrics.observe(distribution::task_run, took.count());
+                        actions next;
+                        on_task_ended(*m_dispatcher, id, end, m_clock.now(), next);
+                        carry_out(next);
+                        if (end.m_outcome.m_verdict == verdict::not_run)
+                            look_at_target();
+                    }));
+}
+
+void agent_process::carry_out_one(const stop_task& wanted)
+{
+    m_tasks.add(m_target.stop(to_text(wanted.m_id)));
+}
+
+void agent_process::carry_out_one(const send_grant& wanted)
+{
+    struct run_reply {
+        task_end m_end;
+        worker_load m_load;
+    };
+    const grant sent = wanted.m_grant;
+    const agent_identity peer = wanted.m_worker;
+    auto call = call_node<run_reply>(m_links, wanted.m_address, [this, sent](wire::Node::Client node) {
+        auto request = node.runRequest();
+        write_wire(request.initGrant(), sent, m_clock.now());
+        return request.send().then([](auto response) {
+            return run_reply{read_wire(response.getEnd()), read_wire(response.getLoad())};
+        });
+    });
+    m_tasks.add(call.then([this, peer, sent](call_result<run_reply> result) {
+        task_end end = result.m_response.m_end;
+        std::optional<worker_load> load = result.m_response.m_load;
+        if (result.m_fate != call_fate::answered) {
+            const bool is_unsent = result.m_fate == call_fate::not_sent;
+            end = {{is_unsent ? verdict::not_run : verdict::may_have_run,
+                    is_unsent ? reason::worker_lost : reason::connection_lost, ticket_state::closed},
+                   {}};
+            // Nothing more is placed there until it is heard of again.
+            load = worker_load();
+            load->m_is_stopped = true;
+        }
+        actions next;
+        on_grant_reply(*m_dispatcher, peer, sent.m_id, sent.m_attempt, end, load, m_clock.now(), next);
+        carry_out(next);
+    }));
+}
+
+void agent_process::carry_out_one(const send_revoke& wanted)
+{
+    const grant_id id = wanted.m_id;
+    const auto valid_for = std::chrono::duration_cast<milliseconds>(wanted.m_valid_until - m_clock.now());
+    auto call = call_node<outcome>(m_links, wanted.m_address, [id, valid_for](wire::Node::Client node) {
+        auto request = node.revokeRequest();
+        write_wire(request.initId(), id);
+        request.setValidForMs(static_cast<std::uint32_t>(std::max<long long>(0, valid_for.count())));
+        return request.send().then([](auto response) { return read_wire(response.getOutcome()); });
+    });
+    m_tasks.add(call.then([this, id](call_result<outcome> result) {
+        if (result.m_fate != call_fate::answered)
+            return;
+        actions next;
+        on_revoke_reply(*m_dispatcher, id, result.m_response, m_clock.now(), next);
+        carry_out(next);
+    }));
+}
+
+void agent_process::carry_out_one(const reply_grant& wanted)
+{
+    const auto found = m_offered.find({wanted.m_home, wanted.m_id, wanted.m_attempt});
+    if (found == m_offered.end())
+        return;
+    end_fulfiller waiting = kj::mv(found->second);
+    m_offered.erase(found);
+    waiting->fulfill(task_end(wanted.m_end));
+}
+
+void agent_process::carry_out_one(const job_ended& wanted)
+{
+    const job_record* job = find_job(m_dispatcher->m_ledger, wanted.m_ticket);
+    const bool is_complete = is_success(job->m_answer->m_outcome);
+    m_metrics.count(is_complete ? counter::jobs_completed : counter::jobs_failed);
+    const std::chrono::duration<double> took = m_clock.now() - job->m_accepted_at;
+    m_metrics.observe(distribution::job_response, took.count());
+    if (!is_complete) {
+        log_event(log_level::info, "job_failed",
+                  {{"ticket", short_text(wanted.m_ticket)},
+                   {"verdict", std::string(to_text(job->m_answer->m_outcome.m_verdict))},
+                   {"reason", std::string(to_text(job->m_answer->m_outcome.m_reason))}});
+    }
+    const auto found = m_waiters.find(wanted.m_ticket);
+    if (found == m_waiters.end())
+        return;
+    std::vector<fulfiller> waiters = std::move(found->second);
+    m_waiters.erase(found);
+    for (fulfiller& waiter : waiters)
+        waiter->fulfill();
+}
+
+void agent_process::carry_out_one(const notify_idle& wanted)
+{
+    const worker_load load = current_load(*m_dispatcher);
+    auto call = call_node<bool>(m_links, wanted.m_address, [this, load](wire::Node::Client node) {
+        auto request = node.idleRequest();
+        write_wire(request.initIdentity(), m_identity);
+        write_wire(request.initLoad(), load);
+        return request.send().then([](auto) { return true; });
+    });
+    m_tasks.add(call.ignoreResult());
+}
+
+void agent_process::take_dispatch_counts()
+{
+    const dispatch_counts& now = m_dispatcher->m_counts;
+    const auto add = [this](counter which, std::uint64_t value, std::uint64_t before) {
+        m_metrics.count(which, value - before);
+    };
+    add(counter::tasks_started, now.m_started, m_counted.m_started);
+    add(counter::tasks_finished, now.m_finished, m_counted.m_finished);
+    add(counter::grants_sent, now.m_grants_sent, m_counted.m_grants_sent);
+    add(counter::grants_received, now.m_grants_received, m_counted.m_grants_received);
+    add(counter::grants_returned_unstarted, now.m_returned_unstarted, m_counted.m_returned_unstarted);
+    add(counter::revokes_sent, now.m_revokes_sent, m_counted.m_revokes_sent);
+    add(counter::idle_notices_sent, now.m_idle_notices, m_counted.m_idle_notices);
+    for (const auto& [why, count] : now.m_refusals)
+        m_metrics.count_refusal(why, count - m_counted.m_refusals[why]);
+    for (const auto& [why, count] : now.m_retries)
+        m_metrics.count_retry(why, count - m_counted.m_retries[why]);
+    m_counted = now;
+}
+
+announcement agent_process::describe_self() const
+{
+    announcement news{m_dispatcher->m_self, 0, 0, member_state::serving, current_load(*m_dispatcher)};
+    if (m_dispatcher->m_is_leaving)
+        news.m_state = m_is_finished ? member_state::gone : member_state::leaving;
+    return news;
+}
+
+std::string agent_process::find_unreadiness() const
+{
+    constexpr milliseconds contact_window{10'000};
+    if (!m_has_target || !m_dispatcher)
+        return "target not reached";
+    if (m_dispatcher->m_is_leaving)
+        return "leaving";
+    if (!m_dispatcher->m_contract)
+        return "no contract for the service";
+    return m_announcer.has_contact(contact_window) ? "" : "no entry answers";
+}
+
+std::string agent_process::list_members() const
+{
+    json_writer writer;
+    writer.begin_object().key("members").begin_array();
+    for (const auto& [id, known] : m_announcer.table().m_members)
+        writer.text(id);
+    writer.end_array().end_object();
+    return writer.to_string();
+}
+
+void agent_process::update_gauges(metrics& counts)
+{
+    update_process_gauges(counts);
+    counts.set_gauge("config_version", static_cast<double>(m_announcer.config_version()));
+    counts.set_gauge("connections", static_cast<double>(m_links.size() + m_server->connections()));
+    if (!m_dispatcher)
+        return;
+    counts.set_gauge("slots", m_dispatcher->m_self.slots());
+    counts.set_gauge("running", static_cast<double>(m_dispatcher->m_grants.m_running.size()));
+    counts.set_gauge("queued", m_dispatcher->m_queue.m_live);
+    counts.set_gauge("ledger_records", static_cast<double>(m_dispatcher->m_ledger.m_jobs.size()));
+    counts.set_gauge("ledger_bytes", static_cast<double>(m_dispatcher->m_ledger.m_bytes));
+    counts.set_gauge("grant_records", static_cast<double>(m_dispatcher->m_grants.m_grants.size()));
+    counts.set_gauge("foreign_running", m_dispatcher->m_foreign_running);
+    counts.set_gauge("quarantined_peers", static_cast<double>(m_dispatcher->m_placement.m_quarantined.size()));
+}
+
+} // namespace hawthornpin
--- /dev/null
+++ b/main/announcer.cpp
@@ -0,0 +1,185 @@
+// Rounds of announcements and their replies.
+
+#include "main/announcer.h"
+
+#include "core/logging.h"
+#include "rpc/wire.h"
+
+#include <glib.h>
+
+#include <algorithm>
+
+namespace hawthornpin {
+
+namespace {
+
+constexpr unsigned reply_timeout_ms = 2'000;
+
+std::string to_string(capnp::Text::Reader text)
+{
+    return {text.begin(), text.size()};
+}
+
+// Spreads agents over entries: each agent ranks the entries by its own hash.
+std::size_t rank(const std::string& agent, const std::string& entry)
+{
+    return g_str_hash((agent + "|" + entry).c_str());
+}
+
+} // namespace
+
+struct announcer::reply {
+    std::uint64_t m_superseded_by = 0;
+    std::uint64_t m_changes = 0;
+    std::vector<std::string> m_entry_addresses;
+    std::vector<std::pair<announcement, milliseconds>> m_members;
+    std::vector<std::string> m_member_ids;
+    log_offset m_config_version = no_offset;
+    std::map<std::string, published_file> m_files;
+};
+
+announcer::announcer(announcer_settings settings, announcer_hooks hooks, link_pool& links,
+                     const process_clock& clock, metrics& counts)
+    : m_settings(std::move(settings)), m_hooks(std::move(hooks)), m_links(links), m_clock(clock), m_metrics(counts),
+      m_generation(static_cast<std::uint64_t>(to_unix_ms(clock.now())))
+{
+}
+
+bool announcer::has_contact(milliseconds within) const
+{
+    return m_clock.now() - m_last_reply <= within;
+}
+
+std::vector<std::string> announcer::choose_entries() const
+{
+    if (m_entries.empty())
+        return m_settings.m_seeds;
+    std::vector<std::string> addresses;
+    for (const auto& [address, entry] : m_entries)
+        addresses.push_back(address);
+    std::sort(addresses.begin(), addresses.end(), [&](const std::string& left, const std::string& right) {
+        return rank(m_settings.m_self.m_id, left) < rank(m_settings.m_self.m_id, right);
+    });
+    addresses.resize(std::min(addresses.size(), m_settings.m_fanout));
+    return addresses;
+}
+
+void announcer::announce()
+{
+    mark_overdue(m_table, m_clock.now());
+    ++m_sequence;
+    for (const std::string& address : choose_entries())
+        announce_to(address);
+}
+
+void announcer::announce_to(const std::string& address)
+{
+    // One announcement at a time to each entry; a slow one does not pile them up.
+    if (!m_waiting.insert(address).second)
+        return;
+    m_metrics.count(counter::announces_sent);
+    announcement news = m_hooks.m_describe_self();
+    news.m_generation = m_generation;
+    news.m_sequence = m_sequence;
+    const auto known = m_entries.find(address);
+    const std::uint64_t seen = known == m_entries.end() ? 0 : known->second.m_seen;
+    auto call = call_node<reply>(m_links, address, [this, news, seen](wire::Node::Client node) {
+        auto request = node.announceRequest();
+        write_wire(request.initAnnouncement(), news, milliseconds(0));
+        request.setConfigVersion(m_config.m_version);
+        request.setSeen(seen);
+        return request.send().then([](auto response) {
+            reply read;
+            read.m_superseded_by = response.getSupersededBy();
+            read.m_changes = response.getChanges();
+            for (const auto entry : response.getEntries())
+                read.m_entry_addresses.push_back(to_string(entry.getAddress()));
+            for (const auto item : response.getMembers()) {
+                if (const auto parsed = read_wire(item))
+                    read.m_members.emplace_back(*parsed, milliseconds(item.getAgeMs()));
+            }
+            for (const auto id : response.getMemberIds())
+                read.m_member_ids.push_back(to_string(id));
+            read.m_config_version = response.getConfig().getVersion();
+            read.m_files = read_wire(response.getConfig());
+            return read;
+        });
+    });
+    auto late = after_delay(reply_timeout_ms).then([] { return call_result<reply>{call_fate::lost, {}}; });
+    m_tasks.add(call.exclusiveJoin(kj::mv(late)).then([this, address](call_result<reply> result) {
+        m_waiting.erase(address);
+        if (result.m_fate == call_fate::answered)
+            take_reply(address, result.m_response);
+        else
+            m_entries.erase(address);
+    }));
+}
+
+void announcer::take_reply(const std::string& address, const reply& news)
+{
+    const instant now = m_clock.now();
+    if (news.m_superseded_by != 0) {
+        rise_above(news.m_superseded_by);
+        return;
+    }
+    m_was_accepted = true;
+    m_last_reply = now;
+    for (const std::string& entry : news.m_entry_addresses)
+        m_entries.try_emplace(entry, known_entry{entry, 0});
+    const auto answering = m_entries.find(address);
+    if (answering != m_entries.end())
+        answering->second.m_seen = news.m_changes;
+    for (const auto& [member_news, age] : news.m_members)
+        apply_announcement(m_table, member_news, address, age, now);
+    // The entry vouches for the listed members even if their own news did not change.
+    for (const std::string& id : news.m_member_ids) {
+        const auto found = m_table.m_members.find(id);
+        if (found != m_table.m_members.end()) {
+            found->second.m_last_heard = std::max(found->second.m_last_heard, now);
+            found->second.m_is_suspect = false;
+        }
+        else if (answering != m_entries.end()) {
+            // A member that came into this agent's subset without news of its own: ask for all next time.
+            answering->second.m_seen = 0;
+        }
+    }
+    std::vector<member> usable;
+    for (const member* known : usable_members(m_table, m_settings.m_service)) {
+        const std::string& id = known->m_announcement.m_worker.identity().m_id;
+        if (std::find(news.m_member_ids.begin(), news.m_member_ids.end(), id) != news.m_member_ids.end())
+            usable.push_back(*known);
+    }
+    if (news.m_config_version > m_config.m_version)
+        take_config(news.m_config_version, news.m_files);
+    m_hooks.m_take_members(usable);
+}
+
+void announcer::take_config(log_offset version, const std::map<std::string, published_file>& files)
+{
+    config_checkpoint merged = make_checkpoint(m_config);
+    merged.m_as_of = version;
+    for (const auto& [path, file] : files)
+        merged.m_files.insert_or_assign(path, file);
+    last_reason why;
+    if (!adopt_checkpoint(m_config, merged, why)) {
+        log_event(log_level::error, "config_unusable", {{"detail", why.text()}});
+        return;
+    }
+    m_metrics.count(counter::config_changes_applied);
+    const auto found = m_config.m_contracts.find(m_settings.m_service);
+    if (found != m_config.m_contracts.end())
+        m_hooks.m_take_config(found->second, m_config.m_teams);
+}
+
+void announcer::rise_above(std::uint64_t generation)
+{
+    // A process that was accepted before and is superseded now has been replaced while it was paused.
+    if (m_was_accepted) {
+        log_event(log_level::warning, "superseded");
+        m_hooks.m_give_way();
+        return;
+    }
+    m_generation = std::max(m_generation, generation) + 1;
+}
+
+} // namespace hawthornpin
--- /dev/null
+++ b/main/caller_api.cpp
@@ -0,0 +1,375 @@
+// Handling of caller requests at an entry.
+
+#include "main/caller_api.h"
+
+#include "core/logging.h"
+#include "rpc/wire.h"
+
+#include <algorithm>
+
+namespace hawthornpin {
+
+namespace {
+
+constexpr int max_submit_tries = 3;
+constexpr milliseconds unreachable_retry_after{1'000};
+// Time beyond the job's budget after which an entry stops waiting for its home.
+constexpr milliseconds home_grace{2'000};
+constexpr unsigned cancel_timeout_ms = 3'000;
+constexpr milliseconds shortest_pause{50};
+
+constexpr outcome unreachable{verdict::not_run, reason::home_unreachable, ticket_state::open};
+constexpr outcome lost_home{verdict::may_have_run, reason::connection_lost, ticket_state::open};
+constexpr outcome gone_home{verdict::may_have_run, reason::home_gone, ticket_state::closed};
+
+kj::Promise<api_response> ready(api_response response)
+{
+    return kj::Promise<api_response>(kj::mv(response));
+}
+
+} // namespace
+
+caller_api::caller_api(caller_context context)
+    : m_context(std::move(context)), m_random(draw_unpredictable())
+{
+}
+
+api_response caller_api::refuse(reason why, milliseconds retry_after)
+{
+    return refuse_with({verdict::not_run, why, ticket_state::open}, retry_after);
+}
+
+api_response caller_api::refuse_with(const outcome& refusal, milliseconds retry_after)
+{
+    m_context.m_metrics->count_refusal(refusal.m_reason);
+    return describe_problem(refusal, retry_after);
+}
+
+const team* caller_api::find_team(const std::string& authorization) const
+{
+    constexpr std::string_view scheme = "Bearer ";
+    if (!authorization.starts_with(scheme))
+        return nullptr;
+    const std::string digest = sha256_hex(std::string_view(authorization).substr(scheme.size()));
+    for (const auto& [name, candidate] : m_context.m_config->m_teams) {
+        const bool is_current = is_equal_constant_time(digest, candidate.key_sha256());
+        if (is_current || is_equal_constant_time(digest, candidate.previous_key_sha256()))
+            return &candidate;
+    }
+    return nullptr;
+}
+
+caller_api::service_view& caller_api::view_of(const std::string& service)
+{
+    auto [found, is_new] = m_services.try_emplace(service);
+    if (is_new) {
+        found->second.m_placement.m_settings = m_context.m_placement;
+        found->second.m_placement.m_here = m_context.m_here;
+    }
+    return found->second;
+}
+
+void caller_api::refresh_members()
+{
+    const member_table& table = *m_context.m_members;
+    for (const member& changed : members_since(table, m_seen_changes, "", "", table.m_members.size()))
+        update_member(view_of(changed.m_announcement.m_worker.service()).m_loads, changed);
+    m_seen_changes = table.m_changes;
+    for (auto& [name, view] : m_services) {
+        std::erase_if(view.m_loads, [&](const auto& item) { return !table.m_members.contains(item.first); });
+        for (auto& [id, worker] : view.m_loads)
+            worker.m_is_usable = is_usable(table.m_members.at(id));
+        refresh_quarantine(view.m_placement, view.m_loads);
+    }
+}
+
+kj::Promise<api_response> caller_api::handle(const api_request& request)
+{
+    if (request.m_input_fault != reason::none)
+        return ready(refuse(request.m_input_fault));
+    if (m_context.m_config->m_version == no_offset)
+        return ready(refuse(reason::not_ready, unreachable_retry_after));
+    const team* caller = find_team(request.m_authorization);
+    if (caller == nullptr)
+        return ready(refuse(reason::unauthorized));
+    const auto path = split_path(request.m_path);
+    if (path.size() == 3 && path[0] == "v1" && path[1] == "jobs")
+        return handle_ticket(request, path[2], *caller);
+    const bool is_service_path = path.size() == 4 && path[0] == "v1" && path[1] == "services";
+    if (!is_service_path || request.m_method != "POST")
+        return ready(refuse(reason::bad_request));
+    if (!is_valid_name(path[2]))
+        return ready(refuse(reason::bad_name));
+    const auto service = m_context.m_config->m_contracts.find(path[2]);
+    if (service == m_context.m_config->m_contracts.end())
+        return ready(refuse(reason::unknown_service));
+    if (path[3] == "tickets")
+        return handle_tickets(request, service->second);
+    if (path[3] == "jobs")
+        return handle_post_job(request, service->second, *caller);
+    return ready(refuse(reason::bad_request));
+}
+
+std::optional<ticket> caller_api::mint(const std::string& service, const task_needs& needs, int tasks, reason& why)
+{
+    service_view& view = view_of(service);
+    const instant now = m_context.m_clock->now();
+    const auto home = choose_home(view.m_placement, view.m_loads, needs, now, m_random);
+    if (!home) {
+        const bool is_hopeless = !view.m_loads.empty() && !can_ever_fit(view.m_loads, needs);
+        why = is_hopeless ? reason::never_fits : reason::no_worker;
+        return std::nullopt;
+    }
+    record_placement(view.m_loads, *home, tasks - 1);
+    m_context.m_metrics->count(counter::tickets_minted);
+    return ticket{service, view.m_loads.at(*home).m_worker.identity(), draw_ticket_id(),
+                  now + m_context.m_ticket_life};
+}
+
+kj::Promise<api_response> caller_api::handle_tickets(const api_request& request, const contract& service)
+{
+    reason why = reason::none;
+    const auto count = parse_ticket_count(request.m_body, why);
+    if (!count)
+        return ready(refuse(why));
+    std::vector<std::string> tickets;
+    for (int index = 0; index < *count; ++index) {
+        const auto minted = mint(service.service(), {}, 1, why);
+        if (!minted)
+            return ready(refuse(why, unreachable_retry_after));
+        tickets.push_back(encode_ticket(*minted, m_context.m_keys));
+    }
+    return ready(describe_tickets(tickets, m_context.m_ticket_life));
+}
+
+std::optional<outcome> caller_api::check_rate(const team& caller, std::size_t tasks, milliseconds& retry_after)
+{
+    constexpr double burst_seconds = 1;
+    const double rate = caller.rate() / std::max(1, m_context.m_count_entries());
+    const double burst = std::max(1.0, rate * burst_seconds);
+    token_bucket& bucket = m_rates[caller.name()];
+    if (take_tokens(bucket, static_cast<double>(tasks), rate, burst, m_context.m_clock->now()))
+        return std::nullopt;
+    retry_after = time_until(bucket, static_cast<double>(tasks), rate, burst);
+    return outcome{verdict::not_run, reason::team_rate, ticket_state::open};
+}
+
+kj::Promise<api_response> caller_api::handle_post_job(const api_request& request, const contract& service,
+                                                      const team& caller)
+{
+    if (!service.is_repeatable())
+        return ready(refuse(reason::not_repeatable));
+    reason why = reason::none;
+    auto job = parse_job(request.m_body, service, why);
+    if (!job)
+        return ready(refuse(why));
+    milliseconds retry_after{0};
+    if (const auto limited = check_rate(caller, job->m_payloads.size(), retry_after))
+        return ready(refuse_with(*limited, retry_after));
+    if (job->m_deadline.count() == 0)
+        job->m_deadline = service.job_time_limit();
+    return post_anew(std::move(*job), service, caller.name(), sha256_hex(request.m_body), 1)
+        .then([this](job_answer answer) {
+            if (!is_success(answer.m_outcome))
+                m_context.m_metrics->count_refusal(answer.m_outcome.m_reason);
+            return describe_answer("", answer);
+        });
+}
+
+// Submits under a fresh ticket, and once more under another one when the service allows it.
+kj::Promise<job_answer> caller_api::post_anew(job_request job, const contract& service, std::string team,
+                                              std::string digest, int tries)
+{
+    reason why = reason::none;
+    const auto minted = mint(service.service(), job.m_needs, static_cast<int>(job.m_payloads.size()), why);
+    if (!minted) {
+        const milliseconds retry_after = why == reason::never_fits ? milliseconds(0) : unreachable_retry_after;
+        return job_answer{{verdict::not_run, why, ticket_state::closed}, {}, retry_after};
+    }
+    auto pending = std::make_shared<pending_submit>();
+    pending->m_ticket_text = encode_ticket(*minted, m_context.m_keys);
+    pending->m_job = {*minted, team, digest, job.m_deadline, job.m_needs, job.m_payloads};
+    pending->m_give_up = m_context.m_clock->now() + job.m_deadline + home_grace;
+    const instant started = m_context.m_clock->now();
+    return submit(pending).then([this, job = std::move(job), service, team, digest, tries,
+                                 started](job_answer answer) mutable -> kj::Promise<job_answer> {
+        const auto passed = std::chrono::duration_cast<milliseconds>(m_context.m_clock->now() - started);
+        const reason cause = answer.m_outcome.m_reason;
+        const bool is_worth_it = cause == reason::leaving || cause == reason::home_unreachable ||
+                                 cause == reason::connection_lost || cause == reason::home_gone ||
+                                 cause == reason::worker_lost || cause == reason::wrong_incarnation;
+        const bool has_time = job.m_deadline > passed + shortest_pause;
+        if (!is_worth_it || !has_time || tries >= max_submit_tries || !take_retry(view_of(service.service()).m_retries))
+            return kj::mv(answer);
+        m_context.m_metrics->count_retry(cause);
+        job.m_deadline -= passed;
+        return post_anew(std::move(job), service, team, digest, tries + 1);
+    });
+}
+
+kj::Promise<api_response> caller_api::handle_ticket(const api_request& request, const std::string& text,
+                                                    const team& caller)
+{
+    reason why = reason::none;
+    const auto known = decode_ticket(text, m_context.m_keys, why);
+    if (!known)
+        return ready(refuse_with({verdict::not_run, why, ticket_state::closed}));
+    if (request.m_method == "PUT")
+        return handle_put(request, text, *known, caller);
+    if (request.m_method == "GET")
+        return handle_get(request, text, *known);
+    if (request.m_method == "DELETE")
+        return handle_delete(text, *known);
+    return ready(refuse(reason::bad_request));
+}
+
+std::optional<std::string> caller_api::find_home(const ticket& known, outcome& refusal) const
+{
+    switch (find_presence(*m_context.m_members, known.m_home)) {
+    case presence::present:
+        return m_context.m_members->m_members.at(known.m_home.m_id).m_announcement.m_worker.address();
+    case presence::replaced:
+        refusal = gone_home;
+        return std::nullopt;
+    case presence::unknown:
+        break;
+    }
+    refusal = {verdict::may_have_run, reason::home_unreachable, ticket_state::open};
+    return std::nullopt;
+}
+
+kj::Promise<api_response> caller_api::handle_put(const api_request& request, const std::string& text,
+                                                 const ticket& known, const team& caller)
+{
+    const auto service = m_context.m_config->m_contracts.find(known.m_service);
+    if (service == m_context.m_config->m_contracts.end())
+        return ready(refuse(reason::unknown_service));
+    reason why = reason::none;
+    auto job = parse_job(request.m_body, service->second, why);
+    if (!job)
+        return ready(refuse(why));
+    if (!job->m_service.empty() && job->m_service != known.m_service)
+        return ready(refuse(reason::ticket_other_service));
+    milliseconds retry_after{0};
+    if (const auto limited = check_rate(caller, job->m_payloads.size(), retry_after))
+        return ready(refuse_with(*limited, retry_after));
+    const milliseconds budget = job->m_deadline.count() == 0 ? service->second.job_time_limit() : job->m_deadline;
+    auto pending = std::make_shared<pending_submit>();
+    pending->m_ticket_text = text;
+    pending->m_job = {known,   caller.name(), sha256_hex(caller.name() + "\n" + request.m_body),
+                      budget, job->m_needs,  std::move(job->m_payloads)};
+    pending->m_give_up = m_context.m_clock->now() + budget + home_grace;
+    return submit(pending).then([this, text](job_answer answer) {
+        if (!is_success(answer.m_outcome))
+            m_context.m_metrics->count_refusal(answer.m_outcome.m_reason);
+        return describe_answer(text, answer);
+    });
+}
+
+// Sends a submission to its home. The home joins repeats of a ticket, so a lost call may be repeated.
+kj::Promise<job_answer> caller_api::submit(submit_pointer pending)
+{
+    outcome refusal;
+    const auto address = find_home(pending->m_job.m_ticket, refusal);
+    if (!address)
+        return job_answer{refusal, {}, unreachable_retry_after};
+    ++pending->m_tries;
+    m_context.m_metrics->count(counter::submits_sent);
+    auto call = call_node<submit_reply>(*m_context.m_links, *address, [pending](wire::Node::Client node) {
+        auto request = node.submitRequest();
+        write_wire(request.initSubmission(), pending->m_job);
+        return request.send().then([](auto response) {
+            return submit_reply{read_wire(response.getAnswer()), read_wire(response.getLoad()), false};
+        });
+    });
+    const auto left = std::chrono::duration_cast<milliseconds>(pending->m_give_up - m_context.m_clock->now());
+    const auto wait_ms = static_cast<unsigned>(std::max<long long>(1, left.count()));
+    auto late = after_delay(wait_ms).then([pending] {
+        pending->m_tries = max_submit_tries;
+        return call_result<submit_reply>{call_fate::lost, {}};
+    });
+    return call.exclusiveJoin(kj::mv(late))
+        .then([this, pending](call_result<submit_reply> result) -> kj::Promise<job_answer> {
+            if (result.m_fate == call_fate::answered)
+                return take_submit_reply(*pending, result.m_response);
+            const bool is_lost = result.m_fate == call_fate::lost;
+            const outcome failure = is_lost ? lost_home : unreachable;
+            service_view& view = view_of(pending->m_job.m_ticket.m_service);
+            if (pending->m_tries >= max_submit_tries || !take_retry(view.m_retries))
+                return job_answer{failure, {}, unreachable_retry_after};
+            m_context.m_metrics->count_retry(failure.m_reason);
+            return after_delay(static_cast<unsigned>(shortest_pause.count()))
+                .then([this, pending, is_lost] { return submit(pending).then([is_lost](job_answer answer) {
+                    // Once a try was lost, a later refusal of this entry can't prove that nothing ran.
+                    const bool is_unproven = answer.m_outcome.m_ticket == ticket_state::open;
+                    if (is_lost && is_unproven)
+                        answer.m_outcome.m_verdict = verdict::may_have_run;
+                    return answer;
+                }); });
+        });
+}
+
+job_answer caller_api::take_submit_reply(const pending_submit& pending, const submit_reply& reply)
+{
+    service_view& view = view_of(pending.m_job.m_ticket.m_service);
+    record_report(view.m_loads, pending.m_job.m_ticket.m_home, reply.m_load, m_context.m_clock->now());
+    if (is_success(reply.m_answer.m_outcome))
+        record_success(view.m_retries);
+    return reply.m_answer;
+}
+
+kj::Promise<api_response> caller_api::handle_get(const api_request& request, const std::string& text,
+                                                 const ticket& known)
+{
+    outcome refusal;
+    const auto address = find_home(known, refusal);
+    if (!address)
+        return ready(refuse_with(refusal, unreachable_retry_after));
+    constexpr int ms_per_second = 1000;
+    const auto wait_ms = static_cast<unsigned>(parse_wait_seconds(request.m_prefer) * ms_per_second);
+    m_context.m_metrics->count(counter::fetches_sent);
+    auto call = call_node<submit_reply>(*m_context.m_links, *address, [known, wait_ms](wire::Node::Client node) {
+        auto fetch = node.fetchRequest();
+        write_wire(fetch.initTicket(), known);
+        fetch.setWaitMs(wait_ms);
+        return fetch.send().then([](auto response) {
+            return submit_reply{read_wire(response.getAnswer()), read_wire(response.getLoad()),
+                                response.getAnswer().getPending()};
+        });
+    });
+    auto late = after_delay(wait_ms + static_cast<unsigned>(home_grace.count())).then([] {
+        return call_result<submit_reply>{call_fate::lost, {}};
+    });
+    return call.exclusiveJoin(kj::mv(late)).then([this, text](call_result<submit_reply> result) {
+        if (result.m_fate != call_fate::answered) {
+            constexpr outcome silent{verdict::may_have_run, reason::home_unreachable, ticket_state::open};
+            return refuse_with(silent, unreachable_retry_after);
+        }
+        if (result.m_response.m_is_pending)
+            return describe_pending(text);
+        return describe_answer(text, result.m_response.m_answer);
+    });
+}
+
+kj::Promise<api_response> caller_api::handle_delete(const std::string& text, const ticket& known)
+{
+    outcome refusal;
+    const auto address = find_home(known, refusal);
+    if (!address)
+        return ready(refuse_with(refusal, unreachable_retry_after));
+    m_context.m_metrics->count(counter::cancels_sent);
+    auto call = call_node<outcome>(*m_context.m_links, *address, [known](wire::Node::Client node) {
+        auto cancel = node.cancelRequest();
+        write_wire(cancel.initTicket(), known);
+        return cancel.send().then([](auto response) { return read_wire(response.getOutcome()); });
+    });
+    auto late = after_delay(cancel_timeout_ms).then([] { return call_result<outcome>{call_fate::lost, {}}; });
+    return call.exclusiveJoin(kj::mv(late)).then([this, text](call_result<outcome> result) {
+        if (result.m_fate == call_fate::answered)
+            return describe_cancel(text, result.m_response);
+        constexpr outcome silent{verdict::may_have_run, reason::home_unreachable, ticket_state::open};
+        return refuse_with(silent, unreachable_retry_after);
+    });
+}
+
+} // namespace hawthornpin
--- /dev/null
+++ b/main/caller_api.h
@@ -0,0 +1,96 @@
+// The caller interface of an entry: tickets, submission, answers and cancellation.
+
+#pragma once
+
+#include "admission/limits.h"
+#include "config/fold.h"
+#include "core/event_loop.h"
+#include "core/metrics.h"
+#include "http/caller_messages.h"
+#include "membership/member_table.h"
+#include "routing/placement.h"
+#include "rpc/link.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace hawthornpin {
+
+// What the entry's parts give to the caller interface.
+struct caller_context {
+    const process_clock* m_clock = nullptr;
+    const config_state* m_config = nullptr;
+    const member_table* m_members = nullptr;
+    link_pool* m_links = nullptr;
+    metrics* m_metrics = nullptr;
+    ticket_keys m_keys;
+    milliseconds m_ticket_life{0};
+    place m_here;
+    placement_settings m_placement;
+    // The number of entries that share the teams' rates, this one included.
+    std::function<int()> m_count_entries;
+};
+
+// Handles the caller interface. Keeps views and budgets only; all of it is rebuilt after a restart.
+class caller_api {
+public:
+    explicit caller_api(caller_context context);
+
+    kj::Promise<api_response> handle(const api_request& request);
+
+    // Brings the load views up to date with the member table.
+    void refresh_members();
+
+private:
+    // What the entry keeps of one service.
+    struct service_view {
+        load_view m_loads;
+        placement_state m_placement;
+        retry_budget m_retries;
+    };
+    struct submit_reply {
+        job_answer m_answer;
+        worker_load m_load;
+        bool m_is_pending = false;
+    };
+    // One submission on its way, with the tries it took.
+    struct pending_submit {
+        std::string m_ticket_text;
+        submission m_job;
+        int m_tries = 0;
+        instant m_give_up;
+    };
+    using submit_pointer = std::shared_ptr<pending_submit>;
+
+    const team* find_team(const std::string& authorization) const;
+    service_view& view_of(const std::string& service);
+    std::optional<ticket> mint(const std::string& service, const task_needs& needs, int tasks, reason& why);
+    std::optional<outcome> check_rate(const team& caller, std::size_t tasks, milliseconds& retry_after);
+    api_response refuse(reason why, milliseconds retry_after = milliseconds(0));
+    api_response refuse_with(const outcome& refusal, milliseconds retry_after = milliseconds(0));
+
+    kj::Promise<api_response> handle_tickets(const api_request& request, const contract& service);
+    kj::Promise<api_response> handle_post_job(const api_request& request, const contract& service, const team& caller);
+    kj::Promise<api_response> handle_ticket(const api_request& request, const std::string& text, const team& caller);
+    kj::Promise<api_response> handle_put(const api_request& request, const std::string& text, const ticket& known,
+                                         const team& caller);
+    kj::Promise<api_response> handle_get(const api_request& request, const std::string& text, const ticket& known);
+    kj::Promise<api_response> handle_delete(const std::string& text, const ticket& known);
+    kj::Promise<job_answer> post_anew(job_request job, const contract& service, std::string team, std::string digest,
+                                      int tries);
+
+    // The address of a ticket's home; a refusal if it can't be asked.
+    std::optional<std::string> find_home(const ticket& known, outcome& refusal) const;
+    kj::Promise<job_answer> submit(submit_pointer pending);
+    job_answer take_submit_reply(const pending_submit& pending, const submit_reply& reply);
+
+    caller_context m_context;
+    std::map<std::string, service_view> m_services;
+    std::map<std::string, token_bucket> m_rates;
+    std::uint64_t m_seen_changes = 0;
+    random_source m_random;
+};
+
+} // namespace hawthornpin
--- /dev/null
+++ b/main/command_line.h
@@ -0,0 +1,49 @@
+// The hawthornpin command: what operators and callers do from a shell.
+
+#pragma once
+
+#include "core/event_loop.h"
+#include "main/daemon.h"
+
+#include <boost/program_options.hpp>
+
+#include <string>
+#include <vector>
+
+namespace hawthornpin {
+
+// The options of one call, as the subcommands need them.
+struct command_call {
+    boost::program_options::variables_map m_options;
+    std::vector<std::string> m_arguments;
+    bool m_is_json = false;
+};
+
+// One subcommand.
+struct command {
+    const char* m_name;
+    const char* m_usage;
+    const char* m_summary;
+    // The number of arguments that it takes at least and at most.
+    std::size_t m_least_arguments;
+    std::size_t m_most_arguments;
+    exit_code (*m_run)(event_loop& loop, const command_call& call);
+};
+
+// All subcommands; their help is printed from this table.
+const std::vector<command>& command_table();
+
+// Subcommands about configuration (publishing) and about jobs and members (asking).
+exit_code run_check(event_loop& loop, const command_call& call);
+exit_code run_publish(event_loop& loop, const command_call& call);
+exit_code run_ticket(event_loop& loop, const command_call& call);
+exit_code run_submit(event_loop& loop, const command_call& call);
+exit_code run_status(event_loop& loop, const command_call& call);
+exit_code run_cancel(event_loop& loop, const command_call& call);
+exit_code run_drain(event_loop& loop, const command_call& call);
+exit_code run_members(event_loop& loop, const command_call& call);
+
+// Parses the command line and runs the subcommand; returns the exit status.
+int run_command_line(int argument_count, char** arguments);
+
+} // namespace hawthornpin
--- /dev/null
+++ b/main/config_follower.h
@@ -0,0 +1,53 @@
+// The config follower of an entry: keeps the configuration in force equal to the log stream.
+
+#pragma once
+
+#include "config/fold.h"
+#include "core/event_loop.h"
+#include "core/metrics.h"
+#include "core/random.h"
+#include "platform/log_client.h"
+
+#include <functional>
+
+namespace hawthornpin {
+
+// Starts from checkpoint and tail, then long-polls. With the log down it takes newer checkpoints from peers.
+// The version in force never falls.
+class config_follower {
+public:
+    config_follower(log_client log, unsigned checkpoint_every, std::function<void()> on_change, metrics& counts);
+
+    // Begins to follow; runs until destroyed.
+    void start();
+
+    const config_state& state() const { return m_state; }
+    // Whether a configuration is in force. Never true on defaults.
+    bool is_ready() const { return m_state.m_version != no_offset; }
+    // Whether the last read of the log failed, so that peers should be asked.
+    bool is_log_down() const { return m_is_log_down; }
+
+    // Takes a peer's checkpoint if it is newer than what is in force.
+    void take_checkpoint(const std::string& json);
+
+private:
+    kj::Promise<void> follow();
+    kj::Promise<void> bootstrap(std::vector<config_record> records, log_offset from);
+    void take_page(const log_page& page);
+    void finish_bootstrap(const std::vector<config_record>& records, log_offset first_kept);
+    void consider_checkpoint();
+    void append_checkpoint();
+
+    log_client m_log;
+    unsigned m_checkpoint_every;
+    std::function<void()> m_on_change;
+    metrics& m_metrics;
+    config_state m_state;
+    bool m_is_log_down = true;
+    bool m_needs_bootstrap = true;
+    bool m_is_checkpoint_due = false;
+    random_source m_random;
+    background_tasks m_tasks;
+};
+
+} // namespace hawthornpin
--- /dev/null
+++ b/main/daemon.h
@@ -0,0 +1,28 @@
+// What the daemons' main functions share: options, settings, signals and exit codes.
+
+#pragma once
+
+#include "core/settings.h"
+
+#include <functional>
+#include <string>
+
+namespace hawthornpin {
+
+// Exit codes of the programs; docs/operators/command-line.md explains them.
+enum class exit_code : int { success = 0, failure = 1, bad_input = 2, refused = 3, unknown_outcome = 4 };
+
+inline int to_status(exit_code code)
+{
+    return static_cast<int>(code);
+}
+
+// How a daemon runs once its settings are checked; returns its exit code.
+using daemon_body = std::function<exit_code(const settings&)>;
+
+// Parses the options of a daemon, checks its settings and runs it. Handles --help, --version,
+// --check-settings and --settings-reference.
+int run_daemon(int argument_count, char** arguments, const std::string& program, const settings_table& table,
+               const daemon_body& body);
+
+} // namespace hawthornpin
--- /dev/null
+++ b/main/entry_node.cpp
@@ -0,0 +1,114 @@
+// Calls from agents and other entries, turned into changes of the member table.
+
+#include "main/entry_node.h"
+
+#include "config/record_json.h"
+#include "rpc/wire.h"
+
+#include <algorithm>
+
+namespace hawthornpin {
+
+namespace {
+
+template <typename List>
+void write_members(List to, const std::vector<member>& members, instant now)
+{
+    for (unsigned index = 0; index < to.size(); ++index) {
+        const auto age = std::chrono::duration_cast<milliseconds>(now - members[index].m_last_heard);
+        write_wire(to[index], members[index].m_announcement, age);
+    }
+}
+
+// The members that an agent is told of: its nearest ones first, in an order that is its own beyond that.
+std::vector<const member*> choose_peers(const member_table& table, const worker& asking, std::size_t limit)
+{
+    auto peers = usable_members(table, asking.service());
+    const auto rank = [&asking](const member* candidate) {
+        const worker& other = candidate->m_announcement.m_worker;
+        const auto distance = measure_distance(asking.where(), other.where());
+        // Racks count as one distance, so that a subset spreads over the racks of a zone.
+        const bool is_near = distance <= link_distance::same_zone;
+        const std::size_t hash = std::hash<std::string>()(asking.identity().m_id + other.identity().m_id);
+        return std::pair(is_near ? link_distance::same_zone : distance, hash);
+    };
+    std::sort(peers.begin(), peers.end(),
+              [&](const member* left, const member* right) { return rank(left) < rank(right); });
+    peers.resize(std::min(peers.size(), limit));
+    return peers;
+}
+
+} // namespace
+
+void entry_process::node_server::write_entries(capnp::List<wire::EntryInfo>::Builder to) const
+{
+    const instant now = m_process.m_clock.now();
+    write_wire(to[0], {m_process.m_id, m_process.m_server->address(), now}, milliseconds(0));
+    unsigned index = 1;
+    for (const auto& [id, entry] : m_process.m_members.m_entries) {
+        const auto age = std::chrono::duration_cast<milliseconds>(now - entry.m_last_heard);
+        write_wire(to[index++], entry, age);
+    }
+}
+
+kj::Promise<void> entry_process::node_server::announce(AnnounceContext context)
+{
+    const auto params = context.getParams();
+    const auto news = read_wire(params.getAnnouncement());
+    if (!news)
+        return KJ_EXCEPTION(FAILED, "the announcement does not describe a worker");
+    const instant now = m_process.m_clock.now();
+    member_table& table = m_process.m_members;
+    const announce_result taken = apply_announcement(table, *news, "", milliseconds(0), now);
+    auto results = context.getResults();
+    if (taken.m_verdict == announce_verdict::superseded) {
+        results.setSupersededBy(taken.m_generation);
+        return kj::READY_NOW;
+    }
+    m_process.m_callers.refresh_members();
+    const auto limit = static_cast<std::size_t>(m_process.m_settings.integer("limits", "peers_per_agent"));
+    const auto peers = choose_peers(table, news->m_worker, limit);
+    std::vector<member> changed;
+    auto ids = results.initMemberIds(static_cast<unsigned>(peers.size()));
+    for (unsigned index = 0; index < ids.size(); ++index) {
+        ids.set(index, peers[index]->m_announcement.m_worker.identity().m_id);
+        if (peers[index]->m_changed_at > params.getSeen())
+            changed.push_back(*peers[index]);
+    }
+    write_members(results.initMembers(static_cast<unsigned>(changed.size())), changed, now);
+    results.setChanges(table.m_changes);
+    results.setEntryId(m_process.m_id);
+    write_entries(results.initEntries(static_cast<unsigned>(table.m_entries.size()) + 1));
+    const config_state& config = m_process.m_config.state();
+    if (config.m_version > params.getConfigVersion())
+        write_wire(results.initConfig(), config.m_version, files_since(config, params.getConfigVersion()));
+    return kj::READY_NOW;
+}
+
+kj::Promise<void> entry_process::node_server::exchange(ExchangeContext context)
+{
+    const auto params = context.getParams();
+    const instant now = m_process.m_clock.now();
+    member_table& table = m_process.m_members;
+    const std::string from_id = params.getFrom().getId().cStr();
+    const std::string from_address = params.getFrom().getAddress().cStr();
+    for (const auto item : params.getMembers()) {
+        if (const auto news = read_wire(item))
+            apply_announcement(table, *news, from_address, milliseconds(item.getAgeMs()), now);
+    }
+    if (from_id != m_process.m_id)
+        apply_entry(table, from_id, from_address, milliseconds(0), now);
+    auto results = context.getResults();
+    const auto members = members_since(table, params.getSeen(), "", from_address, table.m_members.size());
+    write_members(results.initMembers(static_cast<unsigned>(members.size())), members, now);
+    results.setId(m_process.m_id);
+    results.setChanges(table.m_changes);
+    write_entries(results.initEntries(static_cast<unsigned>(table.m_entries.size()) + 1));
+    const config_state& config = m_process.m_config.state();
+    results.setConfigVersion(config.m_version);
+    if (params.getWantsCheckpoint() && config.m_version > params.getConfigVersion())
+        results.setCheckpoint(to_json(make_checkpoint(config)));
+    return kj::READY_NOW;
+}
+
+} // namespace hawthornpin
--- /dev/null
+++ b/main/entry_process.h
@@ -0,0 +1,72 @@
+// The entry daemon: callers on one side, agents and other entries on the other.
+
+#pragma once
+
+#include "core/event_loop.h"
+#include "core/settings.h"
+#include "http/api_server.h"
+#include "main/caller_api.h"
+#include "main/config_follower.h"
+#include "main/operator_api.h"
+#include "membership/drain.h"
+#include "rpc/link.h"
+#include "rpc/rpc_server.h"
+
+namespace hawthornpin {
+
+// Everything of one entry. Keeps nothing that is not rebuilt from agents, peers and the log.
+class entry_process {
+public:
+    entry_process(event_loop& loop, const settings& values);
+    ~entry_process();
+    entry_process(const entry_process&) = delete;
+    entry_process& operator=(const entry_process&) = delete;
+
+    // Opens the listeners; false with a reason if an address can't be used.
+    bool start(last_reason& why);
+
+    // Fails the readiness check, lingers, closes the listener, finishes what is in progress, stops the loop.
+    void begin_leaving();
+
+private:
+    class node_server;
+
+    // What another entry was last told and has last told.
+    struct peer_progress {
+        std::uint64_t m_told = 0;
+        std::uint64_t m_seen = 0;
+        bool m_is_waiting = false;
+    };
+    struct exchange_reply;
+
+    caller_context make_caller_context();
+    operator_hooks make_operator_hooks();
+    bool tick();
+    void exchange_with_peers();
+    void exchange_with(const std::string& address);
+    void take_exchange(const std::string& address, const exchange_reply& news, std::uint64_t told);
+    std::vector<std::string> peer_addresses() const;
+    int count_entries() const;
+    std::string find_unreadiness() const;
+    std::string list_members() const;
+    void update_gauges(metrics& counts);
+
+    event_loop& m_loop;
+    settings m_settings;
+    process_clock m_clock;
+    metrics m_metrics;
+    std::string m_id;
+    member_table m_members;
+    link_pool m_links;
+    config_follower m_config;
+    caller_api m_callers;
+    api_server m_caller_server;
+    api_server m_operator_server;
+    std::unique_ptr<rpc_server> m_server;
+    std::map<std::string, peer_progress> m_peers;
+    drain_state m_drain;
+    background_tasks m_tasks;
+    std::vector<std::unique_ptr<timer>> m_timers;
+};
+
+} // namespace hawthornpin
--- /dev/null
+++ b/main/operator_api.h
@@ -0,0 +1,27 @@
+// The operator interface of a daemon: health, readiness, metrics, members and drain.
+
+#pragma once
+
+#include "core/metrics.h"
+#include "http/api_server.h"
+
+#include <functional>
+#include <string>
+
+namespace hawthornpin {
+
+// What a daemon offers its operators.
+struct operator_hooks {
+    // Empty when ready, else what is missing.
+    std::function<std::string()> m_find_unreadiness;
+    std::function<void()> m_begin_drain;
+    // A JSON document of the members known.
+    std::function<std::string()> m_list_members;
+    // Brings gauges up to date before metrics are written.
+    std::function<void(metrics&)> m_update_gauges;
+};
+
+// GET /healthz, /readyz, /metrics, /members; POST /drain.
+api_handler make_operator_handler(operator_hooks hooks, metrics& counts);
+
+} // namespace hawthornpin
--- /dev/null
+++ b/main/process_gauges.h
@@ -0,0 +1,11 @@
+// Gauges that every daemon reports: its memory, processor time and traffic.
+
+#pragma once
+
+#include "core/metrics.h"
+
+namespace hawthornpin {
+
+void update_process_gauges(metrics& counts);
+
+} // namespace hawthornpin
--- /dev/null
+++ b/main/process_settings.h
@@ -0,0 +1,22 @@
+// The settings tables of the daemons.
+
+#pragma once
+
+#include "core/logging.h"
+#include "core/settings.h"
+#include "dispatch/dispatcher.h"
+
+namespace hawthornpin {
+
+const settings_table& agent_settings_table();
+const settings_table& entry_settings_table();
+
+// Parts that both daemons read alike.
+placement_settings read_placement(const settings& values);
+log_level read_log_level(const settings& values);
+dispatch_settings read_dispatch(const settings& values);
+
+// Whole milliseconds of a duration, for timers.
+unsigned timer_ms(const settings& values, const std::string& section, const std::string& key);
+
+} // namespace hawthornpin
--- /dev/null
+++ b/rpc/glib_stream.cpp
@@ -0,0 +1,306 @@
+// Socket input and output on the GLib loop.
+
+#include "rpc/glib_stream.h"
+
+#include <gio/gio.h>
+#include <glib-unix.h>
+#include <kj/debug.h>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <sys/uio.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <utility>
+
+namespace hawthornpin {
+
+namespace {
+
+constexpr std::size_t read_buffer_bytes = 32 * 1024;
+constexpr int listen_backlog = 256;
+
+struct object_unref {
+    template <typename Object>
+    void operator()(Object* object) const
+    {
+        g_object_unref(object);
+    }
+};
+using socket_address = std::unique_ptr<GSocketAddress, object_unref>;
+
+// A native address with its length.
+struct native_address {
+    sockaddr_storage m_storage{};
+    socklen_t m_length = 0;
+
+    const sockaddr* get() const { return reinterpret_cast<const sockaddr*>(&m_storage); }
+};
+
+std::optional<native_address> parse_address(const std::string& text)
+{
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string::npos)
+        return std::nullopt;
+    const auto port = static_cast<guint>(std::strtoul(text.c_str() + colon + 1, nullptr, 10));
+    const socket_address parsed(g_inet_socket_address_new_from_string(text.substr(0, colon).c_str(), port));
+    if (!parsed)
+        return std::nullopt;
+    native_address native;
+    native.m_length = static_cast<socklen_t>(g_socket_address_get_native_size(parsed.get()));
+    if (g_socket_address_to_native(parsed.get(), &native.m_storage, sizeof(native.m_storage), nullptr) == FALSE)
+        return std::nullopt;
+    return native;
+}
+
+file_descriptor open_socket(const native_address& address)
+{
+    return file_descriptor(::socket(address.get()->sa_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+}
+
+bool would_block()
+{
+    return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
+}
+
+kj::Exception disconnected(const char* what)
+{
+    return KJ_EXCEPTION(DISCONNECTED, what, std::strerror(errno));
+}
+
+// Fulfils a promise at the first readiness of a descriptor.
+class readiness_adapter {
+public:
+    readiness_adapter(kj::PromiseFulfiller<void>& fulfiller, int descriptor, GIOCondition condition)
+        : m_fulfiller(fulfiller), m_source(g_unix_fd_add(descriptor, condition, on_ready, this))
+    {
+    }
+    ~readiness_adapter()
+    {
+        if (m_source != 0)
+            g_source_remove(m_source);
+    }
+    readiness_adapter(const readiness_adapter&) = delete;
+    readiness_adapter& operator=(const readiness_adapter&) = delete;
+
+private:
+    static gboolean on_ready(gint /*descriptor*/, GIOCondition /*condition*/, gpointer data)
+    {
+        auto* self = static_cast<readiness_adapter*>(data);
+        self->m_source = 0;
+        self->m_fulfiller.fulfill();
+        return G_SOURCE_REMOVE;
+    }
+
+    kj::PromiseFulfiller<void>& m_fulfiller;
+    guint m_source;
+};
+
+void set_no_delay(int descriptor)
+{
+    const int enabled = 1;
+    ::setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled));
+}
+
+} // namespace
+
+file_descriptor::~file_descriptor()
+{
+    if (is_open())
+        ::close(m_number);
+}
+
+file_descriptor::file_descriptor(file_descriptor&& other) noexcept : m_number(std::exchange(other.m_number, -1)) {}
+
+file_descriptor& file_descriptor::operator=(file_descriptor&& other) noexcept
+{
+    std::swap(m_number, other.m_number);
+    return *this;
+}
+
+stream_totals& process_stream_totals()
+{
+    static stream_totals totals;
+    return totals;
+}
+
+glib_stream::glib_stream(file_descriptor socket) : m_socket(std::move(socket)), m_buffer(read_buffer_bytes)
+{
+    set_no_delay(m_socket.number());
+}
+
+glib_stream::~glib_stream() noexcept(false) = default;
+
+std::size_t glib_stream::take_buffered(void* buffer, std::size_t max_bytes)
+{
+    const std::size_t taken = std::min(max_bytes, m_end - m_begin);
+    std::memcpy(buffer, m_buffer.data() + m_begin, taken);
+    m_begin += taken;
+    return taken;
+}
+
+kj::Promise<std::size_t> glib_stream::read(void* buffer, std::size_t min_bytes, std::size_t max_bytes)
+{
+    return tryRead(buffer, min_bytes, max_bytes).then([min_bytes](std::size_t count) {
+        KJ_REQUIRE(count >= min_bytes, "the connection ended inside a message");
+        return count;
+    });
+}
+
+kj::Promise<std::size_t> glib_stream::tryRead(void* buffer, std::size_t min_bytes, std::size_t max_bytes)
+{
+    return fill(static_cast<kj::byte*>(buffer), min_bytes, max_bytes, 0);
+}
+
+kj::Promise<std::size_t> glib_stream::fill(kj::byte* buffer, std::size_t min_bytes, std::size_t max_bytes,
+                                           std::size_t done)
+{
+    while (true) {
+        done += take_buffered(buffer + done, max_bytes - done);
+        if (done >= min_bytes)
+            return done;
+        const ssize_t received = ::recv(m_socket.number(), m_buffer.data(), m_buffer.size(), 0);
+        if (received == 0)
+            return done;
+        if (received < 0 && !would_block())
+            return disconnected("read failed");
+        if (received < 0)
+            break;
+        process_stream_totals().m_bytes_in += static_cast<std::uint64_t>(received);
+        m_begin = 0;
+        m_end = static_cast<std::size_t>(received);
+    }
+    return when_ready(m_socket.number(), G_IO_IN).then([this, buffer, min_bytes, max_bytes, done] {
+        return fill(buffer, min_bytes, max_bytes, done);
+    });
+}
+
+kj::Promise<void> glib_stream::write(const void* buffer, std::size_t size)
+{
+    const kj::ArrayPtr<const kj::byte> piece(static_cast<const kj::byte*>(buffer), size);
+    return write(kj::arrayPtr(&piece, 1));
+}
+
+kj::Promise<void> glib_stream::write(kj::ArrayPtr<const kj::ArrayPtr<const kj::byte>> pieces)
+{
+    std::vector<iovec> vectors;
+    std::size_t total = 0;
+    for (const auto& piece : pieces) {
+        vectors.push_back({const_cast<kj::byte*>(piece.begin()), piece.size()});
+        total += piece.size();
+    }
+    ++process_stream_totals().m_messages_out;
+    msghdr message{};
+    message.msg_iov = vectors.data();
+    message.msg_iovlen = vectors.size();
+    ssize_t sent = ::sendmsg(m_socket.number(), &message, MSG_NOSIGNAL);
+    if (sent < 0 && !would_block())
+        return disconnected("write failed");
+    sent = std::max<ssize_t>(sent, 0);
+    process_stream_totals().m_bytes_out += static_cast<std::uint64_t>(sent);
+    if (static_cast<std::size_t>(sent) == total)
+        return kj::READY_NOW;
+    auto all = kj::heapArray<kj::byte>(total);
+    std::size_t position = 0;
+    for (const auto& piece : pieces) {
+        std::memcpy(all.begin() + position, piece.begin(), piece.size());
+        position += piece.size();
+    }
+    return send_rest(kj::mv(all), static_cast<std::size_t>(sent));
+}
+
+kj::Promise<void> glib_stream::send_rest(kj::Array<kj::byte> rest, std::size_t sent)
+{
+    return when_ready(m_socket.number(), G_IO_OUT)
+        .then([this, rest = kj::mv(rest), sent]() mutable -> kj::Promise<void> {
+            const ssize_t count =
+                ::send(m_socket.number(), rest.begin() + sent, rest.size() - sent, MSG_NOSIGNAL);
+            if (count < 0 && !would_block())
+                return disconnected("write failed");
+            const std::size_t now_sent = sent + static_cast<std::size_t>(std::max<ssize_t>(count, 0));
+            process_stream_totals().m_bytes_out += now_sent - sent;
+            if (now_sent == rest.size())
+                return kj::READY_NOW;
+            return send_rest(kj::mv(rest), now_sent);
+        });
+}
+
+kj::Promise<void> glib_stream::whenWriteDisconnected()
+{
+    return kj::NEVER_DONE;
+}
+
+void glib_stream::shutdownWrite()
+{
+    ::shutdown(m_socket.number(), SHUT_WR);
+}
+
+void glib_stream::abortRead()
+{
+    ::shutdown(m_socket.number(), SHUT_RD);
+}
+
+kj::Promise<void> when_ready(int descriptor, GIOCondition condition)
+{
+    const auto with_errors = static_cast<GIOCondition>(condition | G_IO_HUP | G_IO_ERR);
+    return kj::newAdaptedPromise<void, readiness_adapter>(descriptor, with_errors);
+}
+
+kj::Promise<kj::Own<glib_stream>> connect_stream(const std::string& address)
+{
+    const auto native = parse_address(address);
+    if (!native)
+        return KJ_EXCEPTION(DISCONNECTED, "not an IP address and port");
+    file_descriptor socket = open_socket(*native);
+    if (::connect(socket.number(), native->get(), native->m_length) != 0 && errno != EINPROGRESS)
+        return disconnected("connect failed");
+    const int number = socket.number();
+    return when_ready(number, G_IO_OUT).then([socket = std::move(socket)]() mutable -> kj::Own<glib_stream> {
+        int error = 0;
+        socklen_t length = sizeof(error);
+        ::getsockopt(socket.number(), SOL_SOCKET, SO_ERROR, &error, &length);
+        if (error != 0) {
+            errno = error;
+            kj::throwRecoverableException(disconnected("connect failed"));
+        }
+        return kj::heap<glib_stream>(std::move(socket));
+    });
+}
+
+std::optional<file_descriptor> listen_on(const std::string& address, last_reason& why)
+{
+    const auto native = parse_address(address);
+    if (!native) {
+        why.set(address + " is not an IP address and port");
+        return std::nullopt;
+    }
+    file_descriptor socket = open_socket(*native);
+    const int enabled = 1;
+    ::setsockopt(socket.number(), SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof(enabled));
+    const bool is_listening = ::bind(socket.number(), native->get(), native->m_length) == 0 &&
+                              ::listen(socket.number(), listen_backlog) == 0;
+    if (!is_listening) {
+        why.set("can't listen on " + address + ": " + std::strerror(errno));
+        return std::nullopt;
+    }
+    return socket;
+}
+
+std::string local_address(const file_descriptor& socket)
+{
+    sockaddr_storage storage{};
+    socklen_t length = sizeof(storage);
+    if (::getsockname(socket.number(), reinterpret_cast<sockaddr*>(&storage), &length) != 0)
+        return {};
+    const socket_address parsed(g_socket_address_new_from_native(&storage, length));
+    auto* inet = G_INET_SOCKET_ADDRESS(parsed.get());
+    const std::unique_ptr<char, decltype(&g_free)> ip(
+        g_inet_address_to_string(g_inet_socket_address_get_address(inet)), g_free);
+    return std::string(ip.get()) + ":" + std::to_string(g_inet_socket_address_get_port(inet));
+}
+
+} // namespace hawthornpin
--- /dev/null
+++ b/rpc/glib_stream.h
@@ -0,0 +1,77 @@
+// A non-blocking TCP socket as a KJ stream, with readiness from the GLib loop.
+
+#pragma once
+
+#include "core/last_reason.h"
+
+#include <glib.h>
+#include <kj/async-io.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace hawthornpin {
+
+// Owns a file descriptor.
+class file_descriptor {
+public:
+    explicit file_descriptor(int number = -1) : m_number(number) {}
+    ~file_descriptor();
+    file_descriptor(file_descriptor&& other) noexcept;
+    file_descriptor& operator=(file_descriptor&& other) noexcept;
+
+    int number() const { return m_number; }
+    bool is_open() const { return m_number >= 0; }
+
+private:
+    int m_number;
+};
+
+// Bytes that passed through all streams of the process, for the control traffic figures.
+struct stream_totals {
+    std::uint64_t m_bytes_in = 0;
+    std::uint64_t m_bytes_out = 0;
+    std::uint64_t m_messages_out = 0;
+};
+stream_totals& process_stream_totals();
+
+// Reads are buffered; writes go out at once and wait for room when the socket is full.
+class glib_stream final : public kj::AsyncIoStream {
+public:
+    explicit glib_stream(file_descriptor socket);
+    ~glib_stream() noexcept(false);
+
+    kj::Promise<std::size_t> read(void* buffer, std::size_t min_bytes, std::size_t max_bytes) override;
+    kj::Promise<std::size_t> tryRead(void* buffer, std::size_t min_bytes, std::size_t max_bytes) override;
+    kj::Promise<void> write(const void* buffer, std::size_t size) override;
+    kj::Promise<void> write(kj::ArrayPtr<const kj::ArrayPtr<const kj::byte>> pieces) override;
+    kj::Promise<void> whenWriteDisconnected() override;
+    void shutdownWrite() override;
+    void abortRead() override;
+
+private:
+    std::size_t take_buffered(void* buffer, std::size_t max_bytes);
+    kj::Promise<std::size_t> fill(kj::byte* buffer, std::size_t min_bytes, std::size_t max_bytes, std::size_t done);
+    kj::Promise<void> send_rest(kj::Array<kj::byte> rest, std::size_t sent);
+
+    file_descriptor m_socket;
+    std::vector<kj::byte> m_buffer;
+    std::size_t m_begin = 0;
+    std::size_t m_end = 0;
+};
+
+// A promise for the readiness of a descriptor.
+kj::Promise<void> when_ready(int descriptor, GIOCondition condition);
+
+// Connects to IP:port. Rejects with a DISCONNECTED exception if no connection came about.
+kj::Promise<kj::Own<glib_stream>> connect_stream(const std::string& address);
+
+// Opens a listening socket on IP:port; port 0 picks one.
+std::optional<file_descriptor> listen_on(const std::string& address, last_reason& why);
+
+// The IP:port that a socket is bound to.
+std::string local_address(const file_descriptor& socket);
+
+} // namespace hawthornpin
--- /dev/null
+++ b/rpc/hawthornpin.capnp
@@ -0,0 +1,134 @@
+# The protocol between hawthornpin's own processes.
+
+@0xd3a1f2c45b6e7089;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("hawthornpin::wire");
+
+struct AgentIdentity {
+  id @0 :Text;
+  incarnation @1 :UInt64;
+}
+
+struct TicketId {
+  high @0 :UInt64;
+  low @1 :UInt64;
+}
+
+struct Ticket {
+  service @0 :Text;
+  home @1 :AgentIdentity;
+  id @2 :TicketId;
+  expiryMs @3 :Int64;
+}
+
+struct GrantId {
+  ticket @0 :TicketId;
+  task @1 :UInt32;
+}
+
+struct Outcome {
+  verdict @0 :UInt8;
+  reason @1 :UInt16;
+  ticketOpen @2 :Bool;
+}
+
+struct Load {
+  running @0 :UInt32;
+  queued @1 :UInt32;
+  estimatedWaitMs @2 :UInt32;
+  failuresPerMille @3 :UInt16;
+  stopped @4 :Bool;
+}
+
+struct Submission {
+  ticket @0 :Ticket;
+  team @1 :Text;
+  digest @2 :Text;
+  budgetMs @3 :UInt32;
+  memoryMib @4 :UInt32;
+  accelerators @5 :UInt32;
+  payloads @6 :List(Text);
+}
+
+struct JobAnswer {
+  outcome @0 :Outcome;
+  answers @1 :List(Text);
+  retryAfterMs @2 :UInt32;
+  pending @3 :Bool;   # the wait ended before the job did
+}
+
+struct Grant {
+  home @0 :AgentIdentity;
+  id @1 :GrantId;
+  attempt @2 :UInt32;
+  team @3 :Text;
+  payload @4 :Text;
+  budgetMs @5 :UInt32;
+  estimatedMs @6 :UInt32;
+  validForMs @7 :UInt32;
+}
+
+struct TaskEnd {
+  outcome @0 :Outcome;
+  answer @1 :Text;
+}
+
+struct Announcement {
+  identity @0 :AgentIdentity;
+  service @1 :Text;
+  region @2 :Text;
+  zone @3 :Text;
+  rack @4 :Text;
+  address @5 :Text;
+  slots @6 :UInt16;
+  memoryMib @7 :UInt32;
+  accelerators @8 :UInt16;
+  generation @9 :UInt64;
+  sequence @10 :UInt64;
+  state @11 :UInt8;
+  load @12 :Load;
+  ageMs @13 :UInt32;
+}
+
+struct EntryInfo {
+  id @0 :Text;
+  address @1 :Text;
+  ageMs @2 :UInt32;
+}
+
+struct ConfigFile {
+  path @0 :Text;
+  version @1 :UInt64;
+  content @2 :Text;
+  removed @3 :Bool;
+}
+
+struct ConfigUpdate {
+  version @0 :UInt64;
+  files @1 :List(ConfigFile);
+}
+
+# The first capability of every connection: proves that both ends hold the same cluster key.
+interface Authenticator {
+  challenge @0 () -> (nonce :Text);
+  authenticate @1 (proof :Text) -> (node :Node);
+}
+
+# What an authenticated peer may ask. Agents answer the first group, entries the second.
+interface Node {
+  submit @0 (submission :Submission) -> (answer :JobAnswer, load :Load);
+  fetch @1 (ticket :Ticket, waitMs :UInt32) -> (answer :JobAnswer, load :Load);
+  cancel @2 (ticket :Ticket) -> (outcome :Outcome);
+  run @3 (grant :Grant) -> (end :TaskEnd, load :Load);
+  revoke @4 (id :GrantId, validForMs :UInt32) -> (outcome :Outcome);
+  idle @5 (identity :AgentIdentity, load :Load) -> ();
+
+  announce @6 (announcement :Announcement, configVersion :UInt64, seen :UInt64)
+      -> (supersededBy :UInt64, entries :List(EntryInfo), entryId :Text, changes :UInt64,
+          members :List(Announcement), memberIds :List(Text), config :ConfigUpdate);
+  exchange @7 (from :EntryInfo, members :List(Announcement), seen :UInt64, configVersion :UInt64,
+               wantsCheckpoint :Bool)
+      -> (id :Text, changes :UInt64, entries :List(EntryInfo), members :List(Announcement), configVersion :UInt64,
+          checkpoint :Text);
+}
--- /dev/null
+++ b/rpc/link.cpp
@@ -0,0 +1,120 @@
+// Connecting, authenticating and keeping of links.
+
+#include "rpc/link.h"
+
+#include "core/event_loop.h"
+#include "rpc/rpc_server.h"
+
+#include <capnp/rpc-twoparty.h>
+#include <kj/debug.h>
+
+#include <algorithm>
+
+namespace hawthornpin {
+
+namespace {
+
+constexpr unsigned connect_timeout_ms = 1'000;
+
+kj::Promise<wire::Node::Client> authenticate(wire::Authenticator::Client authenticator, const std::string& key)
+{
+    return authenticator.challengeRequest().send().then(
+        [authenticator, key](auto response) mutable -> kj::Promise<wire::Node::Client> {
+            auto request = authenticator.authenticateRequest();
+            request.setProof(prove_challenge(key, response.getNonce().cStr()));
+            return request.send().then([](auto proven) { return proven.getNode(); });
+        });
+}
+
+template <typename Value>
+kj::Promise<Value> with_timeout(kj::Promise<Value>&& promise, unsigned timeout_ms)
+{
+    auto late = after_delay(timeout_ms).then([]() -> kj::Promise<Value> {
+        return KJ_EXCEPTION(DISCONNECTED, "connecting took too long");
+    });
+    return promise.exclusiveJoin(kj::mv(late));
+}
+
+} // namespace
+
+// One connection. The node promise is shared by all calls.
+class link_pool::link {
+public:
+    link(const std::string& address, const std::string& key)
+        : m_node(with_timeout(open(address, key), connect_timeout_ms).fork())
+    {
+    }
+
+    kj::Promise<wire::Node::Client> node() { return m_node.addBranch(); }
+
+    std::uint64_t m_last_use = 0;
+
+private:
+    kj::Promise<wire::Node::Client> open(const std::string& address, const std::string& key)
+    {
+        return connect_stream(address).then([this, key](kj::Own<glib_stream> stream) {
+            m_stream = kj::mv(stream);
+            m_network = kj::heap<capnp::TwoPartyVatNetwork>(*m_stream, capnp::rpc::twoparty::Side::CLIENT,
+                                                            rpc_reader_options());
+            m_system = kj::heap<system>(capnp::makeRpcClient(*m_network));
+            capnp::MallocMessageBuilder message;
+            auto server = message.initRoot<capnp::rpc::twoparty::VatId>();
+            server.setSide(capnp::rpc::twoparty::Side::SERVER);
+            return authenticate(m_system->bootstrap(server).castAs<wire::Authenticator>(), key);
+        });
+    }
+
+    using system = capnp::RpcSystem<capnp::rpc::twoparty::VatId>;
+
+    kj::Own<glib_stream> m_stream;
+    kj::Own<capnp::TwoPartyVatNetwork> m_network;
+    kj::Own<system> m_system;
+    kj::ForkedPromise<wire::Node::Client> m_node;
+};
+
+link_pool::link_pool(std::string cluster_key, std::size_t max_links)
+    : m_cluster_key(std::move(cluster_key)), m_max_links(max_links)
+{
+}
+
+link_pool::~link_pool() = default;
+
+kj::Promise<wire::Node::Client> link_pool::node(const std::string& address)
+{
+    auto found = m_links.find(address);
+    if (found == m_links.end()) {
+        make_room();
+        found = m_links.emplace(address, std::make_unique<link>(address, m_cluster_key)).first;
+    }
+    found->second->m_last_use = ++m_uses;
+    return found->second->node();
+}
+
+void link_pool::drop(const std::string& address)
+{
+    const auto found = m_links.find(address);
+    if (found == m_links.end())
+        return;
+    m_dropped.push_back(std::move(found->second));
+    m_links.erase(found);
+    // Destroyed on a later turn: the caller may be running inside one of the link's promises.
+    g_idle_add_full(
+        G_PRIORITY_DEFAULT,
+        [](gpointer data) -> gboolean {
+            static_cast<link_pool*>(data)->m_dropped.clear();
+            return G_SOURCE_REMOVE;
+        },
+        this, nullptr);
+}
+
+void link_pool::make_room()
+{
+    if (m_links.size() < m_max_links)
+        return;
+    const auto oldest = std::min_element(m_links.begin(), m_links.end(), [](const auto& left, const auto& right) {
+        return left.second->m_last_use < right.second->m_last_use;
+    });
+    drop(oldest->first);
+}
+
+} // namespace hawthornpin
--- /dev/null
+++ b/rpc/link.h
@@ -0,0 +1,82 @@
+// A link: the outgoing connection to another of our processes, made when it is first needed.
+
+#pragma once
+
+#include "rpc/glib_stream.h"
+#include "rpc/hawthornpin.capnp.h"
+
+#include <kj/refcount.h>
+
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace hawthornpin {
+
+// How far a call got.
+enum class call_fate {
+    answered,
+    // No connection came about, so the call was not sent.
+    not_sent,
+    // The call may have been received; its answer was lost.
+    lost,
+};
+
+// A pool of links by address. Idle links beyond the limit are closed, least recently used first.
+class link_pool {
+public:
+    link_pool(std::string cluster_key, std::size_t max_links);
+    ~link_pool();
+    link_pool(const link_pool&) = delete;
+    link_pool& operator=(const link_pool&) = delete;
+
+    // The node at the address, authenticated. Rejected if the peer can't be reached: nothing was sent then.
+    kj::Promise<wire::Node::Client> node(const std::string& address);
+
+    // Forgets a link whose call failed, so that the next one connects anew.
+    void drop(const std::string& address);
+
+    std::size_t size() const { return m_links.size(); }
+
+private:
+    class link;
+
+    void make_room();
+
+    std::string m_cluster_key;
+    std::size_t m_max_links;
+    std::uint64_t m_uses = 0;
+    std::map<std::string, std::unique_ptr<link>> m_links;
+    // Links that were dropped while their promises may still be on the stack.
+    std::vector<std::unique_ptr<link>> m_dropped;
+};
+
+// Calls `use` with the node at `address`. The result says how far the call got; `Response` must be default
+// constructible and is only meaningful when answered.
+template <typename Response>
+struct call_result {
+    call_fate m_fate = call_fate::not_sent;
+    Response m_response{};
+};
+
+template <typename Response, typename Use>
+kj::Promise<call_result<Response>> call_node(link_pool& links, const std::string& address, Use use)
+{
+    using result = call_result<Response>;
+    return links.node(address).then(
+        [&links, address, use = kj::mv(use)](wire::Node::Client node) mutable -> kj::Promise<result> {
+            return use(kj::mv(node))
+                .then([](Response response) { return result{call_fate::answered, kj::mv(response)}; },
+                      [&links, address](kj::Exception&& failure) {
+                          if (failure.getType() == kj::Exception::Type::DISCONNECTED)
+                              links.drop(address);
+                          return result{call_fate::lost, {}};
+                      });
+        },
+        [&links, address](kj::Exception&&) -> kj::Promise<result> {
+            links.drop(address);
+            return result{};
+        });
+}
+
+} // namespace hawthornpin
--- /dev/null
+++ b/rpc/rpc_server.h
@@ -0,0 +1,66 @@
+// The accepting end of links: every connection starts with an Authenticator and ends on a Node.
+
+#pragma once
+
+#include "core/metrics.h"
+#include "rpc/glib_stream.h"
+#include "rpc/hawthornpin.capnp.h"
+
+#include <capnp/message.h>
+
+#include <list>
+
+namespace hawthornpin {
+
+// Longest message accepted, in bytes; a job of 770 full payloads fits.
+inline constexpr std::size_t max_rpc_message_bytes = 20 * 1024 * 1024;
+
+struct rpc_server_limits {
+    std::size_t m_max_connections = 48;
+    // A connection that has not authenticated by then is closed.
+    unsigned m_authenticate_within_ms = 5'000;
+};
+
+// Accepts connections on one address and serves the given node to authenticated peers. When the limit is
+// reached, the connection that has been silent longest is closed.
+class rpc_server {
+public:
+    rpc_server(file_descriptor socket, std::string cluster_key, wire::Node::Client node, rpc_server_limits limits,
+               metrics& counts);
+    ~rpc_server();
+    rpc_server(const rpc_server&) = delete;
+    rpc_server& operator=(const rpc_server&) = delete;
+
+    const std::string& address() const { return m_address; }
+    std::size_t connections() const { return m_connections.size(); }
+
+    // Stops accepting; existing connections go on.
+    void stop_accepting();
+
+private:
+    class connection;
+    using connection_list = std::list<std::unique_ptr<connection>>;
+
+    static gboolean on_acceptable(gint descriptor, GIOCondition condition, gpointer data);
+    void accept_all();
+    void remove(connection* closed);
+    void make_room();
+
+    file_descriptor m_socket;
+    std::string m_address;
+    std::string m_cluster_key;
+    wire::Node::Client m_node;
+    rpc_server_limits m_limits;
+    metrics& m_metrics;
+    // Least recently accepted first.
+    connection_list m_connections;
+    guint m_source = 0;
+};
+
+// The reader options of both ends.
+capnp::ReaderOptions rpc_reader_options();
+
+// The proof of a challenge under the cluster key.
+std::string prove_challenge(const std::string& cluster_key, const std::string& nonce);
+
+} // namespace hawthornpin
--- /dev/null
+++ b/rpc/wire.cpp
@@ -0,0 +1,264 @@
+// Field by field translation.
+
+#include "rpc/wire.h"
+
+#include <algorithm>
+
+namespace hawthornpin {
+
+namespace {
+
+template <typename Number, typename Source>
+Number clamp_to(Source value)
+{
+    const auto most = static_cast<long long>(std::numeric_limits<Number>::max());
+    return static_cast<Number>(std::clamp<long long>(static_cast<long long>(value), 0, most));
+}
+
+std::uint32_t to_ms(milliseconds value)
+{
+    return clamp_to<std::uint32_t>(value.count());
+}
+
+milliseconds from_ms(std::uint32_t value)
+{
+    return milliseconds(value);
+}
+
+std::string text_of(capnp::Text::Reader text)
+{
+    return {text.begin(), text.size()};
+}
+
+} // namespace
+
+void write_wire(wire::AgentIdentity::Builder to, const agent_identity& from)
+{
+    to.setId(from.m_id);
+    to.setIncarnation(static_cast<std::uint64_t>(from.m_incarnation));
+}
+
+agent_identity read_wire(wire::AgentIdentity::Reader from)
+{
+    return {text_of(from.getId()), incarnation_id{from.getIncarnation()}};
+}
+
+void write_wire(wire::Ticket::Builder to, const ticket& from)
+{
+    to.setService(from.m_service);
+    write_wire(to.initHome(), from.m_home);
+    to.initId().setHigh(from.m_id.m_high);
+    to.getId().setLow(from.m_id.m_low);
+    to.setExpiryMs(to_unix_ms(from.m_expiry));
+}
+
+ticket read_wire(wire::Ticket::Reader from)
+{
+    return {text_of(from.getService()),
+            read_wire(from.getHome()),
+            {from.getId().getHigh(), from.getId().getLow()},
+            from_unix_ms(from.getExpiryMs())};
+}
+
+void write_wire(wire::GrantId::Builder to, const grant_id& from)
+{
+    auto id = to.initTicket();
+    id.setHigh(from.m_ticket.m_high);
+    id.setLow(from.m_ticket.m_low);
+    to.setTask(from.m_task);
+}
+
+grant_id read_wire(wire::GrantId::Reader from)
+{
+    return {{from.getTicket().getHigh(), from.getTicket().getLow()}, from.getTask()};
+}
+
+void write_wire(wire::Outcome::Builder to, const outcome& from)
+{
+    to.setVerdict(static_cast<std::uint8_t>(from.m_verdict));
+    to.setReason(static_cast<std::uint16_t>(from.m_reason));
+    to.setTicketOpen(from.m_ticket == ticket_state::open);
+}
+
+outcome read_wire(wire::Outcome::Reader from)
+{
+    // Unknown numbers come from a newer peer; the cautious reading is that the request may have run.
+    outcome value{verdict::may_have_run, reason::connection_lost, ticket_state::closed};
+    if (from.getVerdict() <= static_cast<std::uint8_t>(verdict::ran))
+        value.m_verdict = static_cast<verdict>(from.getVerdict());
+    if (from.getReason() < reason_count)
+        value.m_reason = static_cast<reason>(from.getReason());
+    value.m_ticket = from.getTicketOpen() ? ticket_state::open : ticket_state::closed;
+    return value;
+}
+
+void write_wire(wire::Load::Builder to, const worker_load& from)
+{
+    to.setRunning(clamp_to<std::uint32_t>(from.m_running));
+    to.setQueued(clamp_to<std::uint32_t>(from.m_queued));
+    to.setEstimatedWaitMs(to_ms(from.m_estimated_wait));
+    to.setFailuresPerMille(clamp_to<std::uint16_t>(from.m_failures_per_mille));
+    to.setStopped(from.m_is_stopped);
+}
+
+worker_load read_wire(wire::Load::Reader from)
+{
+    worker_load load;
+    load.m_running = clamp_to<int>(from.getRunning());
+    load.m_queued = clamp_to<int>(from.getQueued());
+    load.m_estimated_wait = from_ms(from.getEstimatedWaitMs());
+    load.m_failures_per_mille = from.getFailuresPerMille();
+    load.m_is_stopped = from.getStopped();
+    return load;
+}
+
+void write_wire(wire::Submission::Builder to, const submission& from)
+{
+    write_wire(to.initTicket(), from.m_ticket);
+    to.setTeam(from.m_team);
+    to.setDigest(from.m_digest);
+    to.setBudgetMs(to_ms(from.m_budget));
+    to.setMemoryMib(clamp_to<std::uint32_t>(from.m_needs.m_memory_mib));
+    to.setAccelerators(clamp_to<std::uint32_t>(from.m_needs.m_accelerators));
+    auto payloads = to.initPayloads(static_cast<unsigned>(from.m_payloads.size()));
+    for (unsigned index = 0; index < payloads.size(); ++index)
+        payloads.set(index, from.m_payloads[index]);
+}
+
+submission read_wire(wire::Submission::Reader from)
+{
+    submission job;
+    job.m_ticket = read_wire(from.getTicket());
+    job.m_team = text_of(from.getTeam());
+    job.m_digest = text_of(from.getDigest());
+    job.m_budget = from_ms(from.getBudgetMs());
+    job.m_needs = {clamp_to<int>(from.getMemoryMib()), clamp_to<int>(from.getAccelerators())};
+    for (const auto payload : from.getPayloads())
+        job.m_payloads.push_back(text_of(payload));
+    return job;
+}
+
+void write_wire(wire::JobAnswer::Builder to, const job_answer& from)
+{
+    write_wire(to.initOutcome(), from.m_outcome);
+    auto answers = to.initAnswers(static_cast<unsigned>(from.m_answers.size()));
+    for (unsigned index = 0; index < answers.size(); ++index)
+        answers.set(index, from.m_answers[index]);
+    to.setRetryAfterMs(to_ms(from.m_retry_after));
+}
+
+job_answer read_wire(wire::JobAnswer::Reader from)
+{
+    job_answer answer;
+    answer.m_outcome = read_wire(from.getOutcome());
+    for (const auto text : from.getAnswers())
+        answer.m_answers.push_back(text_of(text));
+    answer.m_retry_after = from_ms(from.getRetryAfterMs());
+    return answer;
+}
+
+void write_wire(wire::Grant::Builder to, const grant& from, instant now)
+{
+    write_wire(to.initHome(), from.m_home);
+    write_wire(to.initId(), from.m_id);
+    to.setAttempt(from.m_attempt);
+    to.setTeam(from.m_team);
+    to.setPayload(from.m_payload);
+    to.setBudgetMs(to_ms(from.m_budget));
+    to.setEstimatedMs(to_ms(from.m_estimated));
+    to.setValidForMs(to_ms(std::chrono::duration_cast<milliseconds>(from.m_valid_until - now)));
+}
+
+grant read_wire(wire::Grant::Reader from, instant now)
+{
+    grant value;
+    value.m_home = read_wire(from.getHome());
+    value.m_id = read_wire(from.getId());
+    value.m_attempt = from.getAttempt();
+    value.m_team = text_of(from.getTeam());
+    value.m_payload = text_of(from.getPayload());
+    value.m_budget = from_ms(from.getBudgetMs());
+    value.m_estimated = from_ms(from.getEstimatedMs());
+    value.m_valid_until = now + from_ms(from.getValidForMs());
+    return value;
+}
+
+void write_wire(wire::TaskEnd::Builder to, const task_end& from)
+{
+    write_wire(to.initOutcome(), from.m_outcome);
+    to.setAnswer(from.m_answer);
+}
+
+task_end read_wire(wire::TaskEnd::Reader from)
+{
+    return {read_wire(from.getOutcome()), text_of(from.getAnswer())};
+}
+
+void write_wire(wire::Announcement::Builder to, const announcement& from, milliseconds age)
+{
+    const worker& who = from.m_worker;
+    write_wire(to.initIdentity(), who.identity());
+    to.setService(who.service());
+    to.setRegion(who.where().m_region);
+    to.setZone(who.where().m_zone);
+    to.setRack(who.where().m_rack);
+    to.setAddress(who.address());
+    to.setSlots(clamp_to<std::uint16_t>(who.slots()));
+    to.setMemoryMib(clamp_to<std::uint32_t>(who.memory_mib()));
+    to.setAccelerators(clamp_to<std::uint16_t>(who.accelerators()));
+    to.setGeneration(from.m_generation);
+    to.setSequence(from.m_sequence);
+    to.setState(static_cast<std::uint8_t>(from.m_state));
+    write_wire(to.initLoad(), from.m_load);
+    to.setAgeMs(to_ms(age));
+}
+
+std::optional<announcement> read_wire(wire::Announcement::Reader from)
+{
+    worker_builder builder(read_wire(from.getIdentity()), text_of(from.getService()));
+    builder.set_place({text_of(from.getRegion()), text_of(from.getZone()), text_of(from.getRack())})
+        .set_address(text_of(from.getAddress()))
+        .set_capacity(from.getSlots(), clamp_to<int>(from.getMemoryMib()), from.getAccelerators());
+    last_reason ignored;
+    const auto who = builder.build(ignored);
+    if (!who || from.getState() > static_cast<std::uint8_t>(member_state::gone))
+        return std::nullopt;
+    return announcement{*who, from.getGeneration(), from.getSequence(), static_cast<member_state>(from.getState()),
+                        read_wire(from.getLoad())};
+}
+
+void write_wire(wire::EntryInfo::Builder to, const entry_member& from, milliseconds age)
+{
+    to.setId(from.m_id);
+    to.setAddress(from.m_address);
+    to.setAgeMs(to_ms(age));
+}
+
+void write_wire(wire::ConfigUpdate::Builder to, log_offset version, const std::map<std::string, published_file>& files)
+{
+    to.setVersion(version);
+    auto list = to.initFiles(static_cast<unsigned>(files.size()));
+    unsigned index = 0;
+    for (const auto& [path, file] : files) {
+        auto item = list[index++];
+        item.setPath(path);
+        item.setVersion(file.m_version);
+        item.setContent(file.m_content.value_or(""));
+        item.setRemoved(!file.m_content);
+    }
+}
+
+std::map<std::string, published_file> read_wire(wire::ConfigUpdate::Reader from)
+{
+    std::map<std::string, published_file> files;
+    for (const auto item : from.getFiles()) {
+        published_file file;
+        file.m_version = item.getVersion();
+        if (!item.getRemoved())
+            file.m_content = text_of(item.getContent());
+        files.emplace(text_of(item.getPath()), file);
+    }
+    return files;
+}
+
+} // namespace hawthornpin
--- /dev/null
+++ b/world/contract.h
@@ -0,0 +1,78 @@
+// A contract: what a service promises its callers and asks of its targets.
+
+#pragma once
+
+#include "core/instant.h"
+#include "core/last_reason.h"
+
+#include <optional>
+#include <string>
+
+namespace hawthornpin {
+
+// The most tasks that any job may have.
+inline constexpr int max_tasks_per_job = 770;
+
+// Which of the users' two measures placement favours.
+enum class favour { response, messages };
+
+// What one task needs of a worker.
+struct task_needs {
+    int m_memory_mib = 0;
+    int m_accelerators = 0;
+
+    friend bool operator==(const task_needs&, const task_needs&) = default;
+};
+
+// Immutable; made by contract_builder.
+class contract {
+public:
+    const std::string& service() const { return m_service; }
+    // The team that answers for the service.
+    const std::string& owner() const { return m_owner; }
+    int max_tasks() const { return m_max_tasks; }
+    std::size_t max_payload_bytes() const { return m_max_payload_bytes; }
+    std::size_t max_answer_bytes() const { return m_max_answer_bytes; }
+    // Longest run of one task, and longest life of one job from its acceptance.
+    milliseconds task_time_limit() const { return m_task_time_limit; }
+    milliseconds job_time_limit() const { return m_job_time_limit; }
+    // The declared run time of a task: a hint until enough runs were observed.
+    milliseconds declared_run_time() const { return m_declared_run_time; }
+    // Whether a job may be submitted anew under another ticket after may_have_run.
+    bool is_repeatable() const { return m_is_repeatable; }
+    favour favoured() const { return m_favoured; }
+
+    friend bool operator==(const contract&, const contract&) = default;
+
+private:
+    friend class contract_builder;
+    std::string m_service;
+    std::string m_owner;
+    int m_max_tasks = max_tasks_per_job;
+    std::size_t m_max_payload_bytes = 0;
+    std::size_t m_max_answer_bytes = 0;
+    milliseconds m_task_time_limit{0};
+    milliseconds m_job_time_limit{0};
+    milliseconds m_declared_run_time{0};
+    bool m_is_repeatable = false;
+    favour m_favoured = favour::response;
+};
+
+// Collects the parts of a contract and checks them at the end.
+class contract_builder {
+public:
+    contract_builder(std::string service, std::string owner);
+    contract_builder& set_max_tasks(int tasks);
+    contract_builder& set_sizes(std::size_t payload_bytes, std::size_t answer_bytes);
+    contract_builder& set_time_limits(milliseconds task, milliseconds job);
+    contract_builder& set_declared_run_time(milliseconds run_time);
+    contract_builder& set_repeatable(bool is_repeatable);
+    contract_builder& set_favour(favour favoured);
+
+    std::optional<contract> build(last_reason& why) const;
+
+private:
+    contract m_contract;
+};
+
+} // namespace hawthornpin
