--- a/config/fold.cpp
+++ b/config/fold.cpp
@@ -57,7 +57,8 @@
     });
 }
 
-fold_verdict apply_change(config_state& state, const config_change& change, log_offset offset, last_reason& why)
+fold_verdict apply_change(config_state& state, const config_change& change, log_offset offset,
+                          last_reason& why)
 {
     const auto& seen = state.m_recent_ids;
     if (std::find(seen.begin(), seen.end(), change.m_id) != seen.end()) {
@@ -112,7 +113,8 @@
         }
     }
     if (state.m_version + 1 < first_kept) {
-        why.set("records before offset " + std::to_string(first_kept) + " have expired and no checkpoint covers them");
+        why.set("records before offset " + std::to_string(first_kept) +
+                " have expired and no checkpoint covers them");
         return std::nullopt;
     }
     for (const config_record& record : records) {
--- a/config/published_files.h
+++ b/config/published_files.h
@@ -21,7 +21,8 @@
 const settings_table& team_file_table();
 
 // Strict checks. On failure `why` names file, line, key and fault.
-std::optional<contract> parse_service_file(const std::string& content, const std::string& path, last_reason& why);
+std::optional<contract> parse_service_file(const std::string& content, const std::string& path,
+                                           last_reason& why);
 std::optional<team> parse_team_file(const std::string& content, const std::string& path, last_reason& why);
 
 } // namespace hawthornpin
--- a/config/record_json.cpp
+++ b/config/record_json.cpp
@@ -28,7 +28,8 @@
     change.m_id = object.text("id").value_or("");
     for (const json_object& file : object.objects("files")) {
         change.m_files.push_back({file.text("path").value_or(""),
-                                  static_cast<log_offset>(file.integer("base").value_or(0)), read_content(file)});
+                                  static_cast<log_offset>(file.integer("base").value_or(0)),
+                                  read_content(file)});
     }
     return change;
 }
@@ -53,7 +54,11 @@
     json_writer writer;
     writer.begin_object().key("kind").text("change").key("id").text(change.m_id).key("files").begin_array();
     for (const file_change& file : change.m_files) {
-        writer.begin_object().key("path").text(file.m_path).key("base").integer(static_cast<std::int64_t>(file.m_base));
+        writer.begin_object()
+            .key("path")
+            .text(file.m_path)
+            .key("base")
+            .integer(static_cast<std::int64_t>(file.m_base));
         write_content(writer, file.m_content);
         writer.end_object();
     }
--- a/core/ids.cpp
+++ b/core/ids.cpp
@@ -33,7 +33,8 @@
 std::string to_text(const ticket_id& ticket)
 {
     std::array<char, 33> digits{};
-    std::snprintf(digits.data(), digits.size(), "%016llx%016llx", static_cast<unsigned long long>(ticket.m_high),
+    std::snprintf(digits.data(), digits.size(), "%016llx%016llx",
+                  static_cast<unsigned long long>(ticket.m_high),
                   static_cast<unsigned long long>(ticket.m_low));
     return digits.data();
 }
--- a/core/logging.cpp
+++ b/core/logging.cpp
@@ -32,7 +32,8 @@
 
 } // namespace
 
-void start_logging(const std::string& program, const std::string& id, const std::string& zone, log_level minimum)
+void start_logging(const std::string& program, const std::string& id, const std::string& zone,
+                   log_level minimum)
 {
     log4cxx::helpers::Pool pool;
     const auto layout = std::make_shared<log4cxx::JSONLayout>();
--- a/core/logging.h
+++ b/core/logging.h
@@ -19,7 +19,8 @@
 };
 
 // Configures the process's log. Call once, before the first event. `minimum` filters.
-void start_logging(const std::string& program, const std::string& id, const std::string& zone, log_level minimum);
+void start_logging(const std::string& program, const std::string& id, const std::string& zone,
+                   log_level minimum);
 
 // Writes one event. `event` is a short fixed name such as "job_failed".
 void log_event(log_level level, const char* event, std::initializer_list<log_field> fields = {});
--- a/core/metrics.cpp
+++ b/core/metrics.cpp
@@ -45,7 +45,8 @@
 
 const std::vector<double> reported_quantiles = {0.5, 0.9, 0.99, 0.999};
 
-void write_by_reason(std::ostream& out, std::string_view name, const std::array<std::uint64_t, reason_count>& values)
+void write_by_reason(std::ostream& out, std::string_view name,
+                     const std::array<std::uint64_t, reason_count>& values)
 {
     out << "# TYPE hawthornpin_" << name << "_total counter\n";
     for (std::size_t index = 1; index < values.size(); ++index) {
--- a/core/metrics.h
+++ b/core/metrics.h
@@ -52,7 +52,8 @@
     connections_closed_for_budget,
     rpc_authentication_failures,
 };
-inline constexpr std::size_t counter_count = static_cast<std::size_t>(counter::rpc_authentication_failures) + 1;
+inline constexpr std::size_t counter_count =
+    static_cast<std::size_t>(counter::rpc_authentication_failures) + 1;
 
 // Durations in seconds.
 enum class distribution { job_response, queue_wait, task_run };
@@ -76,11 +77,9 @@
     std::string to_exposition() const;
 
 private:
-    using accumulator =
-        boost::accumulators::accumulator_set<double,
-                                             boost::accumulators::stats<boost::accumulators::tag::count,
-                                                                        boost::accumulators::tag::sum,
-                                                                        boost::accumulators::tag::extended_p_square_quantile>>;
+    using accumulator = boost::accumulators::accumulator_set<
+        double, boost::accumulators::stats<boost::accumulators::tag::count, boost::accumulators::tag::sum,
+                                           boost::accumulators::tag::extended_p_square_quantile>>;
 
     std::array<std::uint64_t, counter_count> m_counters{};
     std::array<std::uint64_t, reason_count> m_refusals{};
--- a/core/random.cpp
+++ b/core/random.cpp
@@ -6,7 +6,7 @@
 
 std::uint64_t draw_unpredictable()
 {
-    static std::random_device device("getrandom");
+    static std::random_device device("/dev/urandom");
     constexpr int half_width = 32;
     const std::uint64_t high = device();
     return (high << half_width) | device();
--- a/core/settings.cpp
+++ b/core/settings.cpp
@@ -25,7 +25,8 @@
 };
 
 // Longer suffixes first, so that "ms" is not taken for "s".
-constexpr unit duration_units[] = {{"min", 60'000'000}, {"us", 1}, {"ms", 1'000}, {"s", 1'000'000}, {"h", 3'600'000'000}};
+constexpr unit duration_units[] = {
+    {"min", 60'000'000}, {"us", 1}, {"ms", 1'000}, {"s", 1'000'000}, {"h", 3'600'000'000}};
 constexpr unit size_units[] = {{"KiB", 1024}, {"MiB", 1024 * 1024}, {"B", 1}};
 
 template <std::size_t Count>
@@ -127,7 +128,8 @@
         return is_address(value) ? "" : "must be an IP number and port such as 127.0.0.1:8080";
     case setting_kind::address_list: {
         const auto items = split_list(value);
-        return std::all_of(items.begin(), items.end(), is_address) ? "" : "must be IP:port items, comma-separated";
+        return std::all_of(items.begin(), items.end(), is_address) ? ""
+                                                                   : "must be IP:port items, comma-separated";
     }
     case setting_kind::choice:
         return check_choice(value, spec);
@@ -215,7 +217,8 @@
     bool load()
     {
         GError* error = nullptr;
-        if (!g_key_file_load_from_data(m_file.get(), m_content.c_str(), m_content.size(), G_KEY_FILE_NONE, &error)) {
+        if (!g_key_file_load_from_data(m_file.get(), m_content.c_str(), m_content.size(), G_KEY_FILE_NONE,
+                                       &error)) {
             m_why.set(m_file_name + ": " + error->message);
             g_error_free(error);
             return false;
@@ -315,7 +318,8 @@
     return settings_reader(content, file_name, table, why).read();
 }
 
-std::optional<settings> read_settings_file(const std::string& path, const settings_table& table, last_reason& why)
+std::optional<settings> read_settings_file(const std::string& path, const settings_table& table,
+                                           last_reason& why)
 {
     const auto content = read_file(path, why);
     if (!content)
--- a/core/settings.h
+++ b/core/settings.h
@@ -14,7 +14,19 @@
 namespace hawthornpin {
 
 // What a value must look like. Durations end in us, ms, s, min or h; sizes in B, KiB or MiB.
-enum class setting_kind { text, name, integer, duration, size, decimal, flag, address, address_list, choice, digest };
+enum class setting_kind {
+    text,
+    name,
+    integer,
+    duration,
+    size,
+    decimal,
+    flag,
+    address,
+    address_list,
+    choice,
+    digest
+};
 
 // One known key. Limits apply to integers, durations (microseconds), sizes (bytes) and decimals.
 struct setting_spec {
@@ -55,7 +67,8 @@
                                       const settings_table& table, last_reason& why);
 
 // Reads and checks a file.
-std::optional<settings> read_settings_file(const std::string& path, const settings_table& table, last_reason& why);
+std::optional<settings> read_settings_file(const std::string& path, const settings_table& table,
+                                           last_reason& why);
 
 // Reads a whole file; nothing if it can't be read.
 std::optional<std::string> read_file(const std::string& path, last_reason& why);
--- a/core/ticket.cpp
+++ b/core/ticket.cpp
@@ -108,7 +108,8 @@
 std::string sha256_hex(std::string_view bytes)
 {
     std::unique_ptr<char, decltype(&g_free)> digest(
-        g_compute_checksum_for_data(G_CHECKSUM_SHA256, reinterpret_cast<const guchar*>(bytes.data()), bytes.size()),
+        g_compute_checksum_for_data(G_CHECKSUM_SHA256, reinterpret_cast<const guchar*>(bytes.data()),
+                                    bytes.size()),
         g_free);
     return digest.get();
 }
--- a/dispatch/dispatcher.cpp
+++ b/dispatch/dispatcher.cpp
@@ -49,14 +49,15 @@
 
 queue_filter make_filter(const dispatcher& state, bool is_for_here)
 {
-    return {[&state](const queued_task& task) { return wants_to_run(state, task); },
-            [&state, is_for_here](const std::string& name) { return !is_for_here || may_team_run(state, name); },
-            is_for_here};
+    return {
+        [&state](const queued_task& task) { return wants_to_run(state, task); },
+        [&state, is_for_here](const std::string& name) { return !is_for_here || may_team_run(state, name); },
+        is_for_here};
 }
 
 void report_own_load(dispatcher& state, instant now)
 {
-    record_report(state.m_view, state.m_self.identity(), current_load(state), now);
+    record_report(state.m_view, state.m_self.identity(), {current_load(state), 0}, now);
 }
 
 // Whether this worker should start tasks: not while its target is stopped, nor while it is quarantined and
@@ -86,11 +87,13 @@
     note_probe(state, now);
 }
 
-void reply_unstarted(dispatcher& state, const grant_record& record, const grant_id& id, reason why, actions& out)
+void reply_unstarted(dispatcher& state, const grant_record& record, const grant_id& id, reason why,
+                     actions& out)
 {
     ++state.m_counts.m_returned_unstarted;
     ++state.m_counts.m_refusals[why];
-    out.push_back(reply_grant{record.m_home, id, record.m_attempt, {{verdict::not_run, why, ticket_state::closed}, {}}});
+    out.push_back(reply_grant{
+        record.m_home, id, record.m_attempt, {{verdict::not_run, why, ticket_state::closed}, {}}});
 }
 
 // Starts one waiting task on this worker; false if none may run.
@@ -120,17 +123,18 @@
     if (!task)
         return false;
     const task_needs& needs = state.m_ledger.m_jobs.at(task->m_grant.m_ticket).m_needs;
-    const auto chosen =
-        choose_worker(state.m_placement, state.m_view, state.m_self.identity().m_id, needs, now, state.m_random);
+    const auto chosen = choose_worker(state.m_placement, state.m_view, state.m_self.identity().m_id, needs,
+                                      now, state.m_random);
     if (!chosen) {
         const int weight = weight_of(state, task->m_team);
         push_front(state.m_queue, std::move(*task), weight);
         return false;
     }
     const worker& peer = state.m_view.at(*chosen).m_worker;
-    const auto made = make_grant(state, *task, peer.identity(), now);
+    auto made = make_grant(state, *task, peer.identity(), now);
     if (!made)
         return true;
+    made->m_sent = record_sent(state.m_view, peer.identity(), 1);
     ++state.m_counts.m_grants_sent;
     out.push_back(send_grant{peer.identity(), peer.address(), *made});
     return true;
@@ -139,8 +143,10 @@
 // Tells the most loaded peer that slots are free here.
 void announce_idle(dispatcher& state, instant now, actions& out)
 {
-    const bool is_idle_here = free_slots(state) > 0 && state.m_queue.m_live == 0 && may_start_here(state, now);
-    if (!state.m_settings.m_announces_idle || !is_idle_here || state.m_is_leaving || now < state.m_next_idle_notice)
+    const bool is_idle_here =
+        free_slots(state) > 0 && state.m_queue.m_live == 0 && may_start_here(state, now);
+    if (!state.m_settings.m_announces_idle || !is_idle_here || state.m_is_leaving ||
+        now < state.m_next_idle_notice)
         return;
     const worker_view* busiest = nullptr;
     for (const auto& [id, peer] : state.m_view) {
@@ -158,7 +164,8 @@
 } // namespace
 
 dispatcher::dispatcher(worker self, const dispatch_settings& settings, std::uint64_t seed)
-    : m_self(std::move(self)), m_settings(settings), m_estimator(milliseconds(1), settings.m_estimates), m_random(seed)
+    : m_self(std::move(self)), m_settings(settings), m_estimator(milliseconds(1), settings.m_estimates),
+      m_random(seed)
 {
     m_ledger.m_limits = settings.m_ledger;
     m_queue.m_policy = settings.m_queue;
@@ -195,7 +202,8 @@
 
 int work_in_progress(const dispatcher& state)
 {
-    return state.m_ledger.m_live_jobs + static_cast<int>(state.m_grants.m_running.size()) + state.m_grants.m_queued;
+    return state.m_ledger.m_live_jobs + static_cast<int>(state.m_grants.m_running.size()) +
+           state.m_grants.m_queued;
 }
 
 bool is_idle(const dispatcher& state)
@@ -245,7 +253,8 @@
 outcome on_revoke(dispatcher& state, const grant_id& id, instant valid_until, instant now, actions& out)
 {
     const auto found = state.m_grants.m_grants.find(id);
-    const bool was_queued = found != state.m_grants.m_grants.end() && found->second.m_phase == grant_phase::queued;
+    const bool was_queued =
+        found != state.m_grants.m_grants.end() && found->second.m_phase == grant_phase::queued;
     const outcome result = revoke_grant(state.m_grants, id, valid_until);
     if (was_queued) {
         const grant_record& record = state.m_grants.m_grants.at(id);
@@ -301,9 +310,10 @@
     schedule(state, now, out);
 }
 
-void on_idle_notice(dispatcher& state, const agent_identity& from, const worker_load& load, instant now, actions& out)
+void on_idle_notice(dispatcher& state, const agent_identity& from, const worker_load& load, instant now,
+                    actions& out)
 {
-    record_report(state.m_view, from, load, now);
+    record_report(state.m_view, from, {load, 0}, now);
     schedule(state, now, out);
 }
 
--- a/dispatch/dispatcher.h
+++ b/dispatch/dispatcher.h
@@ -92,7 +92,7 @@
 
 // A worker's answer to send_grant, or the loss of its connection (may_have_run).
 void on_grant_reply(dispatcher& state, const agent_identity& from, const grant_id& id, std::uint32_t attempt,
-                    const task_end& end, const std::optional<worker_load>& load, instant now, actions& out);
+                    const task_end& end, const std::optional<load_report>& report, instant now, actions& out);
 
 // A worker's answer to send_revoke; not_run proves that the task did not start.
 void on_revoke_reply(dispatcher& state, const grant_id& id, const outcome& result, instant now, actions& out);
@@ -101,7 +101,8 @@
 void on_members(dispatcher& state, const std::vector<member>& members, instant now, actions& out);
 
 // A peer says that it has free slots.
-void on_idle_notice(dispatcher& state, const agent_identity& from, const worker_load& load, instant now, actions& out);
+void on_idle_notice(dispatcher& state, const agent_identity& from, const worker_load& load, instant now,
+                    actions& out);
 
 // What the target reports of itself.
 void on_target_status(dispatcher& state, int foreign_running, bool is_stopped, instant now, actions& out);
--- a/dispatch/grant_table.cpp
+++ b/dispatch/grant_table.cpp
@@ -68,8 +68,8 @@
     if (const grant_record* known = find(table, offered.m_id)) {
         const bool is_newer_attempt =
             known->m_phase == grant_phase::refused && offered.m_attempt > known->m_attempt;
-        const bool is_again = is_mutant_active(mutant::duplicate_grant_starts_again) &&
-                              known->m_phase == grant_phase::finished;
+        const bool is_again =
+            is_mutant_active(mutant::duplicate_grant_starts_again) && known->m_phase == grant_phase::finished;
         if (!is_newer_attempt && !is_again)
             return judge_known(*known);
     }
--- a/dispatch/home.cpp
+++ b/dispatch/home.cpp
@@ -79,19 +79,20 @@
 
 // Puts a task that provably did not start back into the queue. Without retry budget it waits for a slot of
 // this worker instead of causing more messages.
-void requeue(dispatcher& state, const job_record& job, const grant_id& id, reason why, bool was_remote, instant now)
+void requeue(dispatcher& state, const job_record& job, const grant_id& id, reason why, bool was_remote,
+             instant now)
 {
     ++state.m_counts.m_retries[why];
     const bool is_bound = was_remote && !take_retry(state.m_retries);
-    push_front(state.m_queue, {id, job.m_team, job.m_estimated, now, is_bound},
-               weight_of(state, job.m_team));
+    push_front(state.m_queue, {id, job.m_team, job.m_estimated, now, is_bound}, weight_of(state, job.m_team));
 }
 
 bool may_regrant(const outcome& value)
 {
     if (value.m_verdict == verdict::not_run)
         return true;
-    return is_mutant_active(mutant::regrant_after_lost_connection) && value.m_verdict == verdict::may_have_run;
+    return is_mutant_active(mutant::regrant_after_lost_connection) &&
+           value.m_verdict == verdict::may_have_run;
 }
 
 } // namespace
@@ -102,7 +103,8 @@
     return found == state.m_teams.end() ? 1 : found->second.weight();
 }
 
-std::optional<grant> make_grant(dispatcher& state, const queued_task& task, const agent_identity& worker, instant now)
+std::optional<grant> make_grant(dispatcher& state, const queued_task& task, const agent_identity& worker,
+                                instant now)
 {
     job_record* job = find_job(state.m_ledger, task.m_grant.m_ticket);
     if (job == nullptr || job->m_phase != job_phase::running)
@@ -129,7 +131,8 @@
     // An earlier life of this agent may have run the ticket.
     const bool is_own = job.m_ticket.m_home == state.m_self.identity();
     if (!is_own && !is_mutant_active(mutant::restart_accepts_old_ticket))
-        return {admit_kind::refused, {verdict::may_have_run, reason::wrong_incarnation, ticket_state::closed}};
+        return {admit_kind::refused,
+                {verdict::may_have_run, reason::wrong_incarnation, ticket_state::closed}};
     if (const auto known = judge_known(state.m_ledger, job, now)) {
         if (known->m_kind == admit_kind::refused)
             ++state.m_counts.m_refusals[known->m_refusal.m_reason];
@@ -220,10 +223,10 @@
 }
 
 void on_grant_reply(dispatcher& state, const agent_identity& from, const grant_id& id, std::uint32_t attempt,
-                    const task_end& end, const std::optional<worker_load>& load, instant now, actions& out)
+                    const task_end& end, const std::optional<load_report>& report, instant now, actions& out)
 {
-    if (load)
-        record_report(state.m_view, from, *load, now);
+    if (report)
+        record_report(state.m_view, from, *report, now);
     settle_task(state, from, id, attempt, end, now, out);
     schedule(state, now, out);
 }
--- a/dispatch/home.h
+++ b/dispatch/home.h
@@ -14,7 +14,8 @@
 void end_job(dispatcher& state, job_record& job, reason why, instant now, actions& out);
 
 // Makes the grant of a queued task; the caller has chosen the worker.
-std::optional<grant> make_grant(dispatcher& state, const queued_task& task, const agent_identity& worker, instant now);
+std::optional<grant> make_grant(dispatcher& state, const queued_task& task, const agent_identity& worker,
+                                instant now);
 
 // The weight of a team; one for teams that are not known (any more).
 int weight_of(const dispatcher& state, const std::string& team);
--- a/dispatch/job_ledger.cpp
+++ b/dispatch/job_ledger.cpp
@@ -182,7 +182,8 @@
     return true;
 }
 
-bool mark_done(job_ledger& ledger, job_record& job, std::uint32_t task, std::uint32_t attempt, std::string answer)
+bool mark_done(job_ledger& ledger, job_record& job, std::uint32_t task, std::uint32_t attempt,
+               std::string answer)
 {
     task_record* record = find_granted(job, task, attempt);
     if (record == nullptr)
--- a/dispatch/job_ledger.h
+++ b/dispatch/job_ledger.h
@@ -114,7 +114,8 @@
 // Phase changes of tasks; each checks its precondition and returns false where it does not hold.
 bool mark_granted(job_record& job, std::uint32_t task, const agent_identity& worker);
 bool mark_returned(job_record& job, std::uint32_t task, std::uint32_t attempt);
-bool mark_done(job_ledger& ledger, job_record& job, std::uint32_t task, std::uint32_t attempt, std::string answer);
+bool mark_done(job_ledger& ledger, job_record& job, std::uint32_t task, std::uint32_t attempt,
+               std::string answer);
 bool mark_lost(job_record& job, std::uint32_t task, std::uint32_t attempt, bool is_certain);
 
 // Drops all queued tasks and records why the job ends; returns how many were dropped.
--- a/dispatch/messages.h
+++ b/dispatch/messages.h
@@ -59,6 +59,8 @@
     std::string m_payload;
     milliseconds m_budget{0};
     milliseconds m_estimated{0};
+    // Tasks that the home sent to this worker so far, this one included.
+    std::uint64_t m_sent = 0;
     // After this instant of the worker's clock the grant may not start, and its record may be dropped.
     instant m_valid_until;
 
@@ -108,7 +110,8 @@
     std::string m_address;
 };
 
-using action = std::variant<start_task, stop_task, send_grant, send_revoke, reply_grant, job_ended, notify_idle>;
+using action =
+    std::variant<start_task, stop_task, send_grant, send_revoke, reply_grant, job_ended, notify_idle>;
 using actions = std::vector<action>;
 
 } // namespace hawthornpin
--- a/http/api_server.cpp
+++ b/http/api_server.cpp
@@ -22,7 +22,8 @@
     soup_message_headers_foreach(
         headers,
         [](const char* name, const char* value, gpointer data) {
-            *static_cast<std::size_t*>(data) += std::char_traits<char>::length(name) + std::char_traits<char>::length(value);
+            *static_cast<std::size_t*>(data) +=
+                std::char_traits<char>::length(name) + std::char_traits<char>::length(value);
         },
         &bytes);
     return bytes;
@@ -98,7 +99,8 @@
     const std::unique_ptr<GSocketAddress, void (*)(gpointer)> parsed(
         g_inet_socket_address_new_from_string(address.substr(0, colon).c_str(), port), g_object_unref);
     GError* error = nullptr;
-    if (parsed && soup_server_listen(m_server, parsed.get(), static_cast<SoupServerListenOptions>(0), &error) != FALSE)
+    if (parsed &&
+        soup_server_listen(m_server, parsed.get(), static_cast<SoupServerListenOptions>(0), &error) != FALSE)
         return true;
     why.set("can't listen on " + address + (error == nullptr ? "" : std::string(": ") + error->message));
     g_clear_error(&error);
@@ -134,7 +136,8 @@
         g_socket_set_timeout(socket, self->m_limits.m_idle_seconds);
     if (count_header_bytes(headers) > self->m_limits.m_max_header_bytes)
         note_fault(message, reason::header_too_large);
-    else if (soup_message_headers_get_content_length(headers) > static_cast<goffset>(self->m_limits.m_max_body_bytes))
+    else if (soup_message_headers_get_content_length(headers) >
+             static_cast<goffset>(self->m_limits.m_max_body_bytes))
         note_fault(message, reason::body_too_large);
     auto* meter = new body_meter{self->m_limits.m_max_body_bytes};
     g_signal_connect_data(
@@ -149,10 +152,10 @@
         : m_server(server), m_message(SOUP_SERVER_MESSAGE(g_object_ref(message)))
     {
         ++m_server.m_in_progress;
-        m_finished = g_signal_connect(
-            message, "finished",
-            G_CALLBACK(+[](SoupServerMessage*, gpointer data) { static_cast<exchange*>(data)->m_is_over = true; }),
-            this);
+        m_finished = g_signal_connect(message, "finished", G_CALLBACK(+[](SoupServerMessage*, gpointer data) {
+                                          static_cast<exchange*>(data)->m_is_over = true;
+                                      }),
+                                      this);
     }
     ~exchange()
     {
--- a/http/api_server.h
+++ b/http/api_server.h
@@ -71,8 +71,8 @@
 
     static void on_early(SoupServer* server, SoupServerMessage* message, const char* path, GHashTable* query,
                          gpointer data);
-    static void on_request(SoupServer* server, SoupServerMessage* message, const char* path, GHashTable* query,
-                           gpointer data);
+    static void on_request(SoupServer* server, SoupServerMessage* message, const char* path,
+                           GHashTable* query, gpointer data);
     void respond(SoupServerMessage* message, const api_response& response);
 
     api_handler m_handler;
--- a/http/target_client.cpp
+++ b/http/target_client.cpp
@@ -28,7 +28,8 @@
     if (response.m_transport == http_transport::lost)
         return failed(verdict::may_have_run, reason::target_connection_lost);
     // An answer that is no text can't be part of a JSON document; the task ran all the same.
-    const bool is_text = g_utf8_validate_len(response.m_body.data(), response.m_body.size(), nullptr) != FALSE;
+    const bool is_text =
+        g_utf8_validate_len(response.m_body.data(), response.m_body.size(), nullptr) != FALSE;
     if (response.m_status == status_ok && is_text)
         return {{verdict::ran, reason::none, ticket_state::closed}, std::move(response.m_body)};
     if (response.m_status == status_unavailable && response.m_verdict == "not-run")
@@ -69,8 +70,8 @@
 {
 }
 
-kj::Promise<task_end> target_client::start(const grant_id& id, const std::string& payload, milliseconds budget,
-                                           milliseconds lease)
+kj::Promise<task_end> target_client::start(const grant_id& id, const std::string& payload,
+                                           milliseconds budget, milliseconds lease)
 {
     http_request request{"POST", m_url + "/tasks/" + to_text(id), payload, {}};
     request.m_headers.push_back({"Hawthornpin-Budget-Ms", std::to_string(budget.count())});
--- a/http/target_client.h
+++ b/http/target_client.h
@@ -28,7 +28,8 @@
     // `address` is IP:port; `slots` bounds the connections, with one more for control.
     target_client(const std::string& address, unsigned slots);
 
-    // Starts a task and waits for its end. Always a POST: an idempotent method might be resent by the library.
+    // Starts a task and waits for its end. Always a POST: an idempotent method might be resent by the
+    // library.
     kj::Promise<task_end> start(const grant_id& id, const std::string& payload, milliseconds budget,
                                 milliseconds lease);
     kj::Promise<void> stop(const std::string& grant);
--- a/main/agent_node.cpp
+++ b/main/agent_node.cpp
@@ -4,6 +4,8 @@
 
 #include "rpc/wire.h"
 
+#include <algorithm>
+
 namespace hawthornpin {
 
 namespace {
@@ -13,6 +15,11 @@
 // Callers that wait for one job at the same time.
 constexpr std::size_t max_waiters_per_job = 64;
 
+std::string sender_key(const agent_identity& sender)
+{
+    return sender.m_id + "/" + std::to_string(static_cast<std::uint64_t>(sender.m_incarnation));
+}
+
 } // namespace
 
 kj::Promise<void> agent_process::node_server::wait_for_end(const ticket_id& id)
@@ -24,6 +31,13 @@
     return kj::mv(pair.promise);
 }
 
+std::uint64_t agent_process::node_server::note_received(const std::string& sender, std::uint64_t sent)
+{
+    std::uint64_t& most = m_process.m_received[sender];
+    most = std::max(most, sent);
+    return most;
+}
+
 bool agent_process::node_server::write_answer(wire::JobAnswer::Builder to, const ticket_id& id) const
 {
     const job_record* job = find_job(m_process.m_dispatcher->m_ledger, id);
@@ -40,11 +54,14 @@
         return kj::READY_NOW;
     }
     const submission job = read_wire(context.getParams().getSubmission());
-    context.releaseParams();
     const ticket_id id = job.m_ticket.m_id;
+    const std::string sender = context.getParams().getFrom().cStr();
+    note_received(sender, context.getParams().getSent());
+    context.releaseParams();
     actions wanted;
     const admit_result admitted = on_submit(*m_process.m_dispatcher, job, m_process.m_clock.now(), wanted);
-    m_process.m_metrics.count(admitted.m_kind == admit_kind::joined ? counter::jobs_joined : counter::jobs_submitted);
+    m_process.m_metrics.count(admitted.m_kind == admit_kind::joined ? counter::jobs_joined
+                                                                    : counter::jobs_submitted);
     const auto found = m_process.m_waiters.find(id);
     const bool is_crowded = found != m_process.m_waiters.end() && found->second.size() >= max_waiters_per_job;
     // The waiter is registered before the actions are carried out: they may end the job at once.
@@ -54,9 +71,10 @@
     if (is_waiting)
         ended = wait_for_end(id);
     m_process.carry_out(wanted);
-    return ended.then([this, context, id, admitted]() mutable {
+    return ended.then([this, context, id, admitted, sender]() mutable {
         auto results = context.getResults();
         write_wire(results.initLoad(), current_load(*m_process.m_dispatcher));
+        results.setSeen(note_received(sender, 0));
         // A refusal of this body must not be answered with the answer of another one.
         const bool is_other_body = admitted.m_refusal.m_reason == reason::body_differs;
         if (!is_other_body && write_answer(results.initAnswer(), id))
@@ -134,11 +152,14 @@
     auto pair = kj::newPromiseAndFulfiller<task_end>();
     const offered_key key{offered.m_home, offered.m_id, offered.m_attempt};
     m_process.m_offered.insert_or_assign(key, kj::mv(pair.fulfiller));
+    const std::string sender = sender_key(offered.m_home);
+    note_received(sender, offered.m_sent);
     actions wanted;
     on_grant(*m_process.m_dispatcher, offered, m_process.m_clock.now(), wanted);
     m_process.carry_out(wanted);
-    return pair.promise.then([this, context](task_end end) mutable {
+    return pair.promise.then([this, context, sender](task_end end) mutable {
         auto results = context.getResults();
+        results.setSeen(note_received(sender, 0));
         write_wire(results.initEnd(), end);
         write_wire(results.initLoad(), current_load(*m_process.m_dispatcher));
     });
--- a/main/agent_process.cpp
+++ b/main/agent_process.cpp
@@ -50,9 +50,11 @@
 
 agent_process::agent_process(event_loop& loop, const settings& values)
     : m_loop(loop), m_settings(values), m_identity(draw_identity(values)),
-      m_target(values.text("agent", "target_address"), static_cast<unsigned>(values.integer("limits", "connections"))),
+      m_target(values.text("agent", "target_address"),
+               static_cast<unsigned>(values.integer("limits", "connections"))),
       m_links(values.text("keys", "cluster_key"), link_budget(values)),
-      m_announcer(make_announcer_settings(values, m_identity), make_announcer_hooks(), m_links, m_clock, m_metrics),
+      m_announcer(make_announcer_settings(values, m_identity), make_announcer_hooks(), m_links, m_clock,
+                  m_metrics),
       m_operator_server(make_operator_handler(make_operator_hooks(), m_metrics), api_limits())
 {
     m_drain.m_limits.m_linger = milliseconds(0);
@@ -162,10 +164,11 @@
         return true;
     }));
     constexpr unsigned renewals_per_lease = 3;
-    m_timers.push_back(std::make_unique<timer>(timer_ms(m_settings, "timing", "lease") / renewals_per_lease, [this] {
-        renew_leases();
-        return true;
-    }));
+    m_timers.push_back(
+        std::make_unique<timer>(timer_ms(m_settings, "timing", "lease") / renewals_per_lease, [this] {
+            renew_leases();
+            return true;
+        }));
     take_status(status);
     m_announcer.announce();
 }
@@ -241,8 +244,9 @@
     const auto started = m_clock.now();
     m_tasks.add(m_target.start(id, wanted.m_payload, wanted.m_budget, lease_of(m_settings))
                     .then([this, id, started](task_end end) {
-                        const bool is_too_large = m_dispatcher->m_contract &&
-                                                  end.m_answer.size() > m_dispatcher->m_contract->max_answer_bytes();
+                        const bool is_too_large =
+                            m_dispatcher->m_contract &&
+                            end.m_answer.size() > m_dispatcher->m_contract->max_answer_bytes();
                         if (is_too_large)
                             end = {{verdict::ran, reason::answer_too_large, ticket_state::closed}, {}};
                         const std::chrono::duration<double> took = m_clock.now() - started;
@@ -264,7 +268,7 @@
 {
     struct run_reply {
         task_end m_end;
-        worker_load m_load;
+        load_report m_report;
     };
     const grant sent = wanted.m_grant;
     const agent_identity peer = wanted.m_worker;
@@ -272,23 +276,24 @@
         auto request = node.runRequest();
         write_wire(request.initGrant(), sent, m_clock.now());
         return request.send().then([](auto response) {
-            return run_reply{read_wire(response.getEnd()), read_wire(response.getLoad())};
+            return run_reply{read_wire(response.getEnd()),
+                             {read_wire(response.getLoad()), response.getSeen()}};
         });
     });
     m_tasks.add(call.then([this, peer, sent](call_result<run_reply> result) {
         task_end end = result.m_response.m_end;
-        std::optional<worker_load> load = result.m_response.m_load;
+        load_report report = result.m_response.m_report;
         if (result.m_fate != call_fate::answered) {
             const bool is_unsent = result.m_fate == call_fate::not_sent;
             end = {{is_unsent ? verdict::not_run : verdict::may_have_run,
                     is_unsent ? reason::worker_lost : reason::connection_lost, ticket_state::closed},
                    {}};
             // Nothing more is placed there until it is heard of again.
-            load = worker_load();
-            load->m_is_stopped = true;
+            report.m_load.m_is_stopped = true;
+            report.m_seen = sent.m_sent;
         }
         actions next;
-        on_grant_reply(*m_dispatcher, peer, sent.m_id, sent.m_attempt, end, load, m_clock.now(), next);
+        on_grant_reply(*m_dispatcher, peer, sent.m_id, sent.m_attempt, end, report, m_clock.now(), next);
         carry_out(next);
     }));
 }
@@ -420,7 +425,8 @@
     counts.set_gauge("ledger_bytes", static_cast<double>(m_dispatcher->m_ledger.m_bytes));
     counts.set_gauge("grant_records", static_cast<double>(m_dispatcher->m_grants.m_grants.size()));
     counts.set_gauge("foreign_running", m_dispatcher->m_foreign_running);
-    counts.set_gauge("quarantined_peers", static_cast<double>(m_dispatcher->m_placement.m_quarantined.size()));
+    counts.set_gauge("quarantined_peers",
+                     static_cast<double>(m_dispatcher->m_placement.m_quarantined.size()));
 }
 
 } // namespace hawthornpin
--- a/main/agent_process.h
+++ b/main/agent_process.h
@@ -84,6 +84,8 @@
     dispatch_counts m_counted;
     std::unordered_map<ticket_id, std::vector<fulfiller>> m_waiters;
     std::map<offered_key, end_fulfiller> m_offered;
+    // The most tasks that each sender said to have sent, echoed with reports of load.
+    std::map<std::string, std::uint64_t> m_received;
     drain_state m_drain;
     bool m_is_looking_at_target = false;
     bool m_has_target = false;
--- a/main/announcer.cpp
+++ b/main/announcer.cpp
@@ -40,8 +40,8 @@
 
 announcer::announcer(announcer_settings settings, announcer_hooks hooks, link_pool& links,
                      const process_clock& clock, metrics& counts)
-    : m_settings(std::move(settings)), m_hooks(std::move(hooks)), m_links(links), m_clock(clock), m_metrics(counts),
-      m_generation(static_cast<std::uint64_t>(to_unix_ms(clock.now())))
+    : m_settings(std::move(settings)), m_hooks(std::move(hooks)), m_links(links), m_clock(clock),
+      m_metrics(counts), m_generation(static_cast<std::uint64_t>(to_unix_ms(clock.now())))
 {
 }
 
--- a/main/announcer.h
+++ b/main/announcer.h
@@ -35,8 +35,8 @@
 // Announces when told to. Entries are learned from replies; the seeds serve while none is known.
 class announcer {
 public:
-    announcer(announcer_settings settings, announcer_hooks hooks, link_pool& links, const process_clock& clock,
-              metrics& counts);
+    announcer(announcer_settings settings, announcer_hooks hooks, link_pool& links,
+              const process_clock& clock, metrics& counts);
 
     // Sends one round of announcements.
     void announce();
--- a/main/caller_api.cpp
+++ b/main/caller_api.cpp
@@ -30,7 +30,7 @@
 } // namespace
 
 caller_api::caller_api(caller_context context)
-    : m_context(std::move(context)), m_random(draw_unpredictable())
+    : m_context(std::move(context)), m_sender(to_text(draw_ticket_id())), m_random(draw_unpredictable())
 {
 }
 
@@ -110,7 +110,8 @@
     return ready(refuse(reason::bad_request));
 }
 
-std::optional<ticket> caller_api::mint(const std::string& service, const task_needs& needs, int tasks, reason& why)
+std::optional<ticket> caller_api::mint(const std::string& service, const task_needs& needs, int tasks,
+                                       reason& why)
 {
     service_view& view = view_of(service);
     const instant now = m_context.m_clock->now();
@@ -120,7 +121,7 @@
         why = is_hopeless ? reason::never_fits : reason::no_worker;
         return std::nullopt;
     }
-    record_placement(view.m_loads, *home, tasks - 1);
+    record_minted(view.m_loads, *home, tasks);
     m_context.m_metrics->count(counter::tickets_minted);
     return ticket{service, view.m_loads.at(*home).m_worker.identity(), draw_ticket_id(),
                   now + m_context.m_ticket_life};
@@ -142,7 +143,8 @@
     return ready(describe_tickets(tickets, m_context.m_ticket_life));
 }
 
-std::optional<outcome> caller_api::check_rate(const team& caller, std::size_t tasks, milliseconds& retry_after)
+std::optional<outcome> caller_api::check_rate(const team& caller, std::size_t tasks,
+                                              milliseconds& retry_after)
 {
     constexpr double burst_seconds = 1;
     const double rate = caller.rate() / std::max(1, m_context.m_count_entries());
@@ -183,7 +185,8 @@
     reason why = reason::none;
     const auto minted = mint(service.service(), job.m_needs, static_cast<int>(job.m_payloads.size()), why);
     if (!minted) {
-        const milliseconds retry_after = why == reason::never_fits ? milliseconds(0) : unreachable_retry_after;
+        const milliseconds retry_after =
+            why == reason::never_fits ? milliseconds(0) : unreachable_retry_after;
         return job_answer{{verdict::not_run, why, ticket_state::closed}, {}, retry_after};
     }
     auto pending = std::make_shared<pending_submit>();
@@ -199,7 +202,8 @@
                                  cause == reason::connection_lost || cause == reason::home_gone ||
                                  cause == reason::worker_lost || cause == reason::wrong_incarnation;
         const bool has_time = job.m_deadline > passed + shortest_pause;
-        if (!is_worth_it || !has_time || tries >= max_submit_tries || !take_retry(view_of(service.service()).m_retries))
+        if (!is_worth_it || !has_time || tries >= max_submit_tries ||
+            !take_retry(view_of(service.service()).m_retries))
             return kj::mv(answer);
         m_context.m_metrics->count_retry(cause);
         job.m_deadline -= passed;
@@ -253,10 +257,11 @@
     milliseconds retry_after{0};
     if (const auto limited = check_rate(caller, job->m_payloads.size(), retry_after))
         return ready(refuse_with(*limited, retry_after));
-    const milliseconds budget = job->m_deadline.count() == 0 ? service->second.job_time_limit() : job->m_deadline;
+    const milliseconds budget =
+        job->m_deadline.count() == 0 ? service->second.job_time_limit() : job->m_deadline;
     auto pending = std::make_shared<pending_submit>();
     pending->m_ticket_text = text;
-    pending->m_job = {known,   caller.name(), sha256_hex(caller.name() + "\n" + request.m_body),
+    pending->m_job = {known,  caller.name(), sha256_hex(caller.name() + "\n" + request.m_body),
                       budget, job->m_needs,  std::move(job->m_payloads)};
     pending->m_give_up = m_context.m_clock->now() + budget + home_grace;
     return submit(pending).then([this, text](job_answer answer) {
@@ -275,13 +280,22 @@
         return job_answer{refusal, {}, unreachable_retry_after};
     ++pending->m_tries;
     m_context.m_metrics->count(counter::submits_sent);
-    auto call = call_node<submit_reply>(*m_context.m_links, *address, [pending](wire::Node::Client node) {
-        auto request = node.submitRequest();
-        write_wire(request.initSubmission(), pending->m_job);
-        return request.send().then([](auto response) {
-            return submit_reply{read_wire(response.getAnswer()), read_wire(response.getLoad()), false};
+    const int tasks = static_cast<int>(pending->m_job.m_payloads.size());
+    load_view& loads = view_of(pending->m_job.m_ticket.m_service).m_loads;
+    record_minted(loads, pending->m_job.m_ticket.m_home.m_id, -tasks);
+    const std::uint64_t sent = record_sent(loads, pending->m_job.m_ticket.m_home, tasks);
+    auto call =
+        call_node<submit_reply>(*m_context.m_links, *address, [this, pending, sent](wire::Node::Client node) {
+            auto request = node.submitRequest();
+            write_wire(request.initSubmission(), pending->m_job);
+            request.setFrom(m_sender);
+            request.setSent(sent);
+            return request.send().then([](auto response) {
+                return submit_reply{read_wire(response.getAnswer()),
+                                    {read_wire(response.getLoad()), response.getSeen()},
+                                    false};
+            });
         });
-    });
     const auto left = std::chrono::duration_cast<milliseconds>(pending->m_give_up - m_context.m_clock->now());
     const auto wait_ms = static_cast<unsigned>(std::max<long long>(1, left.count()));
     auto late = after_delay(wait_ms).then([pending] {
@@ -289,30 +303,34 @@
         return call_result<submit_reply>{call_fate::lost, {}};
     });
     return call.exclusiveJoin(kj::mv(late))
-        .then([this, pending](call_result<submit_reply> result) -> kj::Promise<job_answer> {
+        .then([this, pending, sent](call_result<submit_reply> result) -> kj::Promise<job_answer> {
             if (result.m_fate == call_fate::answered)
                 return take_submit_reply(*pending, result.m_response);
+            // A call without an answer must not count as load of its home for ever.
+            acknowledge_sent(view_of(pending->m_job.m_ticket.m_service).m_loads,
+                             pending->m_job.m_ticket.m_home, sent);
             const bool is_lost = result.m_fate == call_fate::lost;
             const outcome failure = is_lost ? lost_home : unreachable;
             service_view& view = view_of(pending->m_job.m_ticket.m_service);
             if (pending->m_tries >= max_submit_tries || !take_retry(view.m_retries))
                 return job_answer{failure, {}, unreachable_retry_after};
             m_context.m_metrics->count_retry(failure.m_reason);
-            return after_delay(static_cast<unsigned>(shortest_pause.count()))
-                .then([this, pending, is_lost] { return submit(pending).then([is_lost](job_answer answer) {
+            return after_delay(static_cast<unsigned>(shortest_pause.count())).then([this, pending, is_lost] {
+                return submit(pending).then([is_lost](job_answer answer) {
                     // Once a try was lost, a later refusal of this entry can't prove that nothing ran.
                     const bool is_unproven = answer.m_outcome.m_ticket == ticket_state::open;
                     if (is_lost && is_unproven)
                         answer.m_outcome.m_verdict = verdict::may_have_run;
                     return answer;
-                }); });
+                });
+            });
         });
 }
 
 job_answer caller_api::take_submit_reply(const pending_submit& pending, const submit_reply& reply)
 {
     service_view& view = view_of(pending.m_job.m_ticket.m_service);
-    record_report(view.m_loads, pending.m_job.m_ticket.m_home, reply.m_load, m_context.m_clock->now());
+    record_report(view.m_loads, pending.m_job.m_ticket.m_home, reply.m_report, m_context.m_clock->now());
     if (is_success(reply.m_answer.m_outcome))
         record_success(view.m_retries);
     return reply.m_answer;
@@ -328,15 +346,17 @@
     constexpr int ms_per_second = 1000;
     const auto wait_ms = static_cast<unsigned>(parse_wait_seconds(request.m_prefer) * ms_per_second);
     m_context.m_metrics->count(counter::fetches_sent);
-    auto call = call_node<submit_reply>(*m_context.m_links, *address, [known, wait_ms](wire::Node::Client node) {
-        auto fetch = node.fetchRequest();
-        write_wire(fetch.initTicket(), known);
-        fetch.setWaitMs(wait_ms);
-        return fetch.send().then([](auto response) {
-            return submit_reply{read_wire(response.getAnswer()), read_wire(response.getLoad()),
-                                response.getAnswer().getPending()};
+    auto call =
+        call_node<submit_reply>(*m_context.m_links, *address, [known, wait_ms](wire::Node::Client node) {
+            auto fetch = node.fetchRequest();
+            write_wire(fetch.initTicket(), known);
+            fetch.setWaitMs(wait_ms);
+            return fetch.send().then([](auto response) {
+                return submit_reply{read_wire(response.getAnswer()),
+                                    {read_wire(response.getLoad()), 0},
+                                    response.getAnswer().getPending()};
+            });
         });
-    });
     auto late = after_delay(wait_ms + static_cast<unsigned>(home_grace.count())).then([] {
         return call_result<submit_reply>{call_fate::lost, {}};
     });
--- a/main/caller_api.h
+++ b/main/caller_api.h
@@ -52,7 +52,7 @@
     };
     struct submit_reply {
         job_answer m_answer;
-        worker_load m_load;
+        load_report m_report;
         bool m_is_pending = false;
     };
     // One submission on its way, with the tries it took.
@@ -72,14 +72,17 @@
     api_response refuse_with(const outcome& refusal, milliseconds retry_after = milliseconds(0));
 
     kj::Promise<api_response> handle_tickets(const api_request& request, const contract& service);
-    kj::Promise<api_response> handle_post_job(const api_request& request, const contract& service, const team& caller);
-    kj::Promise<api_response> handle_ticket(const api_request& request, const std::string& text, const team& caller);
-    kj::Promise<api_response> handle_put(const api_request& request, const std::string& text, const ticket& known,
-                                         const team& caller);
-    kj::Promise<api_response> handle_get(const api_request& request, const std::string& text, const ticket& known);
+    kj::Promise<api_response> handle_post_job(const api_request& request, const contract& service,
+                                              const team& caller);
+    kj::Promise<api_response> handle_ticket(const api_request& request, const std::string& text,
+                                            const team& caller);
+    kj::Promise<api_response> handle_put(const api_request& request, const std::string& text,
+                                         const ticket& known, const team& caller);
+    kj::Promise<api_response> handle_get(const api_request& request, const std::string& text,
+                                         const ticket& known);
     kj::Promise<api_response> handle_delete(const std::string& text, const ticket& known);
-    kj::Promise<job_answer> post_anew(job_request job, const contract& service, std::string team, std::string digest,
-                                      int tries);
+    kj::Promise<job_answer> post_anew(job_request job, const contract& service, std::string team,
+                                      std::string digest, int tries);
 
     // The address of a ticket's home; a refusal if it can't be asked.
     std::optional<std::string> find_home(const ticket& known, outcome& refusal) const;
@@ -90,6 +93,8 @@
     std::map<std::string, service_view> m_services;
     std::map<std::string, token_bucket> m_rates;
     std::uint64_t m_seen_changes = 0;
+    // Names this process life to homes, for their count of what it sent.
+    std::string m_sender;
     random_source m_random;
 };
 
--- a/main/command_line.cpp
+++ b/main/command_line.cpp
@@ -21,8 +21,10 @@
     add("entry", options::value<std::string>()->default_value("127.0.0.1:8080"), "an entry's caller address");
     add("operator", options::value<std::string>(), "a process's operator address (drain, members)");
     add("key", options::value<std::string>(), "the caller's key; default: the variable HAWTHORNPIN_KEY");
-    add("log", options::value<std::string>()->default_value("127.0.0.1:9000"), "the log service's address (publish)");
-    add("stream", options::value<std::string>()->default_value("hawthornpin-config"), "the configuration stream");
+    add("log", options::value<std::string>()->default_value("127.0.0.1:9000"),
+        "the log service's address (publish)");
+    add("stream", options::value<std::string>()->default_value("hawthornpin-config"),
+        "the configuration stream");
     add("resume", options::value<std::string>(), "settle an earlier publication instead of appending");
     add("remove-missing", "remove files in force that are not in the folder (publish)");
     add("count", options::value<int>()->default_value(1), "how many tickets");
@@ -63,11 +65,11 @@
 {
     static const std::vector<command> table = {
         {"check", "FOLDER", "Checks every service.ini and team.ini below the folder.", 1, 1, run_check},
-        {"publish", "FOLDER | --resume ID", "Publishes the files below the folder and waits until they are in force.",
-         0, 1, run_publish},
+        {"publish", "FOLDER | --resume ID",
+         "Publishes the files below the folder and waits until they are in force.", 0, 1, run_publish},
         {"ticket", "SERVICE", "Takes tickets for jobs of a service.", 1, 1, run_ticket},
-        {"submit", "SERVICE PAYLOAD...", "Submits a job with one task for each payload and prints the whole answer.",
-         2, 1000, run_submit},
+        {"submit", "SERVICE PAYLOAD...",
+         "Submits a job with one task for each payload and prints the whole answer.", 2, 1000, run_submit},
         {"status", "TICKET", "Shows the answer or the state of a job.", 1, 1, run_status},
         {"cancel", "TICKET", "Cancels a job and tells whether anything may have run.", 1, 1, run_cancel},
         {"drain", "--operator ADDRESS", "Makes a process leave gracefully.", 0, 0, run_drain},
--- a/main/config_commands.cpp
+++ b/main/config_commands.cpp
@@ -88,9 +88,11 @@
 
 exit_code run_publish(event_loop& loop, const command_call& call)
 {
-    publisher target(log_client(call.m_options["log"].as<std::string>(), call.m_options["stream"].as<std::string>()));
+    publisher target(
+        log_client(call.m_options["log"].as<std::string>(), call.m_options["stream"].as<std::string>()));
     if (call.m_options.count("resume") != 0)
-        return report(run_to_end(loop, target.resume(call.m_options["resume"].as<std::string>())), call.m_is_json);
+        return report(run_to_end(loop, target.resume(call.m_options["resume"].as<std::string>())),
+                      call.m_is_json);
     if (call.m_arguments.empty()) {
         std::cerr << "Usage: hawthornpin publish FOLDER | --resume ID\n";
         return exit_code::bad_input;
--- a/main/config_follower.cpp
+++ b/main/config_follower.cpp
@@ -49,20 +49,21 @@
 {
     m_metrics.count(counter::log_polls);
     return m_log.read(from, 0, records_per_read)
-        .then([this, records = std::move(records)](std::optional<log_page> page) mutable -> kj::Promise<void> {
-            m_is_log_down = !page;
-            if (!page)
-                return after_delay(retry_delay_ms);
-            for (const log_record& record : page->m_records)
-                records.push_back(record_from_json(record.m_offset, record.m_body));
-            const bool is_whole = records.empty() || records.back().m_offset + 1 >= page->m_next;
-            if (!is_whole) {
-                const log_offset next = records.back().m_offset + 1;
-                return bootstrap(std::move(records), next);
-            }
-            finish_bootstrap(records, page->m_first);
-            return m_needs_bootstrap ? after_delay(retry_delay_ms) : kj::Promise<void>(kj::READY_NOW);
-        });
+        .then(
+            [this, records = std::move(records)](std::optional<log_page> page) mutable -> kj::Promise<void> {
+                m_is_log_down = !page;
+                if (!page)
+                    return after_delay(retry_delay_ms);
+                for (const log_record& record : page->m_records)
+                    records.push_back(record_from_json(record.m_offset, record.m_body));
+                const bool is_whole = records.empty() || records.back().m_offset + 1 >= page->m_next;
+                if (!is_whole) {
+                    const log_offset next = records.back().m_offset + 1;
+                    return bootstrap(std::move(records), next);
+                }
+                finish_bootstrap(records, page->m_first);
+                return m_needs_bootstrap ? after_delay(retry_delay_ms) : kj::Promise<void>(kj::READY_NOW);
+            });
 }
 
 void config_follower::finish_bootstrap(const std::vector<config_record>& records, log_offset first_kept)
@@ -86,8 +87,9 @@
 {
     if (page.m_next < m_state.m_version + 1) {
         m_metrics.count(counter::log_tail_lost);
-        log_event(log_level::error, "log_tail_lost",
-                  {{"version", std::to_string(m_state.m_version)}, {"log_next", std::to_string(page.m_next)}});
+        log_event(
+            log_level::error, "log_tail_lost",
+            {{"version", std::to_string(m_state.m_version)}, {"log_next", std::to_string(page.m_next)}});
         return;
     }
     if (page.m_first > m_state.m_version + 1) {
@@ -131,11 +133,12 @@
     // A checkpoint may be written twice without harm, so its append needs no settling.
     m_metrics.count(counter::log_appends);
     m_is_checkpoint_due = true;
-    m_tasks.add(m_log.append(to_json(make_checkpoint(m_state)), append_timeout_ms).then([this](append_result result) {
-        m_is_checkpoint_due = false;
-        const bool is_written = result.m_fate == append_fate::written;
-        log_event(log_level::info, is_written ? "checkpoint_written" : "checkpoint_uncertain");
-    }));
+    m_tasks.add(
+        m_log.append(to_json(make_checkpoint(m_state)), append_timeout_ms).then([this](append_result result) {
+            m_is_checkpoint_due = false;
+            const bool is_written = result.m_fate == append_fate::written;
+            log_event(log_level::info, is_written ? "checkpoint_written" : "checkpoint_uncertain");
+        }));
 }
 
 void config_follower::take_checkpoint(const std::string& json)
--- a/main/config_follower.h
+++ b/main/config_follower.h
@@ -16,7 +16,8 @@
 // The version in force never falls.
 class config_follower {
 public:
-    config_follower(log_client log, unsigned checkpoint_every, std::function<void()> on_change, metrics& counts);
+    config_follower(log_client log, unsigned checkpoint_every, std::function<void()> on_change,
+                    metrics& counts);
 
     // Begins to follow; runs until destroyed.
     void start();
--- a/main/daemon.cpp
+++ b/main/daemon.cpp
@@ -25,7 +25,8 @@
     return description;
 }
 
-int run_with_settings(const options::variables_map& values, const settings_table& table, const daemon_body& body)
+int run_with_settings(const options::variables_map& values, const settings_table& table,
+                      const daemon_body& body)
 {
     if (values.count("settings") == 0) {
         std::cerr << "--settings FILE is needed\n";
--- a/main/entry_main.cpp
+++ b/main/entry_main.cpp
@@ -1,7 +1,7 @@
 // hawthornpin-entry: a thin entry behind the balancer.
 
-#include "main/entry_process.h"
 #include "main/daemon.h"
+#include "main/entry_process.h"
 #include "main/process_settings.h"
 
 #include <csignal>
--- a/main/entry_process.cpp
+++ b/main/entry_process.cpp
@@ -51,9 +51,11 @@
 
 entry_process::entry_process(event_loop& loop, const settings& values)
     : m_loop(loop), m_settings(values), m_id(values.text("entry", "id")),
-      m_links(values.text("keys", "cluster_key"), static_cast<std::size_t>(values.integer("limits", "agent_links"))),
-      m_config(log_client(values.text("platform", "log_address"), values.text("platform", "config_stream")),
-               static_cast<unsigned>(values.integer("platform", "checkpoint_every")), [] {}, m_metrics),
+      m_links(values.text("keys", "cluster_key"),
+              static_cast<std::size_t>(values.integer("limits", "agent_links"))),
+      m_config(
+          log_client(values.text("platform", "log_address"), values.text("platform", "config_stream")),
+          static_cast<unsigned>(values.integer("platform", "checkpoint_every")), [] {}, m_metrics),
       m_callers(make_caller_context()),
       m_caller_server([this](const api_request& request) { return m_callers.handle(request); },
                       read_api_limits(values)),
@@ -179,7 +181,8 @@
             auto request = node.exchangeRequest();
             const instant now = m_clock.now();
             write_wire(request.initFrom(), {m_id, m_server->address(), now}, milliseconds(0));
-            const auto members = members_since(m_members, already_told, "", address, m_members.m_members.size());
+            const auto members =
+                members_since(m_members, already_told, "", address, m_members.m_members.size());
             auto list = request.initMembers(static_cast<unsigned>(members.size()));
             for (unsigned index = 0; index < list.size(); ++index) {
                 const auto age = std::chrono::duration_cast<milliseconds>(now - members[index].m_last_heard);
@@ -204,14 +207,17 @@
                 return read;
             });
         });
-    auto late = after_delay(exchange_timeout_ms).then([] { return call_result<exchange_reply>{call_fate::lost, {}}; });
-    m_tasks.add(call.exclusiveJoin(kj::mv(late)).then([this, address, told](call_result<exchange_reply> result) {
-        m_peers[address].m_is_waiting = false;
-        if (result.m_fate == call_fate::answered)
-            take_exchange(address, result.m_response, told);
-        else
-            m_peers[address] = peer_progress();
-    }));
+    auto late = after_delay(exchange_timeout_ms).then([] {
+        return call_result<exchange_reply>{call_fate::lost, {}};
+    });
+    m_tasks.add(
+        call.exclusiveJoin(kj::mv(late)).then([this, address, told](call_result<exchange_reply> result) {
+            m_peers[address].m_is_waiting = false;
+            if (result.m_fate == call_fate::answered)
+                take_exchange(address, result.m_response, told);
+            else
+                m_peers[address] = peer_progress();
+        }));
 }
 
 void entry_process::take_exchange(const std::string& address, const exchange_reply& news, std::uint64_t told)
@@ -251,7 +257,8 @@
         constexpr std::array<const char*, 3> states = {"serving", "leaving", "gone"};
         writer.begin_object().key("id").text(id).key("service").text(news.m_worker.service());
         writer.key("zone").text(news.m_worker.where().m_zone).key("rack").text(news.m_worker.where().m_rack);
-        writer.key("state").text(known.m_is_suspect ? "suspect" : states.at(static_cast<std::size_t>(news.m_state)));
+        writer.key("state").text(known.m_is_suspect ? "suspect"
+                                                    : states.at(static_cast<std::size_t>(news.m_state)));
         writer.key("slots").integer(news.m_worker.slots()).key("running").integer(news.m_load.m_running);
         writer.key("queued").integer(news.m_load.m_queued).end_object();
     }
--- a/main/job_commands.cpp
+++ b/main/job_commands.cpp
@@ -24,7 +24,8 @@
 }
 
 http_response ask_entry(event_loop& loop, const command_call& call, const std::string& method,
-                        const std::string& path, const std::string& body = {}, std::vector<http_header> headers = {})
+                        const std::string& path, const std::string& body = {},
+                        std::vector<http_header> headers = {})
 {
     http_client client(command_connections);
     headers.push_back({"Authorization", "Bearer " + caller_key(call)});
@@ -59,8 +60,8 @@
     const json_object root = document->root();
     const std::string verdict = root.text("verdict").value_or("may_have_run");
     if (!is_json) {
-        std::cerr << "refused: " << root.text("reason").value_or("unknown") << "; verdict " << verdict << ", ticket "
-                  << root.text("ticket_state").value_or("unknown");
+        std::cerr << "refused: " << root.text("reason").value_or("unknown") << "; verdict " << verdict
+                  << ", ticket " << root.text("ticket_state").value_or("unknown");
         if (const auto wait = root.integer("retry_after_ms"))
             std::cerr << ", try again after " << *wait << " ms";
         std::cerr << '\n';
@@ -104,7 +105,8 @@
 {
     json_writer writer;
     writer.begin_object().key("count").integer(count).end_object();
-    const auto response = ask_entry(loop, call, "POST", "/v1/services/" + service + "/tickets", writer.to_string());
+    const auto response =
+        ask_entry(loop, call, "POST", "/v1/services/" + service + "/tickets", writer.to_string());
     reason why = reason::none;
     const auto document = is_failure(response) ? std::nullopt : json_document::parse(response.m_body, why);
     if (!document) {
@@ -124,7 +126,8 @@
     return writer.to_string();
 }
 
-exit_code ask_operator(event_loop& loop, const command_call& call, const std::string& method, const std::string& path)
+exit_code ask_operator(event_loop& loop, const command_call& call, const std::string& method,
+                       const std::string& path)
 {
     if (call.m_options.count("operator") == 0) {
         std::cerr << "--operator ADDRESS is needed\n";
@@ -148,7 +151,8 @@
 exit_code run_ticket(event_loop& loop, const command_call& call)
 {
     exit_code code = exit_code::success;
-    const auto tickets = take_tickets(loop, call, call.m_arguments[0], call.m_options["count"].as<int>(), code);
+    const auto tickets =
+        take_tickets(loop, call, call.m_arguments[0], call.m_options["count"].as<int>(), code);
     if (!tickets)
         return code;
     for (const std::string& text : *tickets)
@@ -177,8 +181,9 @@
 exit_code run_status(event_loop& loop, const command_call& call)
 {
     const std::string wait = "wait=" + std::to_string(call.m_options["wait"].as<int>());
-    return report_answer(ask_entry(loop, call, "GET", "/v1/jobs/" + call.m_arguments[0], "", {{"Prefer", wait}}),
-                         call.m_is_json);
+    return report_answer(
+        ask_entry(loop, call, "GET", "/v1/jobs/" + call.m_arguments[0], "", {{"Prefer", wait}}),
+        call.m_is_json);
 }
 
 exit_code run_cancel(event_loop& loop, const command_call& call)
--- a/main/publisher.cpp
+++ b/main/publisher.cpp
@@ -95,16 +95,18 @@
         return result;
     }
     const auto state = fold_from_start(records, first_kept, why);
-    const bool is_known =
-        state && std::find(state->m_recent_ids.begin(), state->m_recent_ids.end(), id) != state->m_recent_ids.end();
+    const bool is_known = state && std::find(state->m_recent_ids.begin(), state->m_recent_ids.end(), id) !=
+                                       state->m_recent_ids.end();
     if (is_known)
-        return publish_result{publish_verdict::accepted, id, state->m_version, "in force through a checkpoint"};
+        return publish_result{publish_verdict::accepted, id, state->m_version,
+                              "in force through a checkpoint"};
     return std::nullopt;
 }
 
 publisher::publisher(log_client log) : m_log(std::move(log)) {}
 
-kj::Promise<std::optional<publisher::stream_content>> publisher::read_all(stream_content content, log_offset from)
+kj::Promise<std::optional<publisher::stream_content>> publisher::read_all(stream_content content,
+                                                                          log_offset from)
 {
     return m_log.read(from, 0, records_per_read)
         .then([this, content = std::move(content)](
@@ -125,7 +127,8 @@
 {
     return read_all({}, 1).then([](std::optional<stream_content> content) {
         last_reason why;
-        return content ? fold_from_start(content->m_records, content->m_first, why) : std::optional<config_state>();
+        return content ? fold_from_start(content->m_records, content->m_first, why)
+                       : std::optional<config_state>();
     });
 }
 
@@ -137,7 +140,8 @@
     return m_log.append(to_json(change), append_timeout_ms)
         .then([this, id](append_result result) -> kj::Promise<publish_result> {
             if (result.m_fate == append_fate::not_written)
-                return publish_result{publish_verdict::not_written, id, no_offset, "the log can't be reached"};
+                return publish_result{publish_verdict::not_written, id, no_offset,
+                                      "the log can't be reached"};
             return settle(id, max_settle_tries);
         });
 }
@@ -157,7 +161,8 @@
         if (!content)
             return publish_result{publish_verdict::unknown, id, no_offset, "the log can't be read"};
         const auto judged = judge_change(content->m_records, content->m_first, id);
-        return judged ? *judged : publish_result{publish_verdict::unknown, id, no_offset, "not in the log so far"};
+        return judged ? *judged
+                      : publish_result{publish_verdict::unknown, id, no_offset, "not in the log so far"};
     });
 }
 
--- a/membership/member_table.cpp
+++ b/membership/member_table.cpp
@@ -37,8 +37,8 @@
 
 } // namespace
 
-announce_result apply_announcement(member_table& table, const announcement& news, const std::string& learned_from,
-                                   milliseconds age, instant now)
+announce_result apply_announcement(member_table& table, const announcement& news,
+                                   const std::string& learned_from, milliseconds age, instant now)
 {
     const instant heard = now - age;
     const auto found = table.m_members.find(news.m_worker.identity().m_id);
@@ -80,10 +80,12 @@
         entry.m_is_suspect = true;
         ++suspected;
     }
-    std::erase_if(table.m_members,
-                  [&](const auto& item) { return now - item.second.m_last_heard > table.m_limits.m_forget_after; });
-    std::erase_if(table.m_entries,
-                  [&](const auto& item) { return now - item.second.m_last_heard > table.m_limits.m_forget_after; });
+    std::erase_if(table.m_members, [&](const auto& item) {
+        return now - item.second.m_last_heard > table.m_limits.m_forget_after;
+    });
+    std::erase_if(table.m_entries, [&](const auto& item) {
+        return now - item.second.m_last_heard > table.m_limits.m_forget_after;
+    });
     return suspected;
 }
 
--- a/membership/member_table.h
+++ b/membership/member_table.h
@@ -98,8 +98,8 @@
 
 // Takes an announcement from the agent itself (`learned_from` empty) or from another entry. `age` is how
 // long ago the agent was heard by whoever passes it on.
-announce_result apply_announcement(member_table& table, const announcement& news, const std::string& learned_from,
-                                   milliseconds age, instant now);
+announce_result apply_announcement(member_table& table, const announcement& news,
+                                   const std::string& learned_from, milliseconds age, instant now);
 
 void apply_entry(member_table& table, const std::string& id, const std::string& address, milliseconds age,
                  instant now);
--- a/routing/load_view.cpp
+++ b/routing/load_view.cpp
@@ -12,7 +12,7 @@
     const std::string& id = news.m_worker.identity().m_id;
     auto found = view.find(id);
     if (found == view.end() || found->second.m_worker.identity() != news.m_worker.identity()) {
-        worker_view fresh{news.m_worker, news.m_load, known.m_last_heard, 0, is_usable(known), {}};
+        worker_view fresh{news.m_worker, news.m_load, known.m_last_heard, 0, 0, 0, is_usable(known), {}};
         view.insert_or_assign(id, fresh);
         return;
     }
@@ -20,15 +20,16 @@
     current.m_is_usable = is_usable(known);
     current.m_worker = news.m_worker;
     if (known.m_last_heard > current.m_reported_at)
-        record_report(view, news.m_worker.identity(), news.m_load, known.m_last_heard);
+        record_report(view, news.m_worker.identity(), {news.m_load, 0}, known.m_last_heard);
 }
 
 void retain_members(load_view& view, const std::vector<std::string>& ids)
 {
-    std::erase_if(view, [&](const auto& item) { return std::find(ids.begin(), ids.end(), item.first) == ids.end(); });
+    std::erase_if(
+        view, [&](const auto& item) { return std::find(ids.begin(), ids.end(), item.first) == ids.end(); });
 }
 
-void record_report(load_view& view, const agent_identity& from, const worker_load& load, instant now)
+void record_report(load_view& view, const agent_identity& from, const load_report& report, instant now)
 {
     const auto found = view.find(from.m_id);
     if (found == view.end() || found->second.m_worker.identity() != from)
@@ -36,29 +37,49 @@
     worker_view& current = found->second;
     if (now < current.m_reported_at)
         return;
-    current.m_load = load;
+    current.m_load = report.m_load;
     current.m_reported_at = now;
-    current.m_placed_since_report = 0;
+    current.m_seen = std::max(current.m_seen, std::min(report.m_seen, current.m_sent));
+    current.m_minted = 0;
 }
 
-void record_placement(load_view& view, const std::string& id, int tasks)
+std::uint64_t record_sent(load_view& view, const agent_identity& to, int tasks)
+{
+    const auto found = view.find(to.m_id);
+    if (found == view.end() || found->second.m_worker.identity() != to)
+        return 0;
+    found->second.m_sent += static_cast<std::uint64_t>(tasks);
+    return found->second.m_sent;
+}
+
+void acknowledge_sent(load_view& view, const agent_identity& to, std::uint64_t sent)
+{
+    const auto found = view.find(to.m_id);
+    if (found != view.end() && found->second.m_worker.identity() == to)
+        found->second.m_seen = std::max(found->second.m_seen, std::min(sent, found->second.m_sent));
+}
+
+void record_minted(load_view& view, const std::string& id, int tickets)
 {
     const auto found = view.find(id);
-    if (found == view.end())
-        return;
-    found->second.m_placed_since_report += tasks;
+    if (found != view.end())
+        found->second.m_minted = std::max(0, found->second.m_minted + tickets);
+}
+
+int believed_tasks(const worker_view& target)
+{
+    const auto unseen = static_cast<int>(target.m_sent - target.m_seen);
+    return target.m_load.m_running + target.m_load.m_queued + unseen + target.m_minted;
 }
 
 double believed_free(const worker_view& target, double buffer_per_slot)
 {
-    const double capacity = target.m_worker.slots() * (1 + buffer_per_slot);
-    return capacity - target.m_load.m_running - target.m_load.m_queued - target.m_placed_since_report;
+    return target.m_worker.slots() * (1 + buffer_per_slot) - believed_tasks(target);
 }
 
 double believed_pressure(const worker_view& target)
 {
-    const double tasks = target.m_load.m_running + target.m_load.m_queued + target.m_placed_since_report;
-    return tasks / target.m_worker.slots();
+    return static_cast<double>(believed_tasks(target)) / target.m_worker.slots();
 }
 
 } // namespace hawthornpin
--- a/routing/placement.cpp
+++ b/routing/placement.cpp
@@ -11,11 +11,13 @@
 using candidates = std::vector<worker_view*>;
 
 // Quarantined workers are candidates only when their next probe is due.
-candidates find_candidates(const placement_state& state, load_view& view, const task_needs& needs, instant now)
+candidates find_candidates(const placement_state& state, load_view& view, const task_needs& needs,
+                           instant now)
 {
     candidates found;
     for (auto& [id, worker] : view) {
-        const bool is_open = worker.m_is_usable && !worker.m_load.m_is_stopped && fits(worker.m_worker, needs);
+        const bool is_open =
+            worker.m_is_usable && !worker.m_load.m_is_stopped && fits(worker.m_worker, needs);
         if (is_open && is_placeable(state, worker, now))
             found.push_back(&worker);
     }
@@ -70,22 +72,21 @@
     case placement_policy::round_robin:
         return among[state.m_next++ % among.size()];
     case placement_policy::two_choices:
-        return least_loaded(state, {among[draw_below(random, among.size())], among[draw_below(random, among.size())]},
-                            random);
+        return least_loaded(
+            state, {among[draw_below(random, among.size())], among[draw_below(random, among.size())]},
+            random);
     case placement_policy::least_loaded:
         break;
     }
     return least_loaded(state, among, random);
 }
 
-std::optional<std::string> settle(const placement_state& state, load_view& view, worker_view* chosen, instant now)
+std::optional<std::string> settle(const placement_state& state, worker_view* chosen, instant now)
 {
     if (chosen == nullptr)
         return std::nullopt;
     chosen->m_next_probe = now + state.m_settings.m_quarantine.m_probe_interval;
-    const std::string id = chosen->m_worker.identity().m_id;
-    record_placement(view, id, 1);
-    return id;
+    return chosen->m_worker.identity().m_id;
 }
 
 } // namespace
@@ -100,11 +101,11 @@
     return !state.m_quarantined.contains(worker.m_worker.identity().m_id) || worker.m_next_probe <= now;
 }
 
-std::optional<std::string> choose_home(placement_state& state, load_view& view, const task_needs& needs, instant now,
-                                       random_source& random)
+std::optional<std::string> choose_home(placement_state& state, load_view& view, const task_needs& needs,
+                                       instant now, random_source& random)
 {
     const candidates among = find_candidates(state, view, needs, now);
-    return settle(state, view, choose(state, among, random), now);
+    return settle(state, choose(state, among, random), now);
 }
 
 std::optional<std::string> choose_worker(placement_state& state, load_view& view, const std::string& self,
@@ -115,7 +116,7 @@
         const bool is_self = worker->m_worker.identity().m_id == self;
         return is_self || believed_free(*worker, state.m_settings.m_buffer_per_slot) < 1;
     });
-    return settle(state, view, choose(state, among, random), now);
+    return settle(state, choose(state, among, random), now);
 }
 
 bool can_ever_fit(const load_view& view, const task_needs& needs)
--- a/routing/placement.h
+++ b/routing/placement.h
@@ -38,8 +38,8 @@
 bool is_placeable(const placement_state& state, const worker_view& worker, instant now);
 
 // Chooses a home among usable workers that fit the needs. Empty if there is none.
-std::optional<std::string> choose_home(placement_state& state, load_view& view, const task_needs& needs, instant now,
-                                       random_source& random);
+std::optional<std::string> choose_home(placement_state& state, load_view& view, const task_needs& needs,
+                                       instant now, random_source& random);
 
 // Chooses a worker with room for one more task, leaving out `self`. Empty if none is believed to have room.
 std::optional<std::string> choose_worker(placement_state& state, load_view& view, const std::string& self,
--- a/routing/quarantine.cpp
+++ b/routing/quarantine.cpp
@@ -31,7 +31,8 @@
     std::vector<int> rates;
     for (const auto& [id, worker] : view)
         rates.push_back(worker.m_load.m_failures_per_mille);
-    const double bound = std::max<double>(limits.m_least_per_mille, limits.m_times_median * median_failures(rates));
+    const double bound =
+        std::max<double>(limits.m_least_per_mille, limits.m_times_median * median_failures(rates));
 
     std::vector<failing_worker> failing;
     for (const auto& [id, worker] : view) {
@@ -39,7 +40,8 @@
             failing.push_back({worker.m_load.m_failures_per_mille, id});
     }
     std::sort(failing.begin(), failing.end(), [](const failing_worker& left, const failing_worker& right) {
-        return left.m_per_mille != right.m_per_mille ? left.m_per_mille > right.m_per_mille : left.m_id < right.m_id;
+        return left.m_per_mille != right.m_per_mille ? left.m_per_mille > right.m_per_mille
+                                                     : left.m_id < right.m_id;
     });
     const auto most = static_cast<std::size_t>(static_cast<double>(view.size()) * limits.m_most_of_service);
     std::set<std::string> quarantined;
--- a/rpc/glib_stream.cpp
+++ b/rpc/glib_stream.cpp
@@ -52,7 +52,8 @@
         return std::nullopt;
     native_address native;
     native.m_length = static_cast<socklen_t>(g_socket_address_get_native_size(parsed.get()));
-    if (g_socket_address_to_native(parsed.get(), &native.m_storage, sizeof(native.m_storage), nullptr) == FALSE)
+    if (g_socket_address_to_native(parsed.get(), &native.m_storage, sizeof(native.m_storage), nullptr) ==
+        FALSE)
         return std::nullopt;
     return native;
 }
@@ -114,7 +115,10 @@
         ::close(m_number);
 }
 
-file_descriptor::file_descriptor(file_descriptor&& other) noexcept : m_number(std::exchange(other.m_number, -1)) {}
+file_descriptor::file_descriptor(file_descriptor&& other) noexcept
+    : m_number(std::exchange(other.m_number, -1))
+{
+}
 
 file_descriptor& file_descriptor::operator=(file_descriptor&& other) noexcept
 {
--- a/rpc/glib_stream.h
+++ b/rpc/glib_stream.h
@@ -53,7 +53,8 @@
 
 private:
     std::size_t take_buffered(void* buffer, std::size_t max_bytes);
-    kj::Promise<std::size_t> fill(kj::byte* buffer, std::size_t min_bytes, std::size_t max_bytes, std::size_t done);
+    kj::Promise<std::size_t> fill(kj::byte* buffer, std::size_t min_bytes, std::size_t max_bytes,
+                                  std::size_t done);
     kj::Promise<void> send_rest(kj::Array<kj::byte> rest, std::size_t sent);
 
     file_descriptor m_socket;
--- a/rpc/hawthornpin.capnp
+++ b/rpc/hawthornpin.capnp
@@ -67,6 +67,7 @@
   budgetMs @5 :UInt32;
   estimatedMs @6 :UInt32;
   validForMs @7 :UInt32;
+  sent @8 :UInt64;   # tasks sent to this worker so far, this one included
 }
 
 struct TaskEnd {
@@ -117,10 +118,10 @@
 
 # What an authenticated peer may ask. Agents answer the first group, entries the second.
 interface Node {
-  submit @0 (submission :Submission) -> (answer :JobAnswer, load :Load);
+  submit @0 (submission :Submission, from :Text, sent :UInt64) -> (answer :JobAnswer, load :Load, seen :UInt64);
   fetch @1 (ticket :Ticket, waitMs :UInt32) -> (answer :JobAnswer, load :Load);
   cancel @2 (ticket :Ticket) -> (outcome :Outcome);
-  run @3 (grant :Grant) -> (end :TaskEnd, load :Load);
+  run @3 (grant :Grant) -> (end :TaskEnd, load :Load, seen :UInt64);
   revoke @4 (id :GrantId, validForMs :UInt32) -> (outcome :Outcome);
   idle @5 (identity :AgentIdentity, load :Load) -> ();
 
--- a/rpc/hawthornpin.capnp.h
+++ b/rpc/hawthornpin.capnp.h
@@ -190,7 +190,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(971c64c4b381215d, 2, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(971c64c4b381215d, 3, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -394,7 +394,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ac213532b79ef2b1, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(ac213532b79ef2b1, 1, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -409,7 +409,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f78393266e154616, 0, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(f78393266e154616, 1, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -499,7 +499,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a52f03efef72fe71, 0, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(a52f03efef72fe71, 1, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1440,6 +1440,8 @@
 
   inline  ::uint32_t getValidForMs() const;
 
+  inline  ::uint64_t getSent() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1508,6 +1510,9 @@
   inline  ::uint32_t getValidForMs();
   inline void setValidForMs( ::uint32_t value);
 
+  inline  ::uint64_t getSent();
+  inline void setSent( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2582,6 +2587,11 @@
   inline bool hasSubmission() const;
   inline  ::hawthornpin::wire::Submission::Reader getSubmission() const;
 
+  inline bool hasFrom() const;
+  inline  ::capnp::Text::Reader getFrom() const;
+
+  inline  ::uint64_t getSent() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2617,6 +2627,16 @@
   inline void adoptSubmission(::capnp::Orphan< ::hawthornpin::wire::Submission>&& value);
   inline ::capnp::Orphan< ::hawthornpin::wire::Submission> disownSubmission();
 
+  inline bool hasFrom();
+  inline  ::capnp::Text::Builder getFrom();
+  inline void setFrom( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initFrom(unsigned int size);
+  inline void adoptFrom(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownFrom();
+
+  inline  ::uint64_t getSent();
+  inline void setSent( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2667,6 +2687,8 @@
   inline bool hasLoad() const;
   inline  ::hawthornpin::wire::Load::Reader getLoad() const;
 
+  inline  ::uint64_t getSeen() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2709,6 +2731,9 @@
   inline void adoptLoad(::capnp::Orphan< ::hawthornpin::wire::Load>&& value);
   inline ::capnp::Orphan< ::hawthornpin::wire::Load> disownLoad();
 
+  inline  ::uint64_t getSeen();
+  inline void setSeen( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3186,6 +3211,8 @@
   inline bool hasLoad() const;
   inline  ::hawthornpin::wire::Load::Reader getLoad() const;
 
+  inline  ::uint64_t getSeen() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3228,6 +3255,9 @@
   inline void adoptLoad(::capnp::Orphan< ::hawthornpin::wire::Load>&& value);
   inline ::capnp::Orphan< ::hawthornpin::wire::Load> disownLoad();
 
+  inline  ::uint64_t getSeen();
+  inline void setSeen( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4905,6 +4935,20 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Grant::Reader::getSent() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Grant::Builder::getSent() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Grant::Builder::setSent( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool TaskEnd::Reader::hasOutcome() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -5744,6 +5788,54 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Node::SubmitParams::Reader::hasFrom() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Node::SubmitParams::Builder::hasFrom() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Node::SubmitParams::Reader::getFrom() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Node::SubmitParams::Builder::getFrom() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Node::SubmitParams::Builder::setFrom( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Node::SubmitParams::Builder::initFrom(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Node::SubmitParams::Builder::adoptFrom(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Node::SubmitParams::Builder::disownFrom() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Node::SubmitParams::Reader::getSent() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Node::SubmitParams::Builder::getSent() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Node::SubmitParams::Builder::setSent( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Node::SubmitResults::Reader::hasAnswer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -5822,6 +5914,20 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Node::SubmitResults::Reader::getSeen() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Node::SubmitResults::Builder::getSeen() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Node::SubmitResults::Builder::setSeen( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Node::FetchParams::Reader::hasTicket() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -6148,6 +6254,20 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Node::RunResults::Reader::getSeen() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Node::RunResults::Builder::getSeen() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Node::RunResults::Builder::setSeen( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Node::RevokeParams::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/rpc/link.cpp
+++ b/rpc/link.cpp
@@ -16,7 +16,8 @@
 
 constexpr unsigned connect_timeout_ms = 1'000;
 
-kj::Promise<wire::Node::Client> authenticate(wire::Authenticator::Client authenticator, const std::string& key)
+kj::Promise<wire::Node::Client> authenticate(wire::Authenticator::Client authenticator,
+                                             const std::string& key)
 {
     return authenticator.challengeRequest().send().then(
         [authenticator, key](auto response) mutable -> kj::Promise<wire::Node::Client> {
@@ -111,9 +112,10 @@
 {
     if (m_links.size() < m_max_links)
         return;
-    const auto oldest = std::min_element(m_links.begin(), m_links.end(), [](const auto& left, const auto& right) {
-        return left.second->m_last_use < right.second->m_last_use;
-    });
+    const auto oldest =
+        std::min_element(m_links.begin(), m_links.end(), [](const auto& left, const auto& right) {
+            return left.second->m_last_use < right.second->m_last_use;
+        });
     drop(oldest->first);
 }
 
--- a/rpc/link.h
+++ b/rpc/link.h
@@ -66,12 +66,15 @@
     return links.node(address).then(
         [&links, address, use = kj::mv(use)](wire::Node::Client node) mutable -> kj::Promise<result> {
             return use(kj::mv(node))
-                .then([](Response response) { return result{call_fate::answered, kj::mv(response)}; },
-                      [&links, address](kj::Exception&& failure) {
-                          if (failure.getType() == kj::Exception::Type::DISCONNECTED)
-                              links.drop(address);
-                          return result{call_fate::lost, {}};
-                      });
+                .then(
+                    [](Response response) {
+                        return result{call_fate::answered, kj::mv(response)};
+                    },
+                    [&links, address](kj::Exception&& failure) {
+                        if (failure.getType() == kj::Exception::Type::DISCONNECTED)
+                            links.drop(address);
+                        return result{call_fate::lost, {}};
+                    });
         },
         [&links, address](kj::Exception&&) -> kj::Promise<result> {
             links.drop(address);
--- a/rpc/rpc_server.cpp
+++ b/rpc/rpc_server.cpp
@@ -7,8 +7,8 @@
 #include "core/ticket.h"
 
 #include <capnp/rpc-twoparty.h>
-#include <kj/debug.h>
 #include <glib-unix.h>
+#include <kj/debug.h>
 
 #include <algorithm>
 #include <sys/socket.h>
@@ -73,9 +73,9 @@
     connection(rpc_server& server, file_descriptor socket)
         : m_stream(std::move(socket)),
           m_network(m_stream, capnp::rpc::twoparty::Side::SERVER, rpc_reader_options()),
-          m_system(capnp::makeRpcServer(m_network, kj::heap<authenticator_server>(server.m_cluster_key, server.m_node,
-                                                                                  m_is_authenticated,
-                                                                                  server.m_metrics))),
+          m_system(capnp::makeRpcServer(
+              m_network, kj::heap<authenticator_server>(server.m_cluster_key, server.m_node,
+                                                        m_is_authenticated, server.m_metrics))),
           m_watch(watch(server))
     {
     }
@@ -83,14 +83,16 @@
 private:
     kj::Promise<void> watch(rpc_server& server)
     {
-        auto silent = after_delay(server.m_limits.m_authenticate_within_ms).then([this]() -> kj::Promise<void> {
-            if (m_is_authenticated)
-                return kj::NEVER_DONE;
-            return kj::READY_NOW;
-        });
-        return m_network.onDisconnect().exclusiveJoin(kj::mv(silent)).then(
-            [this, &server] { schedule_removal(server); },
-            [this, &server](kj::Exception&&) { schedule_removal(server); })
+        auto silent =
+            after_delay(server.m_limits.m_authenticate_within_ms).then([this]() -> kj::Promise<void> {
+                if (m_is_authenticated)
+                    return kj::NEVER_DONE;
+                return kj::READY_NOW;
+            });
+        return m_network.onDisconnect()
+            .exclusiveJoin(kj::mv(silent))
+            .then([this, &server] { schedule_removal(server); },
+                  [this, &server](kj::Exception&&) { schedule_removal(server); })
             .eagerlyEvaluate(nullptr);
     }
 
@@ -141,7 +143,8 @@
 void rpc_server::accept_all()
 {
     while (true) {
-        file_descriptor accepted(::accept4(m_socket.number(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+        file_descriptor accepted(
+            ::accept4(m_socket.number(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
         if (!accepted.is_open())
             return;
         make_room();
--- a/rpc/rpc_server.h
+++ b/rpc/rpc_server.h
@@ -25,8 +25,8 @@
 // reached, the connection that has been silent longest is closed.
 class rpc_server {
 public:
-    rpc_server(file_descriptor socket, std::string cluster_key, wire::Node::Client node, rpc_server_limits limits,
-               metrics& counts);
+    rpc_server(file_descriptor socket, std::string cluster_key, wire::Node::Client node,
+               rpc_server_limits limits, metrics& counts);
     ~rpc_server();
     rpc_server(const rpc_server&) = delete;
     rpc_server& operator=(const rpc_server&) = delete;
--- a/rpc/wire.cpp
+++ b/rpc/wire.cpp
@@ -167,6 +167,7 @@
     to.setBudgetMs(to_ms(from.m_budget));
     to.setEstimatedMs(to_ms(from.m_estimated));
     to.setValidForMs(to_ms(std::chrono::duration_cast<milliseconds>(from.m_valid_until - now)));
+    to.setSent(from.m_sent);
 }
 
 grant read_wire(wire::Grant::Reader from, instant now)
@@ -180,6 +181,7 @@
     value.m_budget = from_ms(from.getBudgetMs());
     value.m_estimated = from_ms(from.getEstimatedMs());
     value.m_valid_until = now + from_ms(from.getValidForMs());
+    value.m_sent = from.getSent();
     return value;
 }
 
@@ -223,8 +225,8 @@
     const auto who = builder.build(ignored);
     if (!who || from.getState() > static_cast<std::uint8_t>(member_state::gone))
         return std::nullopt;
-    return announcement{*who, from.getGeneration(), from.getSequence(), static_cast<member_state>(from.getState()),
-                        read_wire(from.getLoad())};
+    return announcement{*who, from.getGeneration(), from.getSequence(),
+                        static_cast<member_state>(from.getState()), read_wire(from.getLoad())};
 }
 
 void write_wire(wire::EntryInfo::Builder to, const entry_member& from, milliseconds age)
@@ -234,7 +236,8 @@
     to.setAgeMs(to_ms(age));
 }
 
-void write_wire(wire::ConfigUpdate::Builder to, log_offset version, const std::map<std::string, published_file>& files)
+void write_wire(wire::ConfigUpdate::Builder to, log_offset version,
+                const std::map<std::string, published_file>& files)
 {
     to.setVersion(version);
     auto list = to.initFiles(static_cast<unsigned>(files.size()));
--- a/rpc/wire.h
+++ b/rpc/wire.h
@@ -19,7 +19,8 @@
 void write_wire(wire::TaskEnd::Builder to, const task_end& from);
 void write_wire(wire::Announcement::Builder to, const announcement& from, milliseconds age);
 void write_wire(wire::EntryInfo::Builder to, const entry_member& from, milliseconds age);
-void write_wire(wire::ConfigUpdate::Builder to, log_offset version, const std::map<std::string, published_file>& files);
+void write_wire(wire::ConfigUpdate::Builder to, log_offset version,
+                const std::map<std::string, published_file>& files);
 
 agent_identity read_wire(wire::AgentIdentity::Reader from);
 ticket read_wire(wire::Ticket::Reader from);
--- a/tests/stand_ins/target.cpp
+++ b/tests/stand_ins/target.cpp
@@ -105,9 +105,8 @@
     constexpr milliseconds default_lease{3'000};
     m_running[grant] = {kj::mv(pair.fulfiller), m_clock.now() + default_lease};
     auto ended = after_delay(run_ms).then([end_status] { return end_status; });
-    return ended.exclusiveJoin(kj::mv(pair.promise)).then([this, grant, echo = wanted.m_echo](unsigned result) {
-        return finish(grant, result, echo);
-    });
+    return ended.exclusiveJoin(kj::mv(pair.promise))
+        .then([this, grant, echo = wanted.m_echo](unsigned result) { return finish(grant, result, echo); });
 }
 
 api_response target::finish(const std::string& grant, unsigned status, const std::string& echo)
@@ -162,7 +161,12 @@
     writer.begin_object().key("slots").integer(m_slots);
     writer.key("running").integer(static_cast<std::int64_t>(m_running.size()));
     writer.key("memory_mib").integer(memory_mib).key("accelerators").integer(0);
-    writer.key("leaving").flag(m_is_leaving).key("throttled").flag(m_is_throttled).key("grants").begin_array();
+    writer.key("leaving")
+        .flag(m_is_leaving)
+        .key("throttled")
+        .flag(m_is_throttled)
+        .key("grants")
+        .begin_array();
     for (const auto& [grant, task] : m_running)
         writer.text(grant);
     writer.end_array().end_object();
@@ -174,7 +178,11 @@
 api_response target::starts() const
 {
     json_writer writer;
-    writer.begin_object().key("total").integer(static_cast<std::int64_t>(m_total_starts)).key("starts").begin_object();
+    writer.begin_object()
+        .key("total")
+        .integer(static_cast<std::int64_t>(m_total_starts))
+        .key("starts")
+        .begin_object();
     for (const auto& [grant, count] : m_starts)
         writer.key(grant.c_str()).integer(count);
     writer.end_object().end_object();
