Fault matrix in virtual time over the real decision code

Cause: the promises were argued, not proved. Two checks were made exact after traces: a body that was refused because the ticket holds another one is judged by its own payloads, and a cancel's not_run is judged apart from a PUT's.

--- /dev/null
+++ b/tests/fault_matrix/world.h
@@ -0,0 +1,171 @@
+// A small system in virtual time: the real decision code, with fakes for network, targets, callers and log.
+
+#pragma once
+
+#include "config/fold.h"
+#include "dispatch/dispatcher.h"
+#include "membership/member_table.h"
+#include "tests/fault_matrix/faults.h"
+#include "tests/fault_matrix/schedule.h"
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace hawthornpin::fault_matrix {
+
+// A target with its slots. It outlives the agents beside it and counts every start.
+struct fake_target {
+    std::map<grant_id, int> m_starts;
+    // Payloads of the starts: a ticket that was used for two bodies may have run one of them.
+    std::map<grant_id, std::string> m_payloads;
+    // Running grants, each with the number of the run, so that an end belongs to one run only.
+    std::map<grant_id, int> m_running;
+    int m_runs = 0;
+};
+
+// One slot for agents: the process that lives there now, and the target beside it.
+struct agent_seat {
+    std::string m_id;
+    std::unique_ptr<dispatcher> m_process;
+    // Rises with every process that is started in the seat; messages to earlier ones are lost.
+    int m_life = 0;
+    std::uint64_t m_generation = 0;
+    std::uint64_t m_sequence = 0;
+    instant m_paused_until;
+    bool m_is_leaving = false;
+    fake_target m_target;
+};
+
+// What a caller knows of one of its jobs.
+struct caller_job {
+    ticket m_ticket;
+    std::string m_digest;
+    std::vector<std::string> m_payloads;
+    milliseconds m_run_time{0};
+    // Every answer that the caller was given, in order of arrival.
+    std::vector<job_answer> m_answers;
+    // Whether a cancel was answered not_run. It speaks of the ticket, whatever body it was used for.
+    bool m_is_cancelled_unrun = false;
+    int m_tries = 0;
+};
+
+// An operator's publication.
+struct operator_change {
+    config_change m_change;
+    std::optional<fold_verdict> m_told;
+};
+
+// Settings of one run; the defaults are those of the matrix.
+struct world_plan {
+    std::vector<planned_fault> m_faults;
+    std::uint64_t m_seed = 1;
+    // Jobs as numbers of tasks, submitted 40 ms apart.
+    std::vector<int> m_job_widths = {1, 7, 3, 1};
+    // Index of a job that is cancelled while it runs, or -1.
+    int m_cancelled_job = 2;
+    // Whether an agent leaves gracefully during the run.
+    bool m_has_drain = true;
+    milliseconds m_task_time{60};
+    // When a job that will be cancelled early gets its cancel, after its submission; negative: before it.
+    milliseconds m_early_cancel{6};
+};
+
+// Runs one plan to its end and keeps what the checks need.
+class world {
+public:
+    explicit world(world_plan plan);
+    ~world();
+    world(const world&) = delete;
+    world& operator=(const world&) = delete;
+
+    void run();
+
+    // The first promise that was broken, or an empty text.
+    std::string find_violation() const;
+
+    const fault_plan& faults() const { return m_faults; }
+    // Jobs whose last answer is a success.
+    int completed_jobs() const;
+
+private:
+    static constexpr int seat_count = 3;
+    static constexpr int slots_per_seat = 2;
+
+    // Network: delivers `deliver` to a seat's present process, or reports the loss to `lost`.
+    void send(step at, int to, std::function<void()> deliver, std::function<void()> lost);
+    void deliver_to(int to, int life, std::function<void()> deliver, std::function<void()> lost);
+    void strike_process(fault what, int seat);
+
+    void start_process(int seat);
+    void kill_process(int seat);
+    void carry_out(int seat, const actions& wanted);
+    void begin_task(int seat, const start_task& wanted);
+    void end_task(int seat, const grant_id& id, int run, const task_end& end);
+    void stop_on_target(int seat, const grant_id& id, reason why);
+    void call_run(int home, const send_grant& wanted);
+    void answer_run(int seat, const reply_grant& wanted);
+    void call_revoke(int home, const send_revoke& wanted);
+    int seat_of(const agent_identity& identity) const;
+    bool is_alive(int seat, int life) const;
+
+    void tick_all();
+    void look_at_targets();
+    void announce_all();
+    void announce(int seat);
+    void take_announcement(int seat, int life, const announcement& news);
+
+    void mint_job(int width);
+    void submit_job(std::size_t job);
+    void repeat_later(std::size_t job);
+    void tell_caller(std::size_t job, job_answer answer);
+    void cancel_job(std::size_t job);
+    void mint_early_cancelled(milliseconds cancel_delay);
+    std::optional<std::size_t> add_job(int width);
+
+    void publish(std::size_t change);
+    void append_record(config_record record);
+    void read_log();
+    void append_checkpoint();
+
+    // With this caller's body, or with any.
+    bool has_started(const caller_job& job, bool is_any_body) const;
+    std::string check_starts() const;
+    std::string check_answers() const;
+    std::string check_leaks() const;
+    std::string check_members() const;
+    std::string check_config() const;
+
+    world_plan m_plan;
+    fault_plan m_faults;
+    schedule m_time;
+    random_source m_random;
+    std::vector<agent_seat> m_seats;
+    std::vector<caller_job> m_jobs;
+    // Callers that wait at a home: by job, with the life of the home's process.
+    std::multimap<std::size_t, int> m_waiting;
+    // Grants whose run call is open: home's seat and life, by worker and grant.
+    struct open_call {
+        int m_home = 0;
+        int m_home_life = 0;
+        int m_worker = 0;
+        int m_worker_life = 0;
+        grant m_grant;
+    };
+    std::vector<open_call> m_open_calls;
+    member_table m_members;
+
+    std::vector<config_record> m_log;
+    log_offset m_log_first = 1;
+    instant m_log_down_until;
+    instant m_log_slow_until;
+    bool m_loses_next_answer = false;
+    std::vector<config_state> m_readers;
+    std::vector<operator_change> m_changes;
+    std::string m_config_violation;
+    std::string m_member_violation;
+};
+
+} // namespace hawthornpin::fault_matrix
