--- a/bench/bench_main.cpp
+++ b/bench/bench_main.cpp
@@ -1,25 +1,122 @@
-// hawthornpin-bench: the measuring program.
+// hawthornpin-bench: plays a seeded workload against running entries, or asks one process something.
 
-#include "core/event_loop.h"
-#include "platform/http_client.h"
+#include "bench/load_client.h"
+#include "bench/report.h"
 
+#include <boost/program_options.hpp>
+
+#include <csignal>
+#include <fstream>
 #include <iostream>
+#include <sstream>
+
+namespace {
 
 using namespace hawthornpin;
+namespace options = boost::program_options;
 
-int main(int argument_count, char** arguments)
+std::vector<std::string> split(const std::string& text)
+{
+    std::vector<std::string> items;
+    std::istringstream stream(text);
+    for (std::string item; std::getline(stream, item, ',');)
+        items.push_back(item);
+    return items;
+}
+
+// get ADDRESS PATH [BODY]: prints the answer; a body makes it a POST.
+int run_get(const std::vector<std::string>& arguments)
 {
-    if (argument_count < 4) {
-        std::cerr << "Usage: hawthornpin-bench get ADDRESS PATH\n";
+    if (arguments.size() < 3)
         return 2;
-    }
+    constexpr unsigned first_error = 400;
     event_loop loop;
     http_client client(1);
-    const bool has_body = argument_count > 4;
-    const auto response = run_to_end(loop, client.send({has_body ? "POST" : "GET",
-                                                        std::string("http://") + arguments[2] + arguments[3],
-                                                        has_body ? arguments[4] : "",
-                                                        {}}));
+    const std::string body = arguments.size() > 3 ? arguments[3] : "";
+    const auto response = run_to_end(
+        loop, client.send({body.empty() ? "GET" : "POST", "http://" + arguments[1] + arguments[2], body, {}}));
     std::cout << response.m_body;
-    return response.m_transport == http_transport::answered && response.m_status < 400 ? 0 : 1;
+    return response.m_transport == http_transport::answered && response.m_status < first_error ? 0 : 1;
+}
+
+int run_load(const options::variables_map& values)
+{
+    bench::workload_plan workload;
+    workload.m_seed = values["seed"].as<std::uint64_t>();
+    workload.m_length = milliseconds(values["length-ms"].as<int>());
+    workload.m_slots = values["slots"].as<int>();
+    workload.m_load = values["load"].as<double>();
+    workload.m_shape = values["shape"].as<std::string>();
+    workload.m_burst_load = values["burst-load"].as<double>();
+    workload.m_burst_begin = milliseconds(values["burst-begin-ms"].as<int>());
+    workload.m_burst_length = milliseconds(values["burst-length-ms"].as<int>());
+    bench::client_plan plan;
+    plan.m_entries = split(values["entries"].as<std::string>());
+    plan.m_service = values["service"].as<std::string>();
+    plan.m_keys = split(values["keys"].as<std::string>());
+    plan.m_deadline = milliseconds(values["deadline-ms"].as<int>());
+    plan.m_client_link = microseconds(values["client-link-us"].as<int>());
+    workload.m_teams = plan.m_keys.size();
+    const auto jobs = bench::draw_workload(workload);
+    event_loop loop;
+    bench::load_client client(loop, plan, jobs);
+    client.run();
+    const microseconds least_link =
+        (plan.m_client_link + microseconds(values["process-link-us"].as<int>())) * 2;
+    std::cout << bench::to_json({jobs, client.results(), workload.m_slots, least_link}) << '\n';
+    if (values.count("tickets") != 0) {
+        std::ofstream out(values["tickets"].as<std::string>());
+        for (const bench::job_result& result : client.results())
+            out << result.m_ticket << ' ' << (result.m_is_complete ? "complete" : result.m_verdict) << '\n';
+    }
+    return 0;
+}
+
+} // namespace
+
+int main(int argument_count, char** arguments)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    options::options_description description("Usage: hawthornpin-bench load [options] | get ADDRESS PATH [BODY]");
+    auto add = description.add_options();
+    add("help", "show this help");
+    add("entries", options::value<std::string>()->default_value("127.0.0.1:21101"), "caller addresses");
+    add("service", options::value<std::string>()->default_value("circles"), "service");
+    add("keys", options::value<std::string>()->default_value("quebec-demo-key"), "keys of the teams");
+    add("seed", options::value<std::uint64_t>()->default_value(1), "seed of the workload");
+    add("length-ms", options::value<int>()->default_value(10'000), "length of the arrivals");
+    add("slots", options::value<int>()->default_value(88), "slots of all workers");
+    add("load", options::value<double>()->default_value(0.7), "offered work as a share of all slots");
+    add("shape", options::value<std::string>()->default_value("one"), "one, mixed or noop");
+    add("burst-load", options::value<double>()->default_value(0), "offered work of the first team's burst");
+    add("burst-begin-ms", options::value<int>()->default_value(5'000), "begin of the burst");
+    add("burst-length-ms", options::value<int>()->default_value(10'000), "length of the burst");
+    add("deadline-ms", options::value<int>()->default_value(30'000), "time of each job");
+    add("client-link-us", options::value<int>()->default_value(0), "one-way latency of callers");
+    add("process-link-us", options::value<int>()->default_value(0), "one-way latency between processes");
+    add("tickets", options::value<std::string>(), "file for tickets and their verdicts");
+    options::options_description hidden;
+    hidden.add_options()("arguments", options::value<std::vector<std::string>>());
+    options::options_description all;
+    all.add(description).add(hidden);
+    options::positional_options_description positional;
+    positional.add("arguments", -1);
+    options::variables_map values;
+    try {
+        options::store(
+            options::command_line_parser(argument_count, arguments).options(all).positional(positional).run(), values);
+    }
+    catch (const options::error& error) {
+        std::cerr << error.what() << '\n';
+        return 2;
+    }
+    const auto words = values.count("arguments") == 0 ? std::vector<std::string>()
+                                                      : values["arguments"].as<std::vector<std::string>>();
+    if (!words.empty() && words[0] == "get")
+        return run_get(words);
+    if (words.empty() || words[0] != "load" || values.count("help") != 0) {
+        std::cout << description;
+        return values.count("help") != 0 ? 0 : 2;
+    }
+    return run_load(values);
 }
--- /dev/null
+++ b/bench/load_client.cpp
@@ -0,0 +1,162 @@
+// Submission, repetition and judging of the trace's jobs.
+
+#include "bench/load_client.h"
+
+#include "core/json.h"
+
+#include <algorithm>
+
+namespace hawthornpin::bench {
+
+namespace {
+
+constexpr unsigned max_connections = 4'000;
+constexpr unsigned repeat_pause_ms = 100;
+constexpr unsigned arrival_check_ms = 1;
+constexpr unsigned status_error = 400;
+constexpr int ticket_batch = 50;
+
+std::string echo_of(std::size_t job, std::size_t task)
+{
+    return std::to_string(job) + "." + std::to_string(task);
+}
+
+} // namespace
+
+load_client::load_client(event_loop& loop, client_plan plan, std::vector<trace_job> jobs)
+    : m_loop(loop), m_plan(std::move(plan)), m_jobs(std::move(jobs)), m_results(m_jobs.size()),
+      m_client(max_connections)
+{
+}
+
+void load_client::run()
+{
+    m_begin = m_clock.now();
+    m_timer = std::make_unique<timer>(arrival_check_ms, [this] {
+        while (m_next < m_jobs.size() && m_clock.now() >= m_begin + m_jobs[m_next].m_arrival)
+            submit(m_next++);
+        if (m_next == m_jobs.size() && m_open == 0)
+            m_loop.stop();
+        return true;
+    });
+    m_loop.run();
+    m_timer.reset();
+}
+
+const std::string& load_client::entry_for(std::size_t job, int tries) const
+{
+    return m_plan.m_entries[(job + static_cast<std::size_t>(tries)) % m_plan.m_entries.size()];
+}
+
+void load_client::submit(std::size_t job)
+{
+    ++m_open;
+    m_tasks.add(play(job).then([this] { --m_open; }));
+}
+
+kj::Promise<void> load_client::play(std::size_t job)
+{
+    return take_ticket(job, 0).then([this, job] {
+        return m_results[job].m_ticket.empty() ? kj::Promise<void>(kj::READY_NOW) : put(job, 0);
+    });
+}
+
+// Tickets are taken in batches, ahead of need, as callers may.
+kj::Promise<void> load_client::take_ticket(std::size_t job, int tries)
+{
+    auto& kept = m_tickets[m_jobs[job].m_team];
+    if (!kept.empty()) {
+        m_results[job].m_ticket = std::move(kept.back());
+        kept.pop_back();
+        return kj::READY_NOW;
+    }
+    const std::string& key = m_plan.m_keys[m_jobs[job].m_team % m_plan.m_keys.size()];
+    http_request request{"POST",
+                         "http://" + entry_for(job, tries) + "/v1/services/" + m_plan.m_service + "/tickets",
+                         "{\"count\":" + std::to_string(ticket_batch) + "}",
+                         {{"Authorization", "Bearer " + key}}};
+    return m_client.send(request).then([this, job, tries](http_response response) -> kj::Promise<void> {
+        reason why = reason::none;
+        const bool is_answered = response.m_transport == http_transport::answered && response.m_status < status_error;
+        const auto document = is_answered ? json_document::parse(response.m_body, why) : std::nullopt;
+        if (document) {
+            auto taken = document->root().texts("tickets");
+            m_results[job].m_ticket = std::move(taken.back());
+            taken.pop_back();
+            auto& stock = m_tickets[m_jobs[job].m_team];
+            std::move(taken.begin(), taken.end(), std::back_inserter(stock));
+            return kj::READY_NOW;
+        }
+        if (tries >= m_plan.m_most_repeats) {
+            m_results[job].m_verdict = "not_run";
+            m_results[job].m_reason = "no_ticket";
+            return kj::READY_NOW;
+        }
+        return after_delay(repeat_pause_ms).then([this, job, tries] { return take_ticket(job, tries + 1); });
+    });
+}
+
+std::string load_client::make_body(std::size_t job) const
+{
+    std::string body = "{\"deadline_ms\":" + std::to_string(m_plan.m_deadline.count()) + ",\"tasks\":[";
+    for (std::size_t task = 0; task < m_jobs[job].m_run_times.size(); ++task) {
+        body += task == 0 ? "" : ",";
+        body += "{\"payload\":\"{\\\"run_ms\\\":" + std::to_string(m_jobs[job].m_run_times[task].count()) +
+                ",\\\"echo\\\":\\\"" + echo_of(job, task) + "\\\"}\"}";
+    }
+    return body + "]}";
+}
+
+kj::Promise<void> load_client::put(std::size_t job, int tries)
+{
+    const std::string& key = m_plan.m_keys[m_jobs[job].m_team % m_plan.m_keys.size()];
+    http_request request{"PUT",
+                         "http://" + entry_for(job, tries) + "/v1/jobs/" + m_results[job].m_ticket,
+                         make_body(job),
+                         {{"Authorization", "Bearer " + key}}};
+    return m_client.send(request).then([this, job, tries](http_response response) -> kj::Promise<void> {
+        // A ticket that is still open may be submitted again as it is.
+        const bool is_lost = response.m_transport != http_transport::answered;
+        const bool is_open = response.m_body.find("\"ticket_state\":\"open\"") != std::string::npos;
+        const bool is_refused_for_load = response.m_verdict == "not_run";
+        const bool is_worth_repeating = is_lost || (is_open && !is_refused_for_load) ||
+                                        (is_open && response.m_body.find("home_unreachable") != std::string::npos);
+        if (is_worth_repeating && tries < m_plan.m_most_repeats) {
+            ++m_results[job].m_repeats;
+            return after_delay(repeat_pause_ms).then([this, job, tries] { return put(job, tries + 1); });
+        }
+        note(job, response);
+        return kj::READY_NOW;
+    });
+}
+
+void load_client::note(std::size_t job, const http_response& response)
+{
+    job_result& result = m_results[job];
+    const auto elapsed = m_clock.now() - m_begin - m_jobs[job].m_arrival + m_plan.m_client_link * 2;
+    result.m_response = std::chrono::duration_cast<milliseconds>(elapsed);
+    if (response.m_transport != http_transport::answered) {
+        result.m_verdict = "may_have_run";
+        result.m_reason = "no_answer";
+        return;
+    }
+    reason why = reason::none;
+    const auto document = json_document::parse(response.m_body, why);
+    if (!document) {
+        result.m_verdict = "unreadable";
+        return;
+    }
+    const json_object root = document->root();
+    result.m_verdict = root.text("verdict").value_or("");
+    result.m_reason = root.text("reason").value_or("");
+    result.m_has_retry_after = root.has("retry_after_ms");
+    if (response.m_status >= status_error)
+        return;
+    result.m_is_complete = true;
+    const auto answers = root.texts("answers");
+    result.m_is_right = answers.size() == m_jobs[job].m_run_times.size();
+    for (std::size_t task = 0; result.m_is_right && task < answers.size(); ++task)
+        result.m_is_right = answers[task] == echo_of(job, task);
+}
+
+} // namespace hawthornpin::bench
--- /dev/null
+++ b/bench/load_client.h
@@ -0,0 +1,72 @@
+// The load client: plays callers against the entries, open loop, and keeps what they were told.
+
+#pragma once
+
+#include "bench/workload.h"
+#include "core/event_loop.h"
+#include "platform/http_client.h"
+
+#include <map>
+#include <memory>
+
+namespace hawthornpin::bench {
+
+// How callers behave.
+struct client_plan {
+    std::vector<std::string> m_entries;
+    std::string m_service = "circles";
+    // Keys of the teams, in the order of the trace's team numbers.
+    std::vector<std::string> m_keys;
+    milliseconds m_deadline{30'000};
+    // One-way latency between callers and entries, added on both ways.
+    microseconds m_client_link{0};
+    // How often a caller repeats the same ticket after a lost answer.
+    int m_most_repeats = 10;
+};
+
+// What became of one job.
+struct job_result {
+    bool m_is_complete = false;
+    // The answer had every task's own echo in order.
+    bool m_is_right = false;
+    std::string m_verdict;
+    std::string m_reason;
+    milliseconds m_response{0};
+    int m_repeats = 0;
+    bool m_has_retry_after = false;
+    std::string m_ticket;
+};
+
+class load_client {
+public:
+    load_client(event_loop& loop, client_plan plan, std::vector<trace_job> jobs);
+
+    // Runs the whole trace and waits for the last answer.
+    void run();
+
+    const std::vector<job_result>& results() const { return m_results; }
+
+private:
+    void submit(std::size_t job);
+    kj::Promise<void> play(std::size_t job);
+    kj::Promise<void> take_ticket(std::size_t job, int tries);
+    kj::Promise<void> put(std::size_t job, int tries);
+    void note(std::size_t job, const http_response& response);
+    std::string make_body(std::size_t job) const;
+    const std::string& entry_for(std::size_t job, int tries) const;
+
+    event_loop& m_loop;
+    client_plan m_plan;
+    std::vector<trace_job> m_jobs;
+    std::vector<job_result> m_results;
+    std::map<std::size_t, std::vector<std::string>> m_tickets;
+    http_client m_client;
+    process_clock m_clock;
+    instant m_begin;
+    std::size_t m_next = 0;
+    std::size_t m_open = 0;
+    background_tasks m_tasks;
+    std::unique_ptr<timer> m_timer;
+};
+
+} // namespace hawthornpin::bench
--- /dev/null
+++ b/bench/workload.h
@@ -0,0 +1,45 @@
+// Seeded workloads: who submits which job when.
+
+#pragma once
+
+#include "core/instant.h"
+#include "core/last_reason.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace hawthornpin::bench {
+
+// One job of the trace. Times count from the start of the run.
+struct trace_job {
+    microseconds m_arrival{0};
+    std::size_t m_team = 0;
+    std::vector<milliseconds> m_run_times;
+    // Whether the team is in its burst.
+    bool m_is_burst = false;
+};
+
+// How jobs are drawn. The rate is chosen so that the offered work is `m_load` of all slots.
+struct workload_plan {
+    std::uint64_t m_seed = 1;
+    milliseconds m_length{20'000};
+    int m_slots = 88;
+    double m_load = 0.7;
+    std::size_t m_teams = 1;
+    // one: one-task jobs; mixed: widths up to 770; noop: one-task jobs that end at once.
+    std::string m_shape = "one";
+    // A burst of the first team: its offered work during the burst, as a multiple of all slots.
+    double m_burst_load = 0;
+    milliseconds m_burst_begin{5'000};
+    milliseconds m_burst_length{10'000};
+};
+
+// The jobs in order of arrival.
+std::vector<trace_job> draw_workload(const workload_plan& plan);
+
+// The longest task, or the work divided by the slots if that is longer: no system can be faster.
+milliseconds lower_bound(const trace_job& job, int slots);
+
+} // namespace hawthornpin::bench
