--- a/bench/bench_main.cpp
+++ b/bench/bench_main.cpp
@@ -34,7 +34,8 @@
     http_client client(1);
     const std::string body = arguments.size() > 3 ? arguments[3] : "";
     const auto response = run_to_end(
-        loop, client.send({body.empty() ? "GET" : "POST", "http://" + arguments[1] + arguments[2], body, {}}));
+        loop,
+        client.send({body.empty() ? "GET" : "POST", "http://" + arguments[1] + arguments[2], body, {}}));
     std::cout << response.m_body;
     return response.m_transport == http_transport::answered && response.m_status < first_error ? 0 : 1;
 }
@@ -77,7 +78,8 @@
 int main(int argument_count, char** arguments)
 {
     std::signal(SIGPIPE, SIG_IGN);
-    options::options_description description("Usage: hawthornpin-bench load [options] | get ADDRESS PATH [BODY]");
+    options::options_description description(
+        "Usage: hawthornpin-bench load [options] | get ADDRESS PATH [BODY]");
     auto add = description.add_options();
     add("help", "show this help");
     add("entries", options::value<std::string>()->default_value("127.0.0.1:21101"), "caller addresses");
@@ -104,7 +106,8 @@
     options::variables_map values;
     try {
         options::store(
-            options::command_line_parser(argument_count, arguments).options(all).positional(positional).run(), values);
+            options::command_line_parser(argument_count, arguments).options(all).positional(positional).run(),
+            values);
     }
     catch (const options::error& error) {
         std::cerr << error.what() << '\n';
--- a/bench/central_queue.cpp
+++ b/bench/central_queue.cpp
@@ -26,7 +26,8 @@
     std::priority_queue<running_task, std::vector<running_task>, std::greater<>> running;
     std::vector<std::size_t> left(jobs.size());
     std::vector<milliseconds> response(jobs.size());
-    const queue_filter filter{[](const queued_task&) { return true; }, [](const std::string&) { return true; }, true};
+    const queue_filter filter{[](const queued_task&) { return true; },
+                              [](const std::string&) { return true; }, true};
     const auto start_waiting = [&](instant now) {
         while (static_cast<int>(running.size()) < slots) {
             const auto task = pop(queue, filter);
--- a/bench/load_client.cpp
+++ b/bench/load_client.cpp
@@ -77,7 +77,8 @@
                          {{"Authorization", "Bearer " + key}}};
     return m_client.send(request).then([this, job, tries](http_response response) -> kj::Promise<void> {
         reason why = reason::none;
-        const bool is_answered = response.m_transport == http_transport::answered && response.m_status < status_error;
+        const bool is_answered =
+            response.m_transport == http_transport::answered && response.m_status < status_error;
         const auto document = is_answered ? json_document::parse(response.m_body, why) : std::nullopt;
         if (document) {
             auto taken = document->root().texts("tickets");
@@ -119,8 +120,9 @@
         const bool is_lost = response.m_transport != http_transport::answered;
         const bool is_open = response.m_body.find("\"ticket_state\":\"open\"") != std::string::npos;
         const bool is_refused_for_load = response.m_verdict == "not_run";
-        const bool is_worth_repeating = is_lost || (is_open && !is_refused_for_load) ||
-                                        (is_open && response.m_body.find("home_unreachable") != std::string::npos);
+        const bool is_worth_repeating =
+            is_lost || (is_open && !is_refused_for_load) ||
+            (is_open && response.m_body.find("home_unreachable") != std::string::npos);
         if (is_worth_repeating && tries < m_plan.m_most_repeats) {
             ++m_results[job].m_repeats;
             return after_delay(repeat_pause_ms).then([this, job, tries] { return put(job, tries + 1); });
--- a/bench/workload.cpp
+++ b/bench/workload.cpp
@@ -21,7 +21,8 @@
         return milliseconds(std::uniform_int_distribution<int>(2'000, 4'000)(random));
     const double shortest = std::log(50.0);
     const double longest = std::log(1'000.0);
-    return milliseconds(static_cast<long long>(std::exp(std::uniform_real_distribution<double>(shortest, longest)(random))));
+    return milliseconds(
+        static_cast<long long>(std::exp(std::uniform_real_distribution<double>(shortest, longest)(random))));
 }
 
 int draw_width(generator& random, const std::string& shape)
@@ -65,8 +66,8 @@
     return std::max(total / sample, 1.0);
 }
 
-void append_arrivals(std::vector<trace_job>& jobs, generator& random, const workload_plan& plan, double jobs_per_ms,
-                     milliseconds begin, milliseconds end, bool is_burst)
+void append_arrivals(std::vector<trace_job>& jobs, generator& random, const workload_plan& plan,
+                     double jobs_per_ms, milliseconds begin, milliseconds end, bool is_burst)
 {
     std::exponential_distribution<double> gap(jobs_per_ms);
     constexpr double microseconds_per_ms = 1000;
