Connections are destroyed on a later turn

Cause: an entry aborted at shutdown now and then; the address sanitizer shows a timer whose action destroyed it (heap-use-after-free in timer::fire, from the removal of a connection). Change: one list of objects that wait for destruction serves server connections and links.

--- a/rpc/link.cpp
+++ b/rpc/link.cpp
@@ -96,16 +96,8 @@
     const auto found = m_links.find(address);
     if (found == m_links.end())
         return;
-    m_dropped.push_back(std::move(found->second));
+    m_dropped.add(std::move(found->second));
     m_links.erase(found);
-    // Destroyed on a later turn: the caller may be running inside one of the link's promises.
-    g_idle_add_full(
-        G_PRIORITY_DEFAULT,
-        [](gpointer data) -> gboolean {
-            static_cast<link_pool*>(data)->m_dropped.clear();
-            return G_SOURCE_REMOVE;
-        },
-        this, nullptr);
 }
 
 void link_pool::make_room()
--- a/rpc/link.h
+++ b/rpc/link.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "core/deferred_deletion.h"
 #include "rpc/glib_stream.h"
 #include "rpc/hawthornpin.capnp.h"
 
@@ -47,8 +48,7 @@
     std::size_t m_max_links;
     std::uint64_t m_uses = 0;
     std::map<std::string, std::unique_ptr<link>> m_links;
-    // Links that were dropped while their promises may still be on the stack.
-    std::vector<std::unique_ptr<link>> m_dropped;
+    deferred_deletion<link> m_dropped;
 };
 
 // Calls `use` with the node at `address`. The result says how far the call got; `Response` must be default
--- a/rpc/rpc_server.cpp
+++ b/rpc/rpc_server.cpp
@@ -91,25 +91,15 @@
             });
         return m_network.onDisconnect()
             .exclusiveJoin(kj::mv(silent))
-            .then([this, &server] { schedule_removal(server); },
-                  [this, &server](kj::Exception&&) { schedule_removal(server); })
+            .then([this, &server] { server.retire(this); },
+                  [this, &server](kj::Exception&&) { server.retire(this); })
             .eagerlyEvaluate(nullptr);
     }
 
-    // A connection can't be destroyed from within its own promise.
-    void schedule_removal(rpc_server& server)
-    {
-        m_removal = std::make_unique<timer>(0, [this, &server] {
-            server.remove(this);
-            return false;
-        });
-    }
-
     bool m_is_authenticated = false;
     glib_stream m_stream;
     capnp::TwoPartyVatNetwork m_network;
     capnp::RpcSystem<capnp::rpc::twoparty::VatId> m_system;
-    std::unique_ptr<timer> m_removal;
     kj::Promise<void> m_watch;
 };
 
@@ -157,12 +147,17 @@
     if (m_connections.size() < m_limits.m_max_connections)
         return;
     m_metrics.count(counter::connections_closed_for_budget);
-    m_connections.pop_front();
+    retire(m_connections.front().get());
 }
 
-void rpc_server::remove(connection* closed)
+void rpc_server::retire(connection* closed)
 {
-    std::erase_if(m_connections, [closed](const auto& item) { return item.get() == closed; });
+    const auto found = std::find_if(m_connections.begin(), m_connections.end(),
+                                    [closed](const auto& item) { return item.get() == closed; });
+    if (found == m_connections.end())
+        return;
+    m_retired.add(std::move(*found));
+    m_connections.erase(found);
 }
 
 } // namespace hawthornpin
--- a/rpc/rpc_server.h
+++ b/rpc/rpc_server.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "core/deferred_deletion.h"
 #include "core/metrics.h"
 #include "rpc/glib_stream.h"
 #include "rpc/hawthornpin.capnp.h"
@@ -43,7 +44,7 @@
 
     static gboolean on_acceptable(gint descriptor, GIOCondition condition, gpointer data);
     void accept_all();
-    void remove(connection* closed);
+    void retire(connection* closed);
     void make_room();
 
     file_descriptor m_socket;
@@ -54,6 +55,7 @@
     metrics& m_metrics;
     // Least recently accepted first.
     connection_list m_connections;
+    deferred_deletion<connection> m_retired;
     guint m_source = 0;
 };
 
