--- a/main/announcer.cpp
+++ b/main/announcer.cpp
@@ -33,7 +33,8 @@
     std::uint64_t m_changes = 0;
     std::vector<std::string> m_entry_addresses;
     std::vector<std::pair<announcement, milliseconds>> m_members;
-    std::vector<std::string> m_member_ids;
+    std::vector<heartbeat> m_peers;
+    bool m_has_peers = false;
     log_offset m_config_version = no_offset;
     std::map<std::string, published_file> m_files;
 };
@@ -68,11 +69,14 @@
 {
     mark_overdue(m_table, m_clock.now());
     ++m_sequence;
-    for (const std::string& address : choose_entries())
-        announce_to(address);
+    bool wants_peers = true;
+    for (const std::string& address : choose_entries()) {
+        announce_to(address, wants_peers);
+        wants_peers = false;
+    }
 }
 
-void announcer::announce_to(const std::string& address)
+void announcer::announce_to(const std::string& address, bool wants_peers)
 {
     // One announcement at a time to each entry; a slow one does not pile them up.
     if (!m_waiting.insert(address).second)
@@ -83,13 +87,15 @@
     news.m_sequence = m_sequence;
     const auto known = m_entries.find(address);
     const std::uint64_t seen = known == m_entries.end() ? 0 : known->second.m_seen;
-    auto call = call_node<reply>(m_links, address, [this, news, seen](wire::Node::Client node) {
+    auto call = call_node<reply>(m_links, address, [this, news, seen, wants_peers](wire::Node::Client node) {
         auto request = node.announceRequest();
         write_wire(request.initAnnouncement(), news, milliseconds(0));
         request.setConfigVersion(m_config.m_version);
         request.setSeen(seen);
-        return request.send().then([](auto response) {
+        request.setWantsPeers(wants_peers);
+        return request.send().then([wants_peers](auto response) {
             reply read;
+            read.m_has_peers = wants_peers;
             read.m_superseded_by = response.getSupersededBy();
             read.m_changes = response.getChanges();
             for (const auto entry : response.getEntries())
@@ -98,8 +104,8 @@
                 if (const auto parsed = read_wire(item))
                     read.m_members.emplace_back(*parsed, milliseconds(item.getAgeMs()));
             }
-            for (const auto id : response.getMemberIds())
-                read.m_member_ids.push_back(to_string(id));
+            for (const auto peer : response.getPeers())
+                read.m_peers.push_back(read_wire(peer));
             read.m_config_version = response.getConfig().getVersion();
             read.m_files = read_wire(response.getConfig());
             return read;
@@ -126,31 +132,34 @@
     m_last_reply = now;
     for (const std::string& entry : news.m_entry_addresses)
         m_entries.try_emplace(entry, known_entry{entry, 0});
-    const auto answering = m_entries.find(address);
-    if (answering != m_entries.end())
-        answering->second.m_seen = news.m_changes;
+    if (news.m_has_peers)
+        take_peers(address, news);
+    if (news.m_config_version > m_config.m_version)
+        take_config(news.m_config_version, news.m_files);
+}
+
+void announcer::take_peers(const std::string& address, const reply& news)
+{
+    const instant now = m_clock.now();
     for (const auto& [member_news, age] : news.m_members)
         apply_announcement(m_table, member_news, address, age, now);
-    // The entry vouches for the listed members even if their own news did not change.
-    for (const std::string& id : news.m_member_ids) {
-        const auto found = m_table.m_members.find(id);
-        if (found != m_table.m_members.end()) {
-            found->second.m_last_heard = std::max(found->second.m_last_heard, now);
-            found->second.m_is_suspect = false;
-        }
-        else if (answering != m_entries.end()) {
-            // A member that came into this agent's subset without news of its own: ask for all next time.
-            answering->second.m_seen = 0;
-        }
-    }
+    bool is_missing_some = false;
     std::vector<member> usable;
-    for (const member* known : usable_members(m_table, m_settings.m_service)) {
-        const std::string& id = known->m_announcement.m_worker.identity().m_id;
-        if (std::find(news.m_member_ids.begin(), news.m_member_ids.end(), id) != news.m_member_ids.end())
-            usable.push_back(*known);
+    for (const heartbeat& peer : news.m_peers) {
+        if (!apply_heartbeat(m_table, peer, address, milliseconds(0), now)) {
+            is_missing_some = true;
+            continue;
+        }
+        member& known = m_table.m_members.at(peer.m_identity.m_id);
+        // The entry vouches for the listed members even when their own news are not newer.
+        known.m_last_heard = now;
+        known.m_is_suspect = false;
+        if (is_usable(known))
+            usable.push_back(known);
     }
-    if (news.m_config_version > m_config.m_version)
-        take_config(news.m_config_version, news.m_files);
+    const auto answering = m_entries.find(address);
+    if (answering != m_entries.end())
+        answering->second.m_seen = is_missing_some ? 0 : news.m_changes;
     m_hooks.m_take_members(usable);
 }
 
--- a/main/announcer.h
+++ b/main/announcer.h
@@ -56,8 +56,10 @@
     struct reply;
 
     std::vector<std::string> choose_entries() const;
-    void announce_to(const std::string& address);
+    // Only the first entry of a round is asked for the peers.
+    void announce_to(const std::string& address, bool wants_peers);
     void take_reply(const std::string& address, const reply& news);
+    void take_peers(const std::string& address, const reply& news);
     void take_config(log_offset version, const std::map<std::string, published_file>& files);
     void rise_above(std::uint64_t generation);
 
--- a/main/caller_api.cpp
+++ b/main/caller_api.cpp
@@ -72,8 +72,10 @@
 void caller_api::refresh_members()
 {
     const member_table& table = *m_context.m_members;
-    for (const member& changed : members_since(table, m_seen_changes, "", "", table.m_members.size()))
-        update_member(view_of(changed.m_announcement.m_worker.service()).m_loads, changed);
+    for (const auto& [id, known] : table.m_members) {
+        if (known.m_heard_at > m_seen_changes)
+            update_member(view_of(known.m_announcement.m_worker.service()).m_loads, known);
+    }
     m_seen_changes = table.m_changes;
     for (auto& [name, view] : m_services) {
         std::erase_if(view.m_loads, [&](const auto& item) { return !table.m_members.contains(item.first); });
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -20,6 +20,15 @@
     }
 }
 
+template <typename List>
+void write_heartbeats(List to, const std::vector<member>& members, instant now)
+{
+    for (unsigned index = 0; index < to.size(); ++index) {
+        const auto age = std::chrono::duration_cast<milliseconds>(now - members[index].m_last_heard);
+        write_wire(to[index], make_heartbeat(members[index]), age);
+    }
+}
+
 // The members that an agent is told of: its nearest ones first, in an order that is its own beyond that.
 std::vector<const member*> choose_peers(const member_table& table, const worker& asking, std::size_t limit)
 {
@@ -51,6 +60,23 @@
     }
 }
 
+void entry_process::node_server::write_peers(wire::Node::AnnounceResults::Builder to, const worker& asking,
+                                             std::uint64_t seen) const
+{
+    const auto limit = static_cast<std::size_t>(m_process.m_settings.integer("limits", "peers_per_agent"));
+    const auto peers = choose_peers(m_process.m_members, asking, limit);
+    std::vector<member> changed;
+    std::vector<member> all;
+    for (const member* peer : peers) {
+        all.push_back(*peer);
+        if (peer->m_changed_at > seen)
+            changed.push_back(*peer);
+    }
+    const instant now = m_process.m_clock.now();
+    write_members(to.initMembers(static_cast<unsigned>(changed.size())), changed, now);
+    write_heartbeats(to.initPeers(static_cast<unsigned>(all.size())), all, now);
+}
+
 kj::Promise<void> entry_process::node_server::announce(AnnounceContext context)
 {
     const auto params = context.getParams();
@@ -65,19 +91,9 @@
         results.setSupersededBy(taken.m_generation);
         return kj::READY_NOW;
     }
-    m_process.m_callers.refresh_members();
-    const auto limit = static_cast<std::size_t>(m_process.m_settings.integer("limits", "peers_per_agent"));
-    const auto peers = choose_peers(table, news->m_worker, limit);
-    std::vector<member> changed;
-    auto ids = results.initMemberIds(static_cast<unsigned>(peers.size()));
-    for (unsigned index = 0; index < ids.size(); ++index) {
-        ids.set(index, peers[index]->m_announcement.m_worker.identity().m_id);
-        if (peers[index]->m_changed_at > params.getSeen())
-            changed.push_back(*peers[index]);
-    }
-    write_members(results.initMembers(static_cast<unsigned>(changed.size())), changed, now);
+    if (params.getWantsPeers())
+        write_peers(results, news->m_worker, params.getSeen());
     results.setChanges(table.m_changes);
-    results.setEntryId(m_process.m_id);
     write_entries(results.initEntries(static_cast<unsigned>(table.m_entries.size()) + 1));
     const config_state& config = m_process.m_config.state();
     if (config.m_version > params.getConfigVersion())
@@ -96,11 +112,18 @@
         if (const auto news = read_wire(item))
             apply_announcement(table, *news, from_address, milliseconds(item.getAgeMs()), now);
     }
+    bool is_missing = false;
+    for (const auto item : params.getHeartbeats())
+        is_missing |=
+            !apply_heartbeat(table, read_wire(item), from_address, milliseconds(item.getAgeMs()), now);
     if (from_id != m_process.m_id)
         apply_entry(table, from_id, from_address, milliseconds(0), now);
     auto results = context.getResults();
-    const auto members = members_since(table, params.getSeen(), "", from_address, table.m_members.size());
-    write_members(results.initMembers(static_cast<unsigned>(members.size())), members, now);
+    results.setIsMissingMembers(is_missing);
+    const auto changed = members_changed_since(table, params.getSeen(), from_address);
+    const auto heard = members_heard_since(table, params.getSeen(), from_address);
+    write_members(results.initMembers(static_cast<unsigned>(changed.size())), changed, now);
+    write_heartbeats(results.initHeartbeats(static_cast<unsigned>(heard.size())), heard, now);
     results.setId(m_process.m_id);
     results.setChanges(table.m_changes);
     write_entries(results.initEntries(static_cast<unsigned>(table.m_entries.size()) + 1));
--- a/main/entry_node.h
+++ b/main/entry_node.h
@@ -15,6 +15,8 @@
     kj::Promise<void> exchange(ExchangeContext context) override;
 
 private:
+    // The peers of an agent: all of them in short, and in full those that changed after `seen`.
+    void write_peers(wire::Node::AnnounceResults::Builder to, const worker& asking, std::uint64_t seen) const;
     void write_entries(capnp::List<wire::EntryInfo>::Builder to) const;
 
     entry_process& m_process;
--- a/main/entry_process.cpp
+++ b/main/entry_process.cpp
@@ -46,6 +46,9 @@
     std::uint64_t m_changes = 0;
     std::vector<entry_member> m_entries;
     std::vector<std::pair<announcement, milliseconds>> m_members;
+    std::vector<std::pair<heartbeat, milliseconds>> m_heartbeats;
+    // The peer does not know some member whose heartbeat it was sent.
+    bool m_is_missing_members = false;
     std::string m_checkpoint;
 };
 
@@ -181,13 +184,17 @@
             auto request = node.exchangeRequest();
             const instant now = m_clock.now();
             write_wire(request.initFrom(), {m_id, m_server->address(), now}, milliseconds(0));
-            const auto members =
-                members_since(m_members, already_told, "", address, m_members.m_members.size());
-            auto list = request.initMembers(static_cast<unsigned>(members.size()));
-            for (unsigned index = 0; index < list.size(); ++index) {
-                const auto age = std::chrono::duration_cast<milliseconds>(now - members[index].m_last_heard);
-                write_wire(list[index], members[index].m_announcement, age);
-            }
+            const auto age_of = [now](const member& known) {
+                return std::chrono::duration_cast<milliseconds>(now - known.m_last_heard);
+            };
+            const auto changed = members_changed_since(m_members, already_told, address);
+            auto list = request.initMembers(static_cast<unsigned>(changed.size()));
+            for (unsigned index = 0; index < list.size(); ++index)
+                write_wire(list[index], changed[index].m_announcement, age_of(changed[index]));
+            const auto heard = members_heard_since(m_members, already_told, address);
+            auto heartbeats = request.initHeartbeats(static_cast<unsigned>(heard.size()));
+            for (unsigned index = 0; index < heartbeats.size(); ++index)
+                write_wire(heartbeats[index], make_heartbeat(heard[index]), age_of(heard[index]));
             request.setSeen(seen);
             request.setConfigVersion(m_config.state().m_version);
             request.setWantsCheckpoint(!m_config.is_ready() || m_config.is_log_down());
@@ -203,6 +210,9 @@
                     if (const auto parsed = read_wire(item))
                         read.m_members.emplace_back(*parsed, milliseconds(item.getAgeMs()));
                 }
+                for (const auto item : response.getHeartbeats())
+                    read.m_heartbeats.emplace_back(read_wire(item), milliseconds(item.getAgeMs()));
+                read.m_is_missing_members = response.getIsMissingMembers();
                 read.m_checkpoint = to_string(response.getCheckpoint());
                 return read;
             });
@@ -227,10 +237,15 @@
         return;
     const instant now = m_clock.now();
     peer_progress& progress = m_peers[address];
-    progress.m_told = told;
+    progress.m_told = news.m_is_missing_members ? 0 : told;
     progress.m_seen = news.m_changes;
     for (const auto& [member_news, age] : news.m_members)
         apply_announcement(m_members, member_news, address, age, now);
+    for (const auto& [beat, age] : news.m_heartbeats) {
+        // A member that was forgotten here is asked for in full.
+        if (!apply_heartbeat(m_members, beat, address, age, now))
+            progress.m_seen = 0;
+    }
     for (const entry_member& entry : news.m_entries) {
         if (entry.m_id != m_id) {
             const auto age = std::chrono::duration_cast<milliseconds>(now - entry.m_last_heard);
--- a/membership/member_table.cpp
+++ b/membership/member_table.cpp
@@ -23,16 +23,29 @@
     return left.m_worker.identity().m_incarnation > right.m_worker.identity().m_incarnation;
 }
 
+bool is_more_than_load(const announcement& known, const announcement& news)
+{
+    return known.m_worker != news.m_worker || known.m_state != news.m_state ||
+           known.m_generation != news.m_generation;
+}
+
 void store(member_table& table, const announcement& news, const std::string& learned_from, instant heard)
 {
     member& entry = table.m_members[news.m_worker.identity().m_id];
-    const bool is_changed = entry.m_changed_at == 0 || !(entry.m_announcement == news) || entry.m_is_suspect;
+    const bool is_new = entry.m_heard_at == 0;
+    const bool is_changed = is_new || entry.m_is_suspect || is_more_than_load(entry.m_announcement, news);
     entry.m_announcement = news;
     entry.m_last_heard = heard;
     entry.m_is_suspect = false;
     entry.m_learned_from = learned_from;
+    entry.m_heard_at = ++table.m_changes;
     if (is_changed)
-        entry.m_changed_at = ++table.m_changes;
+        entry.m_changed_at = entry.m_heard_at;
+}
+
+bool is_echo(const member& known, const std::string& except_from)
+{
+    return !except_from.empty() && known.m_learned_from == except_from;
 }
 
 } // namespace
@@ -60,6 +73,25 @@
     return {announce_verdict::applied, news.m_generation};
 }
 
+bool apply_heartbeat(member_table& table, const heartbeat& news, const std::string& learned_from,
+                     milliseconds age, instant now)
+{
+    const auto found = table.m_members.find(news.m_identity.m_id);
+    if (found == table.m_members.end() || found->second.m_announcement.m_worker.identity() != news.m_identity)
+        return false;
+    announcement full = found->second.m_announcement;
+    full.m_sequence = news.m_sequence;
+    full.m_load = news.m_load;
+    apply_announcement(table, full, learned_from, age, now);
+    return true;
+}
+
+heartbeat make_heartbeat(const member& known)
+{
+    const announcement& news = known.m_announcement;
+    return {news.m_worker.identity(), news.m_sequence, news.m_load};
+}
+
 void apply_entry(member_table& table, const std::string& id, const std::string& address, milliseconds age,
                  instant now)
 {
@@ -89,23 +121,29 @@
     return suspected;
 }
 
-std::vector<member> members_since(const member_table& table, std::uint64_t since, const std::string& service,
-                                  const std::string& except_from, std::size_t limit)
+std::vector<member> members_changed_since(const member_table& table, std::uint64_t since,
+                                          const std::string& except_from)
 {
     std::vector<member> changed;
     for (const auto& [id, entry] : table.m_members) {
-        const bool is_asked_for = service.empty() || entry.m_announcement.m_worker.service() == service;
-        const bool is_echo = !except_from.empty() && entry.m_learned_from == except_from;
-        if (entry.m_changed_at > since && is_asked_for && !is_echo)
+        if (entry.m_changed_at > since && !is_echo(entry, except_from))
             changed.push_back(entry);
     }
-    std::sort(changed.begin(), changed.end(),
-              [](const member& left, const member& right) { return left.m_changed_at < right.m_changed_at; });
-    if (changed.size() > limit)
-        changed.resize(limit);
     return changed;
 }
 
+std::vector<member> members_heard_since(const member_table& table, std::uint64_t since,
+                                        const std::string& except_from)
+{
+    std::vector<member> heard;
+    for (const auto& [id, entry] : table.m_members) {
+        const bool is_only_heard = entry.m_heard_at > since && entry.m_changed_at <= since;
+        if (is_only_heard && !is_echo(entry, except_from))
+            heard.push_back(entry);
+    }
+    return heard;
+}
+
 bool is_usable(const member& candidate)
 {
     return candidate.m_announcement.m_state == member_state::serving && !candidate.m_is_suspect;
--- a/membership/member_table.h
+++ b/membership/member_table.h
@@ -51,8 +51,9 @@
     instant m_last_heard;
     // Set when heartbeats were missed; cleared by the next announcement.
     bool m_is_suspect = false;
-    // Value of member_table::m_changes when the member last changed.
+    // Values of member_table::m_changes when more than its load changed, and when it was last heard of.
     std::uint64_t m_changed_at = 0;
+    std::uint64_t m_heard_at = 0;
     // The entry that told of it; empty if the agent announced itself here.
     std::string m_learned_from;
 };
@@ -77,7 +78,7 @@
     membership_limits m_limits;
     std::map<std::string, member> m_members;
     std::map<std::string, entry_member> m_entries;
-    // Counts changes; readers ask for what changed since a value they saw.
+    // Counts news; readers ask for what came since a value they saw.
     std::uint64_t m_changes = 0;
 };
 
@@ -101,16 +102,35 @@
 announce_result apply_announcement(member_table& table, const announcement& news,
                                    const std::string& learned_from, milliseconds age, instant now);
 
+// A short form of an announcement for members that are known: only load and freshness are new.
+struct heartbeat {
+    agent_identity m_identity;
+    std::uint64_t m_sequence = 0;
+    worker_load m_load;
+
+    friend bool operator==(const heartbeat&, const heartbeat&) = default;
+};
+
+// Takes a heartbeat; false if that incarnation is not known, so that its announcement must be asked for.
+bool apply_heartbeat(member_table& table, const heartbeat& news, const std::string& learned_from,
+                     milliseconds age, instant now);
+
+heartbeat make_heartbeat(const member& known);
+
 void apply_entry(member_table& table, const std::string& id, const std::string& address, milliseconds age,
                  instant now);
 
 // Marks silent members suspect and forgets those silent for long. Returns how many became suspect.
 int mark_overdue(member_table& table, instant now);
 
-// Members that changed after `since`, oldest change first, at most `limit`. `except_from` leaves out what
-// that entry told itself. An empty service asks for all.
-std::vector<member> members_since(const member_table& table, std::uint64_t since, const std::string& service,
-                                  const std::string& except_from, std::size_t limit);
+// Members of which more than the load changed after `since`. `except_from` leaves out what that entry told
+// itself.
+std::vector<member> members_changed_since(const member_table& table, std::uint64_t since,
+                                          const std::string& except_from);
+
+// Members heard of after `since` whose load at most changed.
+std::vector<member> members_heard_since(const member_table& table, std::uint64_t since,
+                                        const std::string& except_from);
 
 // Whether the member should be given new work.
 bool is_usable(const member& candidate);
--- a/rpc/hawthornpin.capnp
+++ b/rpc/hawthornpin.capnp
@@ -92,6 +92,19 @@
   ageMs @13 :UInt32;
 }
 
+# The short form of an announcement, for members that the receiver knows.
+struct Heartbeat {
+  id @0 :Text;
+  incarnation @1 :UInt64;
+  sequence @2 :UInt64;
+  running @3 :UInt16;
+  failuresPerMille @4 :UInt16;
+  queued @5 :UInt32;
+  estimatedWaitMs @6 :UInt32;
+  ageMs @7 :UInt16;
+  stopped @8 :Bool;
+}
+
 struct EntryInfo {
   id @0 :Text;
   address @1 :Text;
@@ -125,11 +138,12 @@
   revoke @4 (id :GrantId, validForMs :UInt32) -> (outcome :Outcome);
   idle @5 (identity :AgentIdentity, load :Load) -> ();
 
-  announce @6 (announcement :Announcement, configVersion :UInt64, seen :UInt64)
-      -> (supersededBy :UInt64, entries :List(EntryInfo), entryId :Text, changes :UInt64,
-          members :List(Announcement), memberIds :List(Text), config :ConfigUpdate);
-  exchange @7 (from :EntryInfo, members :List(Announcement), seen :UInt64, configVersion :UInt64,
-               wantsCheckpoint :Bool)
-      -> (id :Text, changes :UInt64, entries :List(EntryInfo), members :List(Announcement), configVersion :UInt64,
-          checkpoint :Text);
+  # Peers are told only to agents that want them from this entry; `peers` lists all of the agent's subset.
+  announce @6 (announcement :Announcement, configVersion :UInt64, seen :UInt64, wantsPeers :Bool)
+      -> (supersededBy :UInt64, entries :List(EntryInfo), changes :UInt64,
+          members :List(Announcement), peers :List(Heartbeat), config :ConfigUpdate);
+  exchange @7 (from :EntryInfo, members :List(Announcement), heartbeats :List(Heartbeat), seen :UInt64,
+               configVersion :UInt64, wantsCheckpoint :Bool)
+      -> (id :Text, changes :UInt64, entries :List(EntryInfo), members :List(Announcement),
+          heartbeats :List(Heartbeat), isMissingMembers :Bool, configVersion :UInt64, checkpoint :Text);
 }
--- a/rpc/hawthornpin.capnp.h
+++ b/rpc/hawthornpin.capnp.h
@@ -30,6 +30,7 @@
 CAPNP_DECLARE_SCHEMA(971c64c4b381215d);
 CAPNP_DECLARE_SCHEMA(dc016b6a22a78e3c);
 CAPNP_DECLARE_SCHEMA(d7c5391ee6e5bba9);
+CAPNP_DECLARE_SCHEMA(847f967ed2661c2e);
 CAPNP_DECLARE_SCHEMA(c75718c6d673f8ec);
 CAPNP_DECLARE_SCHEMA(f7fec9fdbc22b194);
 CAPNP_DECLARE_SCHEMA(a5e13bde3e5e1d98);
@@ -227,6 +228,21 @@
   };
 };
 
+struct Heartbeat {
+  Heartbeat() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(847f967ed2661c2e, 4, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct EntryInfo {
   EntryInfo() = delete;
 
@@ -574,7 +590,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a21cf764f99d5716, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(a21cf764f99d5716, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -589,7 +605,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c63b2f10a159a27e, 2, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(c63b2f10a159a27e, 2, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -604,7 +620,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c576a618b9e07156, 3, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(c576a618b9e07156, 3, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -619,7 +635,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(aa70738f1451f677, 2, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(aa70738f1451f677, 3, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1811,6 +1827,127 @@
 };
 #endif  // !CAPNP_LITE
 
+class Heartbeat::Reader {
+public:
+  typedef Heartbeat Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
+
+  inline  ::uint64_t getIncarnation() const;
+
+  inline  ::uint64_t getSequence() const;
+
+  inline  ::uint16_t getRunning() const;
+
+  inline  ::uint16_t getFailuresPerMille() const;
+
+  inline  ::uint32_t getQueued() const;
+
+  inline  ::uint32_t getEstimatedWaitMs() const;
+
+  inline  ::uint16_t getAgeMs() const;
+
+  inline bool getStopped() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Heartbeat::Builder {
+public:
+  typedef Heartbeat Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
+
+  inline  ::uint16_t getRunning();
+  inline void setRunning( ::uint16_t value);
+
+  inline  ::uint16_t getFailuresPerMille();
+  inline void setFailuresPerMille( ::uint16_t value);
+
+  inline  ::uint32_t getQueued();
+  inline void setQueued( ::uint32_t value);
+
+  inline  ::uint32_t getEstimatedWaitMs();
+  inline void setEstimatedWaitMs( ::uint32_t value);
+
+  inline  ::uint16_t getAgeMs();
+  inline void setAgeMs( ::uint16_t value);
+
+  inline bool getStopped();
+  inline void setStopped(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Heartbeat::Pipeline {
+public:
+  typedef Heartbeat Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class EntryInfo::Reader {
 public:
   typedef EntryInfo Reads;
@@ -3643,6 +3780,8 @@
 
   inline  ::uint64_t getSeen() const;
 
+  inline bool getWantsPeers() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3684,6 +3823,9 @@
   inline  ::uint64_t getSeen();
   inline void setSeen( ::uint64_t value);
 
+  inline bool getWantsPeers();
+  inline void setWantsPeers(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3733,16 +3875,13 @@
   inline bool hasEntries() const;
   inline  ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>::Reader getEntries() const;
 
-  inline bool hasEntryId() const;
-  inline  ::capnp::Text::Reader getEntryId() const;
-
   inline  ::uint64_t getChanges() const;
 
   inline bool hasMembers() const;
   inline  ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Reader getMembers() const;
 
-  inline bool hasMemberIds() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getMemberIds() const;
+  inline bool hasPeers() const;
+  inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Reader getPeers() const;
 
   inline bool hasConfig() const;
   inline  ::hawthornpin::wire::ConfigUpdate::Reader getConfig() const;
@@ -3785,13 +3924,6 @@
   inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>> disownEntries();
 
-  inline bool hasEntryId();
-  inline  ::capnp::Text::Builder getEntryId();
-  inline void setEntryId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initEntryId(unsigned int size);
-  inline void adoptEntryId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownEntryId();
-
   inline  ::uint64_t getChanges();
   inline void setChanges( ::uint64_t value);
 
@@ -3802,13 +3934,12 @@
   inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>> disownMembers();
 
-  inline bool hasMemberIds();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getMemberIds();
-  inline void setMemberIds( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setMemberIds(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initMemberIds(unsigned int size);
-  inline void adoptMemberIds(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownMemberIds();
+  inline bool hasPeers();
+  inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Builder getPeers();
+  inline void setPeers( ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Builder initPeers(unsigned int size);
+  inline void adoptPeers(::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>> disownPeers();
 
   inline bool hasConfig();
   inline  ::hawthornpin::wire::ConfigUpdate::Builder getConfig();
@@ -3867,6 +3998,9 @@
   inline bool hasMembers() const;
   inline  ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Reader getMembers() const;
 
+  inline bool hasHeartbeats() const;
+  inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Reader getHeartbeats() const;
+
   inline  ::uint64_t getSeen() const;
 
   inline  ::uint64_t getConfigVersion() const;
@@ -3915,6 +4049,13 @@
   inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>> disownMembers();
 
+  inline bool hasHeartbeats();
+  inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Builder getHeartbeats();
+  inline void setHeartbeats( ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Builder initHeartbeats(unsigned int size);
+  inline void adoptHeartbeats(::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>> disownHeartbeats();
+
   inline  ::uint64_t getSeen();
   inline void setSeen( ::uint64_t value);
 
@@ -3979,6 +4120,11 @@
   inline bool hasMembers() const;
   inline  ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Reader getMembers() const;
 
+  inline bool hasHeartbeats() const;
+  inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Reader getHeartbeats() const;
+
+  inline bool getIsMissingMembers() const;
+
   inline  ::uint64_t getConfigVersion() const;
 
   inline bool hasCheckpoint() const;
@@ -4036,6 +4182,16 @@
   inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>> disownMembers();
 
+  inline bool hasHeartbeats();
+  inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Builder getHeartbeats();
+  inline void setHeartbeats( ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Builder initHeartbeats(unsigned int size);
+  inline void adoptHeartbeats(::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>> disownHeartbeats();
+
+  inline bool getIsMissingMembers();
+  inline void setIsMissingMembers(bool value);
+
   inline  ::uint64_t getConfigVersion();
   inline void setConfigVersion( ::uint64_t value);
 
@@ -5368,6 +5524,152 @@
       ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Heartbeat::Reader::hasId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Heartbeat::Builder::hasId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Heartbeat::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Heartbeat::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Heartbeat::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Heartbeat::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Heartbeat::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Heartbeat::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Heartbeat::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Heartbeat::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Heartbeat::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Heartbeat::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t Heartbeat::Reader::getRunning() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Heartbeat::Builder::getRunning() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setRunning( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t Heartbeat::Reader::getFailuresPerMille() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Heartbeat::Builder::getFailuresPerMille() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setFailuresPerMille( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Heartbeat::Reader::getQueued() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Heartbeat::Builder::getQueued() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setQueued( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Heartbeat::Reader::getEstimatedWaitMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Heartbeat::Builder::getEstimatedWaitMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setEstimatedWaitMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t Heartbeat::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Heartbeat::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setAgeMs( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Heartbeat::Reader::getStopped() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<240>() * ::capnp::ELEMENTS);
+}
+
+inline bool Heartbeat::Builder::getStopped() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<240>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setStopped(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<240>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool EntryInfo::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -6505,6 +6807,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Node::AnnounceParams::Reader::getWantsPeers() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool Node::AnnounceParams::Builder::getWantsPeers() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void Node::AnnounceParams::Builder::setWantsPeers(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Node::AnnounceResults::Reader::getSupersededBy() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -6553,40 +6869,6 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Node::AnnounceResults::Reader::hasEntryId() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool Node::AnnounceResults::Builder::hasEntryId() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Node::AnnounceResults::Reader::getEntryId() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Node::AnnounceResults::Builder::getEntryId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void Node::AnnounceResults::Builder::setEntryId( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Node::AnnounceResults::Builder::initEntryId(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void Node::AnnounceResults::Builder::adoptEntryId(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Node::AnnounceResults::Builder::disownEntryId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
 inline  ::uint64_t Node::AnnounceResults::Reader::getChanges() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
@@ -6603,113 +6885,109 @@
 
 inline bool Node::AnnounceResults::Reader::hasMembers() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline bool Node::AnnounceResults::Builder::hasMembers() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
 inline  ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Reader Node::AnnounceResults::Reader::getMembers() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline  ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Builder Node::AnnounceResults::Builder::getMembers() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 inline void Node::AnnounceResults::Builder::setMembers( ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
 inline  ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Builder Node::AnnounceResults::Builder::initMembers(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void Node::AnnounceResults::Builder::adoptMembers(
     ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>> Node::AnnounceResults::Builder::disownMembers() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Node::AnnounceResults::Reader::hasMemberIds() const {
+inline bool Node::AnnounceResults::Reader::hasPeers() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Node::AnnounceResults::Builder::hasMemberIds() {
+inline bool Node::AnnounceResults::Builder::hasPeers() {
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Node::AnnounceResults::Reader::getMemberIds() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Node::AnnounceResults::Builder::getMemberIds() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Reader Node::AnnounceResults::Reader::getPeers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Node::AnnounceResults::Builder::setMemberIds( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Builder Node::AnnounceResults::Builder::getPeers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Node::AnnounceResults::Builder::setMemberIds(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline void Node::AnnounceResults::Builder::setPeers( ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Node::AnnounceResults::Builder::initMemberIds(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Builder Node::AnnounceResults::Builder::initPeers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Node::AnnounceResults::Builder::adoptMemberIds(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+inline void Node::AnnounceResults::Builder::adoptPeers(
+    ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Node::AnnounceResults::Builder::disownMemberIds() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>> Node::AnnounceResults::Builder::disownPeers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool Node::AnnounceResults::Reader::hasConfig() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
 inline bool Node::AnnounceResults::Builder::hasConfig() {
   return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
 inline  ::hawthornpin::wire::ConfigUpdate::Reader Node::AnnounceResults::Reader::getConfig() const {
   return ::capnp::_::PointerHelpers< ::hawthornpin::wire::ConfigUpdate>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 inline  ::hawthornpin::wire::ConfigUpdate::Builder Node::AnnounceResults::Builder::getConfig() {
   return ::capnp::_::PointerHelpers< ::hawthornpin::wire::ConfigUpdate>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
 inline  ::hawthornpin::wire::ConfigUpdate::Pipeline Node::AnnounceResults::Pipeline::getConfig() {
-  return  ::hawthornpin::wire::ConfigUpdate::Pipeline(_typeless.getPointerField(4));
+  return  ::hawthornpin::wire::ConfigUpdate::Pipeline(_typeless.getPointerField(3));
 }
 #endif  // !CAPNP_LITE
 inline void Node::AnnounceResults::Builder::setConfig( ::hawthornpin::wire::ConfigUpdate::Reader value) {
   ::capnp::_::PointerHelpers< ::hawthornpin::wire::ConfigUpdate>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
 inline  ::hawthornpin::wire::ConfigUpdate::Builder Node::AnnounceResults::Builder::initConfig() {
   return ::capnp::_::PointerHelpers< ::hawthornpin::wire::ConfigUpdate>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 inline void Node::AnnounceResults::Builder::adoptConfig(
     ::capnp::Orphan< ::hawthornpin::wire::ConfigUpdate>&& value) {
   ::capnp::_::PointerHelpers< ::hawthornpin::wire::ConfigUpdate>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::hawthornpin::wire::ConfigUpdate> Node::AnnounceResults::Builder::disownConfig() {
   return ::capnp::_::PointerHelpers< ::hawthornpin::wire::ConfigUpdate>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
 inline bool Node::ExchangeParams::Reader::hasFrom() const {
@@ -6785,6 +7063,40 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool Node::ExchangeParams::Reader::hasHeartbeats() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Node::ExchangeParams::Builder::hasHeartbeats() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Reader Node::ExchangeParams::Reader::getHeartbeats() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Builder Node::ExchangeParams::Builder::getHeartbeats() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Node::ExchangeParams::Builder::setHeartbeats( ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Builder Node::ExchangeParams::Builder::initHeartbeats(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Node::ExchangeParams::Builder::adoptHeartbeats(
+    ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>> Node::ExchangeParams::Builder::disownHeartbeats() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t Node::ExchangeParams::Reader::getSeen() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -6943,52 +7255,100 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool Node::ExchangeResults::Reader::hasHeartbeats() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Node::ExchangeResults::Builder::hasHeartbeats() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Reader Node::ExchangeResults::Reader::getHeartbeats() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Builder Node::ExchangeResults::Builder::getHeartbeats() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Node::ExchangeResults::Builder::setHeartbeats( ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Builder Node::ExchangeResults::Builder::initHeartbeats(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Node::ExchangeResults::Builder::adoptHeartbeats(
+    ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>> Node::ExchangeResults::Builder::disownHeartbeats() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool Node::ExchangeResults::Reader::getIsMissingMembers() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool Node::ExchangeResults::Builder::getIsMissingMembers() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void Node::ExchangeResults::Builder::setIsMissingMembers(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Node::ExchangeResults::Reader::getConfigVersion() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
 inline  ::uint64_t Node::ExchangeResults::Builder::getConfigVersion() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 inline void Node::ExchangeResults::Builder::setConfigVersion( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool Node::ExchangeResults::Reader::hasCheckpoint() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
 inline bool Node::ExchangeResults::Builder::hasCheckpoint() {
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
 inline  ::capnp::Text::Reader Node::ExchangeResults::Reader::getCheckpoint() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 inline  ::capnp::Text::Builder Node::ExchangeResults::Builder::getCheckpoint() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 inline void Node::ExchangeResults::Builder::setCheckpoint( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
 inline  ::capnp::Text::Builder Node::ExchangeResults::Builder::initCheckpoint(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
 inline void Node::ExchangeResults::Builder::adoptCheckpoint(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
 inline ::capnp::Orphan< ::capnp::Text> Node::ExchangeResults::Builder::disownCheckpoint() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
 }  // namespace
--- a/rpc/wire.cpp
+++ b/rpc/wire.cpp
@@ -229,6 +229,30 @@
                         static_cast<member_state>(from.getState()), read_wire(from.getLoad())};
 }
 
+void write_wire(wire::Heartbeat::Builder to, const heartbeat& from, milliseconds age)
+{
+    to.setId(from.m_identity.m_id);
+    to.setIncarnation(static_cast<std::uint64_t>(from.m_identity.m_incarnation));
+    to.setSequence(from.m_sequence);
+    to.setRunning(clamp_to<std::uint16_t>(from.m_load.m_running));
+    to.setFailuresPerMille(clamp_to<std::uint16_t>(from.m_load.m_failures_per_mille));
+    to.setQueued(clamp_to<std::uint32_t>(from.m_load.m_queued));
+    to.setEstimatedWaitMs(to_ms(from.m_load.m_estimated_wait));
+    to.setAgeMs(clamp_to<std::uint16_t>(age.count()));
+    to.setStopped(from.m_load.m_is_stopped);
+}
+
+heartbeat read_wire(wire::Heartbeat::Reader from)
+{
+    heartbeat news{{text_of(from.getId()), incarnation_id{from.getIncarnation()}}, from.getSequence(), {}};
+    news.m_load.m_running = from.getRunning();
+    news.m_load.m_failures_per_mille = from.getFailuresPerMille();
+    news.m_load.m_queued = clamp_to<int>(from.getQueued());
+    news.m_load.m_estimated_wait = from_ms(from.getEstimatedWaitMs());
+    news.m_load.m_is_stopped = from.getStopped();
+    return news;
+}
+
 void write_wire(wire::EntryInfo::Builder to, const entry_member& from, milliseconds age)
 {
     to.setId(from.m_id);
--- a/rpc/wire.h
+++ b/rpc/wire.h
@@ -18,6 +18,7 @@
 void write_wire(wire::Grant::Builder to, const grant& from, instant now);
 void write_wire(wire::TaskEnd::Builder to, const task_end& from);
 void write_wire(wire::Announcement::Builder to, const announcement& from, milliseconds age);
+void write_wire(wire::Heartbeat::Builder to, const heartbeat& from, milliseconds age);
 void write_wire(wire::EntryInfo::Builder to, const entry_member& from, milliseconds age);
 void write_wire(wire::ConfigUpdate::Builder to, log_offset version,
                 const std::map<std::string, published_file>& files);
@@ -33,6 +34,7 @@
 task_end read_wire(wire::TaskEnd::Reader from);
 // Empty if the announcement does not describe a valid worker.
 std::optional<announcement> read_wire(wire::Announcement::Reader from);
+heartbeat read_wire(wire::Heartbeat::Reader from);
 std::map<std::string, published_file> read_wire(wire::ConfigUpdate::Reader from);
 
 } // namespace hawthornpin
