--- /dev/null
+++ b/bench/judge.h
@@ -0,0 +1,32 @@
+// The judge of a run on real processes: compares what callers were told with what targets started.
+
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace hawthornpin::bench {
+
+// What the targets and the callers' tickets add up to.
+struct judgement {
+    std::size_t m_tickets = 0;
+    std::size_t m_started_tasks = 0;
+    // Tasks that were started more than once.
+    std::size_t m_double_starts = 0;
+    // Tickets that were answered not_run and closed although a task started.
+    std::size_t m_broken_not_run = 0;
+    // Tickets that were answered complete although tasks are missing.
+    std::size_t m_incomplete = 0;
+    std::size_t m_unreachable_targets = 0;
+
+    bool is_clean() const
+    {
+        return m_double_starts + m_broken_not_run + m_incomplete + m_unreachable_targets == 0;
+    }
+};
+
+// Asks each target for its starts and reads the file of tickets that the load client wrote.
+judgement judge_run(const std::vector<std::string>& targets, const std::string& tickets_path,
+                    const std::string& ticket_key);
+
+} // namespace hawthornpin::bench
--- a/bench/load_client.cpp
+++ b/bench/load_client.cpp
@@ -152,6 +152,7 @@
     result.m_verdict = root.text("verdict").value_or("");
     result.m_reason = root.text("reason").value_or("");
     result.m_has_retry_after = root.has("retry_after_ms");
+    result.m_is_ticket_open = root.text("ticket_state") == "open";
     if (response.m_status >= status_error)
         return;
     result.m_is_complete = true;
--- a/bench/load_client.h
+++ b/bench/load_client.h
@@ -34,6 +34,7 @@
     milliseconds m_response{0};
     int m_repeats = 0;
     bool m_has_retry_after = false;
+    bool m_is_ticket_open = false;
     std::string m_ticket;
 };
 
--- a/rpc/link.cpp
+++ b/rpc/link.cpp
@@ -38,11 +38,43 @@
 
 } // namespace
 
+namespace {
+
+// The parts of a connection. Shared with the continuations of its opening: calls that wait for the node keep
+// these running after the link itself was dropped.
+struct connection : kj::Refcounted {
+    using system = capnp::RpcSystem<capnp::rpc::twoparty::VatId>;
+
+    kj::Own<glib_stream> m_stream;
+    kj::Own<capnp::TwoPartyVatNetwork> m_network;
+    kj::Own<system> m_system;
+};
+
+kj::Promise<wire::Node::Client> open_connection(kj::Own<connection> opened, const std::string& address,
+                                                const std::string& key)
+{
+    return connect_stream(address).then([opened = kj::mv(opened), key](kj::Own<glib_stream> stream) mutable {
+        opened->m_stream = kj::mv(stream);
+        opened->m_network = kj::heap<capnp::TwoPartyVatNetwork>(
+            *opened->m_stream, capnp::rpc::twoparty::Side::CLIENT, rpc_reader_options());
+        opened->m_system = kj::heap<connection::system>(capnp::makeRpcClient(*opened->m_network));
+        capnp::MallocMessageBuilder message;
+        auto server = message.initRoot<capnp::rpc::twoparty::VatId>();
+        server.setSide(capnp::rpc::twoparty::Side::SERVER);
+        auto node = authenticate(opened->m_system->bootstrap(server).castAs<wire::Authenticator>(), key);
+        return node.attach(kj::mv(opened));
+    });
+}
+
+} // namespace
+
 // One connection. The node promise is shared by all calls.
 class link_pool::link {
 public:
     link(const std::string& address, const std::string& key)
-        : m_node(with_timeout(open(address, key), connect_timeout_ms).fork())
+        : m_connection(kj::refcounted<connection>()),
+          m_node(with_timeout(open_connection(kj::addRef(*m_connection), address, key), connect_timeout_ms)
+                     .fork())
     {
     }
 
@@ -51,25 +83,7 @@
     std::uint64_t m_last_use = 0;
 
 private:
-    kj::Promise<wire::Node::Client> open(const std::string& address, const std::string& key)
-    {
-        return connect_stream(address).then([this, key](kj::Own<glib_stream> stream) {
-            m_stream = kj::mv(stream);
-            m_network = kj::heap<capnp::TwoPartyVatNetwork>(*m_stream, capnp::rpc::twoparty::Side::CLIENT,
-                                                            rpc_reader_options());
-            m_system = kj::heap<system>(capnp::makeRpcClient(*m_network));
-            capnp::MallocMessageBuilder message;
-            auto server = message.initRoot<capnp::rpc::twoparty::VatId>();
-            server.setSide(capnp::rpc::twoparty::Side::SERVER);
-            return authenticate(m_system->bootstrap(server).castAs<wire::Authenticator>(), key);
-        });
-    }
-
-    using system = capnp::RpcSystem<capnp::rpc::twoparty::VatId>;
-
-    kj::Own<glib_stream> m_stream;
-    kj::Own<capnp::TwoPartyVatNetwork> m_network;
-    kj::Own<system> m_system;
+    kj::Own<connection> m_connection;
     kj::ForkedPromise<wire::Node::Client> m_node;
 };
 
