--- a/bench/bench_main.cpp
+++ b/bench/bench_main.cpp
@@ -1,5 +1,6 @@
 // hawthornpin-bench: plays a seeded workload against running entries, or asks one process something.
 
+#include "bench/capacity.h"
 #include "bench/judge.h"
 #include "bench/load_client.h"
 #include "bench/report.h"
@@ -98,8 +99,8 @@
 int main(int argument_count, char** arguments)
 {
     std::signal(SIGPIPE, SIG_IGN);
-    options::options_description description(
-        "Usage: hawthornpin-bench load [options] | judge [options] | get ADDRESS PATH [BODY]");
+    options::options_description description("Usage: hawthornpin-bench load [options] | judge [options] | "
+                                             "capacity SLOPES | get ADDRESS PATH [BODY]");
     auto add = description.add_options();
     add("help", "show this help");
     add("entries", options::value<std::string>()->default_value("127.0.0.1:21101"), "caller addresses");
@@ -109,7 +110,7 @@
     add("length-ms", options::value<int>()->default_value(10'000), "length of the arrivals");
     add("slots", options::value<int>()->default_value(88), "slots of all workers");
     add("load", options::value<double>()->default_value(0.7), "offered work as a share of all slots");
-    add("shape", options::value<std::string>()->default_value("one"), "one, mixed or noop");
+    add("shape", options::value<std::string>()->default_value("one"), "one, mixed, noop or noop-wide");
     add("burst-load", options::value<double>()->default_value(0), "offered work of the first team's burst");
     add("burst-begin-ms", options::value<int>()->default_value(5'000), "begin of the burst");
     add("burst-length-ms", options::value<int>()->default_value(10'000), "length of the burst");
@@ -139,6 +140,13 @@
                                                       : values["arguments"].as<std::vector<std::string>>();
     if (!words.empty() && words[0] == "get")
         return run_get(words);
+    if (words.size() == 2 && words[0] == "capacity") {
+        last_reason why;
+        const auto tables = bench::make_capacity_tables(words[1], why);
+        std::cout << tables.value_or("");
+        std::cerr << why.text();
+        return tables ? 0 : 1;
+    }
     if (!words.empty() && words[0] == "judge")
         return run_judge(values);
     if (words.empty() || words[0] != "load" || values.count("help") != 0) {
--- a/bench/workload.cpp
+++ b/bench/workload.cpp
@@ -27,6 +27,9 @@
 
 int draw_width(generator& random, const std::string& shape)
 {
+    constexpr int noop_width = 100;
+    if (shape == "noop-wide")
+        return noop_width;
     if (shape != "mixed")
         return 1;
     constexpr double widths[] = {70, 15, 10, 4, 1};
@@ -49,7 +52,7 @@
     trace_job job;
     const int width = draw_width(random, plan.m_shape);
     for (int task = 0; task < width; ++task)
-        job.m_run_times.push_back(plan.m_shape == "noop" ? milliseconds(0) : draw_run_time(random));
+        job.m_run_times.push_back(plan.m_shape.starts_with("noop") ? milliseconds(0) : draw_run_time(random));
     return job;
 }
 
--- /dev/null
+++ b/tests/main/docs_test.cpp
@@ -0,0 +1,55 @@
+// Compares the reference pages with the code's own tables.
+
+#include "bench/capacity.h"
+#include "config/published_files.h"
+#include "core/verdict.h"
+#include "main/process_settings.h"
+
+#include <doctest/doctest.h>
+
+namespace hawthornpin {
+
+namespace {
+
+std::string read_page(const std::string& path)
+{
+    last_reason why;
+    const auto content = read_file(std::string(SOURCE_FOLDER) + "/" + path, why);
+    INFO(why.text());
+    REQUIRE(content);
+    return *content;
+}
+
+} // namespace
+
+TEST_CASE("the settings pages are what the tables say")
+{
+    const std::string page = read_page("docs/operators/settings.md");
+    CHECK(page.find(to_markdown(agent_settings_table())) != std::string::npos);
+    CHECK(page.find(to_markdown(entry_settings_table())) != std::string::npos);
+    const std::string published = read_page("docs/operators/published-files.md");
+    CHECK(published.find(to_markdown(service_file_table())) != std::string::npos);
+    CHECK(published.find(to_markdown(team_file_table())) != std::string::npos);
+}
+
+TEST_CASE("the counters page has a row for each reason")
+{
+    const std::string page = read_page("docs/operators/counters.md");
+    for (std::size_t index = 1; index < reason_count; ++index) {
+        const std::string name(to_text(static_cast<reason>(index)));
+        CAPTURE(name);
+        CHECK(page.find("\n| " + name + " |") != std::string::npos);
+        CHECK(reason_from_text(name) == static_cast<reason>(index));
+    }
+}
+
+TEST_CASE("the capacity page is what its slopes give")
+{
+    last_reason why;
+    const auto tables =
+        bench::make_capacity_tables(std::string(SOURCE_FOLDER) + "/bench/results/slopes.ini", why);
+    REQUIRE(tables);
+    CHECK(read_page("docs/CAPACITY.md").find(*tables) != std::string::npos);
+}
+
+} // namespace hawthornpin
