Artificial link latency, experiments, and fewer idle notices

Cause: at 70% load with mixed widths a worker sent 0.29 idle notices a task, many to a peer told before. Change: a peer is told once for each report of its queue, and not at all where the contract favours messages.

--- a/bench/bench_main.cpp
+++ b/bench/bench_main.cpp
@@ -4,6 +4,7 @@
 #include "bench/judge.h"
 #include "bench/load_client.h"
 #include "bench/report.h"
+#include "core/settings.h"
 
 #include <boost/program_options.hpp>
 
@@ -99,8 +100,8 @@
 int main(int argument_count, char** arguments)
 {
     std::signal(SIGPIPE, SIG_IGN);
-    options::options_description description("Usage: hawthornpin-bench load [options] | judge [options] | "
-                                             "capacity SLOPES | get ADDRESS PATH [BODY]");
+    options::options_description description("Usage: hawthornpin-bench load|judge [options] | capacity "
+                                             "SLOPES | summary REPORT TITLE | get ADDRESS PATH [BODY]");
     auto add = description.add_options();
     add("help", "show this help");
     add("entries", options::value<std::string>()->default_value("127.0.0.1:21101"), "caller addresses");
@@ -140,6 +141,13 @@
                                                       : values["arguments"].as<std::vector<std::string>>();
     if (!words.empty() && words[0] == "get")
         return run_get(words);
+    if (words.size() == 3 && words[0] == "summary") {
+        last_reason why;
+        const auto content = read_file(words[1], why);
+        const auto summary = content ? bench::summarize(*content, words[2]) : std::nullopt;
+        std::cout << summary.value_or("no report\n");
+        return summary ? 0 : 1;
+    }
     if (words.size() == 2 && words[0] == "capacity") {
         last_reason why;
         const auto tables = bench::make_capacity_tables(words[1], why);
--- a/bench/report.cpp
+++ b/bench/report.cpp
@@ -9,7 +9,9 @@
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/tail_quantile.hpp>
 
+#include <iomanip>
 #include <map>
+#include <sstream>
 
 namespace hawthornpin::bench {
 
@@ -50,6 +52,32 @@
 
 } // namespace
 
+std::optional<std::string> summarize(const std::string& json, const std::string& title)
+{
+    reason why = reason::none;
+    const auto document = json_document::parse(json, why);
+    if (!document)
+        return std::nullopt;
+    const json_object root = document->root();
+    std::ostringstream out;
+    out << "== " << title << ": ";
+    if (const auto outcomes = root.object("outcomes")) {
+        for (const std::string& name : outcomes->names())
+            out << name << ' ' << outcomes->integer(name.c_str()).value_or(0) << "  ";
+    }
+    out << "\n| group | jobs | floor p50 | floor p99 | central p50 | central p99 | p50 ms | p99 ms |\n";
+    for (const json_object& group : root.objects("groups")) {
+        out << "| " << group.text("group").value_or("") << " | " << group.integer("jobs").value_or(0);
+        for (const char* ratio : {"by_floor", "by_central_queue", "response_ms"}) {
+            const auto values = group.object(ratio);
+            for (const char* quantile : {"p50", "p99"})
+                out << " | " << std::setprecision(4) << (values ? values->decimal(quantile).value_or(0) : 0);
+        }
+        out << " |\n";
+    }
+    return out.str();
+}
+
 quantiles find_quantiles(const std::vector<double>& values)
 {
     namespace accumulators = boost::accumulators;
--- a/bench/report.h
+++ b/bench/report.h
@@ -4,6 +4,7 @@
 
 #include "bench/load_client.h"
 
+#include <optional>
 #include <string>
 
 namespace hawthornpin::bench {
@@ -30,4 +31,7 @@
 // One JSON document with counts by verdict and reason, and ratios per width class and team.
 std::string to_json(const run_data& run);
 
+// A short table of a report, for a person; empty if the text is not a report.
+std::optional<std::string> summarize(const std::string& json, const std::string& title);
+
 } // namespace hawthornpin::bench
--- a/core/event_loop.cpp
+++ b/core/event_loop.cpp
@@ -8,10 +8,23 @@
 
 namespace hawthornpin {
 
+struct glib_event_port::turn_source {
+    GSource m_base;
+    glib_event_port* m_port;
+};
+
+glib_event_port::glib_event_port()
+{
+    static GSourceFuncs functions = {prepare, check, dispatch, nullptr, nullptr, nullptr};
+    m_source = reinterpret_cast<turn_source*>(g_source_new(&functions, sizeof(turn_source)));
+    m_source->m_port = this;
+    g_source_attach(&m_source->m_base, nullptr);
+}
+
 glib_event_port::~glib_event_port() noexcept(false)
 {
-    if (m_idle_source != 0)
-        g_source_remove(m_idle_source);
+    g_source_destroy(&m_source->m_base);
+    g_source_unref(&m_source->m_base);
 }
 
 bool glib_event_port::wait()
@@ -29,9 +42,7 @@
 
 void glib_event_port::setRunnable(bool runnable)
 {
-    if (!runnable || m_idle_source != 0 || m_loop == nullptr)
-        return;
-    m_idle_source = g_idle_add_full(G_PRIORITY_DEFAULT, run_turns, this, nullptr);
+    m_is_runnable = runnable;
 }
 
 void glib_event_port::wake() const
@@ -39,16 +50,25 @@
     g_main_context_wakeup(nullptr);
 }
 
-gboolean glib_event_port::run_turns(gpointer data)
+gboolean glib_event_port::prepare(GSource* source, gint* timeout)
+{
+    *timeout = -1;
+    return check(source);
+}
+
+gboolean glib_event_port::check(GSource* source)
+{
+    return reinterpret_cast<turn_source*>(source)->m_port->m_is_runnable ? TRUE : FALSE;
+}
+
+gboolean glib_event_port::dispatch(GSource* source, GSourceFunc /*callback*/, gpointer /*data*/)
 {
-    auto* port = static_cast<glib_event_port*>(data);
     // Bounds the turns so that timers and new connections are served under a flood of calls.
     constexpr uint max_turns = 1000;
-    port->m_loop->run(max_turns);
-    if (port->m_loop->isRunnable())
-        return G_SOURCE_CONTINUE;
-    port->m_idle_source = 0;
-    return G_SOURCE_REMOVE;
+    glib_event_port* port = reinterpret_cast<turn_source*>(source)->m_port;
+    if (port->m_loop != nullptr)
+        port->m_loop->run(max_turns);
+    return G_SOURCE_CONTINUE;
 }
 
 event_loop::event_loop()
--- a/core/event_loop.h
+++ b/core/event_loop.h
@@ -11,10 +11,10 @@
 
 namespace hawthornpin {
 
-// Lets a KJ event loop run its turns from a GLib idle source.
+// Lets a KJ event loop run its turns from a GLib source that stays attached.
 class glib_event_port final : public kj::EventPort {
 public:
-    glib_event_port() = default;
+    glib_event_port();
     ~glib_event_port() noexcept(false);
     KJ_DISALLOW_COPY(glib_event_port);
 
@@ -27,11 +27,16 @@
     void wake() const override;
 
 private:
-    static gboolean run_turns(gpointer data);
+    // A GSource with a pointer to its port behind it.
+    struct turn_source;
+
+    static gboolean prepare(GSource* source, gint* timeout);
+    static gboolean check(GSource* source);
+    static gboolean dispatch(GSource* source, GSourceFunc callback, gpointer data);
 
     kj::EventLoop* m_loop = nullptr;
-    // Zero while no idle source is attached.
-    guint m_idle_source = 0;
+    turn_source* m_source;
+    bool m_is_runnable = false;
 };
 
 // The process's loop. Create one on the main thread before anything that returns KJ promises.
--- a/core/json.cpp
+++ b/core/json.cpp
@@ -75,6 +75,17 @@
     return json_node_get_int(node);
 }
 
+std::optional<double> json_object::decimal(const char* name) const
+{
+    JsonNode* node = member(name);
+    if (node == nullptr || !JSON_NODE_HOLDS_VALUE(node))
+        return std::nullopt;
+    const GType type = json_node_get_value_type(node);
+    if (type != G_TYPE_DOUBLE && type != G_TYPE_INT64)
+        return std::nullopt;
+    return json_node_get_double(node);
+}
+
 std::optional<bool> json_object::flag(const char* name) const
 {
     JsonNode* node = member(name);
--- a/core/json.h
+++ b/core/json.h
@@ -26,6 +26,8 @@
     bool has(const char* name) const;
     std::optional<std::string> text(const char* name) const;
     std::optional<std::int64_t> integer(const char* name) const;
+    // Whole numbers count as decimals too.
+    std::optional<double> decimal(const char* name) const;
     std::optional<bool> flag(const char* name) const;
     std::optional<json_object> object(const char* name) const;
     // Elements that are not of the type are left out; compare with count() to notice them.
--- a/dispatch/dispatcher.cpp
+++ b/dispatch/dispatcher.cpp
@@ -148,8 +148,11 @@
     if (!state.m_settings.m_announces_idle || !is_idle_here || state.m_is_leaving ||
         now < state.m_next_idle_notice)
         return;
-    const worker_view* busiest = nullptr;
-    for (const auto& [id, peer] : state.m_view) {
+    // Where messages weigh more than time, a peer learns of free slots by the next heartbeat.
+    if (state.m_contract && state.m_contract->favoured() == favour::messages)
+        return;
+    worker_view* busiest = nullptr;
+    for (auto& [id, peer] : state.m_view) {
         const bool is_loaded = id != state.m_self.identity().m_id && peer.m_load.m_queued > 0;
         if (is_loaded && (busiest == nullptr || peer.m_load.m_queued > busiest->m_load.m_queued))
             busiest = &peer;
@@ -158,6 +161,8 @@
         return;
     state.m_next_idle_notice = now + idle_notice_interval;
     ++state.m_counts.m_idle_notices;
+    // Told once; the next report says whether it still has work to give.
+    busiest->m_load.m_queued = 0;
     out.push_back(notify_idle{busiest->m_worker.identity(), busiest->m_worker.address()});
 }
 
--- a/main/agent_main.cpp
+++ b/main/agent_main.cpp
@@ -15,6 +15,7 @@
 {
     start_logging("hawthornpin-agent", values.text("agent", "id"), values.text("place", "zone"),
                   read_log_level(values));
+    set_process_link_delay(values.duration("experiment", "link_delay"));
     event_loop loop;
     agent_process agent(loop, values);
     last_reason why;
--- a/main/entry_main.cpp
+++ b/main/entry_main.cpp
@@ -15,6 +15,7 @@
 {
     start_logging("hawthornpin-entry", values.text("entry", "id"), values.text("place", "zone"),
                   read_log_level(values));
+    set_process_link_delay(values.duration("experiment", "link_delay"));
     event_loop loop;
     entry_process entry(loop, values);
     last_reason why;
--- a/rpc/glib_stream.cpp
+++ b/rpc/glib_stream.cpp
@@ -9,6 +9,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <sys/timerfd.h>
 #include <sys/uio.h>
 #include <unistd.h>
 
@@ -63,6 +64,32 @@
     return file_descriptor(::socket(address.get()->sa_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
 }
 
+microseconds link_delay{0};
+
+kj::Array<kj::byte> join(kj::ArrayPtr<const kj::ArrayPtr<const kj::byte>> pieces, std::size_t total)
+{
+    auto all = kj::heapArray<kj::byte>(total);
+    std::size_t position = 0;
+    for (const auto& piece : pieces) {
+        std::memcpy(all.begin() + position, piece.begin(), piece.size());
+        position += piece.size();
+    }
+    return all;
+}
+
+// Waits with a timer descriptor: the loop's own timers only count whole milliseconds.
+kj::Promise<void> when_elapsed(std::chrono::nanoseconds span)
+{
+    if (span.count() <= 0)
+        return kj::READY_NOW;
+    file_descriptor clock(::timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC));
+    itimerspec spec{};
+    spec.it_value.tv_nsec = span.count();
+    ::timerfd_settime(clock.number(), 0, &spec, nullptr);
+    const int number = clock.number();
+    return when_ready(number, G_IO_IN).then([clock = std::move(clock)] {});
+}
+
 bool would_block()
 {
     return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
@@ -126,6 +153,13 @@
     return *this;
 }
 
+void set_process_link_delay(microseconds delay)
+{
+    // A longer one would need seconds in the timer.
+    constexpr microseconds longest{900'000};
+    link_delay = std::min(delay, longest);
+}
+
 stream_totals& process_stream_totals()
 {
     static stream_totals totals;
@@ -192,6 +226,42 @@
 }
 
 kj::Promise<void> glib_stream::write(kj::ArrayPtr<const kj::ArrayPtr<const kj::byte>> pieces)
+{
+    if (link_delay.count() == 0)
+        return write_now(pieces);
+    std::size_t total = 0;
+    for (const auto& piece : pieces)
+        total += piece.size();
+    write_later(join(pieces, total));
+    return kj::READY_NOW;
+}
+
+void glib_stream::write_later(kj::Array<kj::byte> message)
+{
+    m_delayed.push_back({std::chrono::steady_clock::now() + link_delay, kj::mv(message)});
+    if (m_is_flushing)
+        return;
+    m_is_flushing = true;
+    m_flush = flush_delayed().eagerlyEvaluate([this](kj::Exception&&) { m_delayed.clear(); });
+}
+
+kj::Promise<void> glib_stream::flush_delayed()
+{
+    if (m_delayed.empty()) {
+        m_is_flushing = false;
+        return kj::READY_NOW;
+    }
+    const auto left = m_delayed.front().m_due - std::chrono::steady_clock::now();
+    return when_elapsed(left).then([this] {
+        auto bytes = kj::mv(m_delayed.front().m_bytes);
+        m_delayed.pop_front();
+        const kj::ArrayPtr<const kj::byte> piece = bytes;
+        auto written = write_now(kj::arrayPtr(&piece, 1));
+        return written.attach(kj::mv(bytes)).then([this] { return flush_delayed(); });
+    });
+}
+
+kj::Promise<void> glib_stream::write_now(kj::ArrayPtr<const kj::ArrayPtr<const kj::byte>> pieces)
 {
     std::vector<iovec> vectors;
     std::size_t total = 0;
@@ -210,12 +280,7 @@
     process_stream_totals().m_bytes_out += static_cast<std::uint64_t>(sent);
     if (static_cast<std::size_t>(sent) == total)
         return kj::READY_NOW;
-    auto all = kj::heapArray<kj::byte>(total);
-    std::size_t position = 0;
-    for (const auto& piece : pieces) {
-        std::memcpy(all.begin() + position, piece.begin(), piece.size());
-        position += piece.size();
-    }
+    auto all = join(pieces, total);
     return send_rest(kj::mv(all), static_cast<std::size_t>(sent));
 }
 
--- a/rpc/glib_stream.h
+++ b/rpc/glib_stream.h
@@ -2,11 +2,14 @@
 
 #pragma once
 
+#include "core/instant.h"
 #include "core/last_reason.h"
 
 #include <glib.h>
 #include <kj/async-io.h>
 
+#include <chrono>
+#include <deque>
 #include <memory>
 #include <optional>
 #include <string>
@@ -37,6 +40,9 @@
 };
 stream_totals& process_stream_totals();
 
+// One-way latency that every message of this process's streams gets; zero outside of experiments.
+void set_process_link_delay(microseconds delay);
+
 // Reads are buffered; writes go out at once and wait for room when the socket is full.
 class glib_stream final : public kj::AsyncIoStream {
 public:
@@ -56,11 +62,22 @@
     kj::Promise<std::size_t> fill(kj::byte* buffer, std::size_t min_bytes, std::size_t max_bytes,
                                   std::size_t done);
     kj::Promise<void> send_rest(kj::Array<kj::byte> rest, std::size_t sent);
+    kj::Promise<void> write_now(kj::ArrayPtr<const kj::ArrayPtr<const kj::byte>> pieces);
+    void write_later(kj::Array<kj::byte> message);
+    kj::Promise<void> flush_delayed();
 
     file_descriptor m_socket;
     std::vector<kj::byte> m_buffer;
     std::size_t m_begin = 0;
     std::size_t m_end = 0;
+    // Messages that wait out the link delay, oldest first.
+    struct delayed_message {
+        std::chrono::steady_clock::time_point m_due;
+        kj::Array<kj::byte> m_bytes;
+    };
+    std::deque<delayed_message> m_delayed;
+    bool m_is_flushing = false;
+    kj::Promise<void> m_flush = kj::READY_NOW;
 };
 
 // A promise for the readiness of a descriptor.
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -109,6 +109,7 @@
 }
 
 stop_cluster() {
+    local name
     for name in "${!PIDS[@]}"; do kill -CONT "${PIDS[$name]}" 2> /dev/null; kill "${PIDS[$name]}" 2> /dev/null; done
     local end=$((SECONDS + 10))
     for name in "${!PIDS[@]}"; do
@@ -116,5 +117,6 @@
         kill -9 "${PIDS[$name]}" 2> /dev/null
     done
     wait 2> /dev/null
+    PIDS=()
     rm -rf "$CLUSTER_DIR"
 }
