Tickets for later go round the homes; full workers turn grants away; tickets carry the home's address

Change: batches of tickets take turns, single tickets and one-step jobs go to the least loaded; a worker without a free slot refuses at once where the contract favours response, and lets tasks wait where it favours messages. An entry that does not know a home asks at the ticket's address; entries.share_members=no ends the exchange of agents between entries, for large regions.

--- a/bench/load_client.cpp
+++ b/bench/load_client.cpp
@@ -10,7 +10,8 @@
 
 namespace {
 
-constexpr unsigned max_connections = 4'000;
+constexpr unsigned connections_per_client = 100;
+constexpr std::size_t client_count = 64;
 constexpr unsigned repeat_pause_ms = 100;
 constexpr unsigned arrival_check_ms = 1;
 constexpr unsigned status_error = 400;
@@ -24,9 +25,10 @@
 } // namespace
 
 load_client::load_client(event_loop& loop, client_plan plan, std::vector<trace_job> jobs)
-    : m_loop(loop), m_plan(std::move(plan)), m_jobs(std::move(jobs)), m_results(m_jobs.size()),
-      m_client(max_connections)
+    : m_loop(loop), m_plan(std::move(plan)), m_jobs(std::move(jobs)), m_results(m_jobs.size())
 {
+    for (std::size_t index = 0; index < client_count; ++index)
+        m_clients.push_back(std::make_unique<http_client>(connections_per_client));
 }
 
 void load_client::run()
@@ -75,7 +77,8 @@
                          "http://" + entry_for(job, tries) + "/v1/services/" + m_plan.m_service + "/tickets",
                          "{\"count\":" + std::to_string(ticket_batch) + "}",
                          {{"Authorization", "Bearer " + key}}};
-    return m_client.send(request).then([this, job, tries](http_response response) -> kj::Promise<void> {
+    return client_for(job).send(request).then([this, job,
+                                               tries](http_response response) -> kj::Promise<void> {
         reason why = reason::none;
         const bool is_answered =
             response.m_transport == http_transport::answered && response.m_status < status_error;
@@ -115,21 +118,22 @@
                          "http://" + entry_for(job, tries) + "/v1/jobs/" + m_results[job].m_ticket,
                          make_body(job),
                          {{"Authorization", "Bearer " + key}}};
-    return m_client.send(request).then([this, job, tries](http_response response) -> kj::Promise<void> {
-        // A ticket that is still open may be submitted again as it is.
-        const bool is_lost = response.m_transport != http_transport::answered;
-        const bool is_open = response.m_body.find("\"ticket_state\":\"open\"") != std::string::npos;
-        const bool is_refused_for_load = response.m_verdict == "not_run";
-        const bool is_worth_repeating =
-            is_lost || (is_open && !is_refused_for_load) ||
-            (is_open && response.m_body.find("home_unreachable") != std::string::npos);
-        if (is_worth_repeating && tries < m_plan.m_most_repeats) {
-            ++m_results[job].m_repeats;
-            return after_delay(repeat_pause_ms).then([this, job, tries] { return put(job, tries + 1); });
-        }
-        note(job, response);
-        return kj::READY_NOW;
-    });
+    return client_for(job).send(request).then(
+        [this, job, tries](http_response response) -> kj::Promise<void> {
+            // A ticket that is still open may be submitted again as it is.
+            const bool is_lost = response.m_transport != http_transport::answered;
+            const bool is_open = response.m_body.find("\"ticket_state\":\"open\"") != std::string::npos;
+            const bool is_refused_for_load = response.m_verdict == "not_run";
+            const bool is_worth_repeating =
+                is_lost || (is_open && !is_refused_for_load) ||
+                (is_open && response.m_body.find("home_unreachable") != std::string::npos);
+            if (is_worth_repeating && tries < m_plan.m_most_repeats) {
+                ++m_results[job].m_repeats;
+                return after_delay(repeat_pause_ms).then([this, job, tries] { return put(job, tries + 1); });
+            }
+            note(job, response);
+            return kj::READY_NOW;
+        });
 }
 
 void load_client::note(std::size_t job, const http_response& response)
--- a/bench/load_client.h
+++ b/bench/load_client.h
@@ -54,6 +54,7 @@
     kj::Promise<void> put(std::size_t job, int tries);
     void note(std::size_t job, const http_response& response);
     std::string make_body(std::size_t job) const;
+    http_client& client_for(std::size_t job) { return *m_clients[job % m_clients.size()]; }
     const std::string& entry_for(std::size_t job, int tries) const;
 
     event_loop& m_loop;
@@ -61,7 +62,8 @@
     std::vector<trace_job> m_jobs;
     std::vector<job_result> m_results;
     std::map<std::size_t, std::vector<std::string>> m_tickets;
-    http_client m_client;
+    // Several sessions: one alone slows down with thousands of requests in progress.
+    std::vector<std::unique_ptr<http_client>> m_clients;
     process_clock m_clock;
     instant m_begin;
     std::size_t m_next = 0;
--- a/core/settings.cpp
+++ b/core/settings.cpp
@@ -279,6 +279,38 @@
     key_file m_file;
 };
 
+setting_spec plain_setting(setting_kind kind, std::string section, std::string key,
+                           std::optional<std::string> fallback, std::string help)
+{
+    setting_spec spec;
+    spec.m_section = std::move(section);
+    spec.m_key = std::move(key);
+    spec.m_kind = kind;
+    spec.m_default = std::move(fallback);
+    spec.m_help = std::move(help);
+    return spec;
+}
+
+setting_spec ranged_setting(setting_kind kind, std::string section, std::string key,
+                            std::optional<std::string> fallback, double minimum, double maximum,
+                            std::string help)
+{
+    setting_spec spec =
+        plain_setting(kind, std::move(section), std::move(key), std::move(fallback), std::move(help));
+    spec.m_minimum = minimum;
+    spec.m_maximum = maximum;
+    return spec;
+}
+
+setting_spec choice_setting(std::string section, std::string key, std::optional<std::string> fallback,
+                            std::vector<std::string> choices, std::string help)
+{
+    setting_spec spec = plain_setting(setting_kind::choice, std::move(section), std::move(key),
+                                      std::move(fallback), std::move(help));
+    spec.m_choices = std::move(choices);
+    return spec;
+}
+
 const std::string& settings::text(const std::string& section, const std::string& key) const
 {
     return m_values.at(section + "." + key);
--- a/core/settings.h
+++ b/core/settings.h
@@ -44,6 +44,15 @@
 
 using settings_table = std::vector<setting_spec>;
 
+// Rows of a table: with limits, with a list of words, and with neither.
+setting_spec ranged_setting(setting_kind kind, std::string section, std::string key,
+                            std::optional<std::string> fallback, double minimum, double maximum,
+                            std::string help);
+setting_spec choice_setting(std::string section, std::string key, std::optional<std::string> fallback,
+                            std::vector<std::string> choices, std::string help);
+setting_spec plain_setting(setting_kind kind, std::string section, std::string key,
+                           std::optional<std::string> fallback, std::string help);
+
 // Checked values. Reading a key that is not in the table is a programming error and throws std::out_of_range.
 class settings {
 public:
--- a/core/ticket.cpp
+++ b/core/ticket.cpp
@@ -1,4 +1,4 @@
-// Ticket text form: base64url of "v1.service.agent.incarnation.id.expiry.mac".
+// Ticket text form: base64url of "v1|service|agent|incarnation|id|expiry|address|mac".
 
 #include "core/ticket.h"
 
@@ -14,7 +14,8 @@
 namespace {
 
 constexpr std::size_t max_ticket_text = 512;
-constexpr std::size_t field_count = 7;
+constexpr std::size_t field_count = 8;
+constexpr char separator = '|';
 
 std::string to_base64url(const std::string& bytes)
 {
@@ -43,19 +44,24 @@
 {
     std::vector<std::string_view> fields;
     while (true) {
-        const std::size_t dot = text.find('.');
-        fields.push_back(text.substr(0, dot));
-        if (dot == std::string_view::npos)
+        const std::size_t end = text.find(separator);
+        fields.push_back(text.substr(0, end));
+        if (end == std::string_view::npos)
             return fields;
-        text.remove_prefix(dot + 1);
+        text.remove_prefix(end + 1);
     }
 }
 
 std::string signed_part(const ticket& value)
 {
-    std::string text = "v1." + value.m_service + "." + value.m_home.m_id + ".";
-    text += std::to_string(static_cast<std::uint64_t>(value.m_home.m_incarnation));
-    text += "." + to_text(value.m_id) + "." + std::to_string(to_unix_ms(value.m_expiry));
+    std::string text = "v1";
+    for (const std::string& field :
+         {value.m_service, value.m_home.m_id,
+          std::to_string(static_cast<std::uint64_t>(value.m_home.m_incarnation)), to_text(value.m_id),
+          std::to_string(to_unix_ms(value.m_expiry)), value.m_home_address}) {
+        text += separator;
+        text += field;
+    }
     return text;
 }
 
@@ -76,7 +82,8 @@
     return ticket{std::string(fields[1]),
                   {std::string(fields[2]), incarnation_id{*incarnation}},
                   *id,
-                  from_unix_ms(*expiry)};
+                  from_unix_ms(*expiry),
+                  std::string(fields[6])};
 }
 
 } // namespace
@@ -84,7 +91,7 @@
 std::string encode_ticket(const ticket& value, const ticket_keys& keys)
 {
     const std::string content = signed_part(value);
-    return to_base64url(content + "." + hmac_hex(keys.m_current, content));
+    return to_base64url(content + separator + hmac_hex(keys.m_current, content));
 }
 
 std::optional<ticket> decode_ticket(const std::string& text, const ticket_keys& keys, reason& why)
--- a/core/ticket.h
+++ b/core/ticket.h
@@ -23,6 +23,10 @@
     agent_identity m_home;
     ticket_id m_id;
     instant m_expiry;
+    // RPC address of the home when the ticket was minted, so that an entry that does not know the home can
+    // ask it. Whoever answers there checks the incarnation, so a stale address costs a message and no
+    // promise.
+    std::string m_home_address = {};
 
     friend auto operator<=>(const ticket&, const ticket&) = default;
 };
--- a/dispatch/dispatcher.cpp
+++ b/dispatch/dispatcher.cpp
@@ -96,6 +96,16 @@
         record.m_home, id, record.m_attempt, {{verdict::not_run, why, ticket_state::closed}, {}}});
 }
 
+// Granted tasks of other homes that may wait here for a slot. Where time weighs more than messages a worker
+// without a free slot turns a grant away at once: its home then has a fresh report and tries the next worker.
+double waiting_room(const dispatcher& state)
+{
+    const bool is_patient = state.m_contract && state.m_contract->favoured() == favour::messages;
+    const double per_slot =
+        is_patient ? state.m_settings.m_accepted_per_slot : state.m_settings.m_placement.m_buffer_per_slot;
+    return state.m_self.slots() * per_slot;
+}
+
 // Starts one waiting task on this worker; false if none may run.
 bool schedule_here(dispatcher& state, instant now, actions& out)
 {
@@ -243,7 +253,7 @@
         return turn_away(reason::leaving);
     if (is_new && state.m_is_target_stopped)
         return turn_away(reason::target_unreachable);
-    const double room = state.m_self.slots() * state.m_settings.m_accepted_per_slot + free_slots(state);
+    const double room = free_slots(state) + waiting_room(state);
     if (is_new && state.m_grants.m_queued >= room)
         return turn_away(reason::worker_full);
     if (const auto refusal = offer_grant(state.m_grants, offered, now)) {
--- a/dispatch/dispatcher.h
+++ b/dispatch/dispatcher.h
@@ -25,7 +25,7 @@
     estimate_policy m_estimates = estimate_policy::observed;
     // Most tasks that wait in one agent.
     int m_max_queued = 20'000;
-    // Most granted tasks that a worker lets wait, for each of its slots; more are turned away.
+    // Most granted tasks that a worker lets wait, for each of its slots, where the contract favours messages.
     double m_accepted_per_slot = 2;
     // Whether a worker that runs dry tells loaded peers.
     bool m_announces_idle = true;
--- a/main/agent_process.cpp
+++ b/main/agent_process.cpp
@@ -41,11 +41,6 @@
     return (total - std::min(total / 2, typical_slots + reserved_connections)) / 2;
 }
 
-milliseconds lease_of(const settings& values)
-{
-    return std::chrono::duration_cast<milliseconds>(values.duration("timing", "lease"));
-}
-
 } // namespace
 
 agent_process::agent_process(event_loop& loop, const settings& values)
@@ -183,6 +178,11 @@
     return true;
 }
 
+milliseconds agent_process::lease() const
+{
+    return std::chrono::duration_cast<milliseconds>(m_settings.duration("timing", "lease"));
+}
+
 void agent_process::renew_leases()
 {
     std::vector<std::string> running;
@@ -193,7 +193,7 @@
     if (running.empty())
         return;
     m_metrics.count(counter::leases_renewed, running.size());
-    m_tasks.add(m_target.renew(running, lease_of(m_settings)));
+    m_tasks.add(m_target.renew(running, lease()));
 }
 
 void agent_process::begin_leaving()
@@ -230,157 +230,6 @@
     }));
 }
 
-void agent_process::carry_out(actions& wanted)
-{
-    // Carrying out an action never adds to the list: its consequences are later events.
-    for (const action& one : wanted)
-        std::visit([this](const auto& value) { carry_out_one(value); }, one);
-    take_dispatch_counts();
-}
-
-void agent_process::carry_out_one(const start_task& wanted)
-{
-    const grant_id id = wanted.m_id;
-    const auto started = m_clock.now();
-    m_tasks.add(m_target.start(id, wanted.m_payload, wanted.m_budget, lease_of(m_settings))
-                    .then([this, id, started](task_end end) {
-                        const bool is_too_large =
-                            m_dispatcher->m_contract &&
-                            end.m_answer.size() > m_dispatcher->m_contract->max_answer_bytes();
-                        if (is_too_large)
-                            end = {{verdict::ran, reason::answer_too_large, ticket_state::closed}, {}};
-                        const std::chrono::duration<double> took = m_clock.now() - started;
-                        m_metrics.observe(distribution::task_run, took.count());
-                        actions next;
-                        on_task_ended(*m_dispatcher, id, end, m_clock.now(), next);
-                        carry_out(next);
-                        if (end.m_outcome.m_verdict == verdict::not_run)
-                            look_at_target();
-                    }));
-}
-
-void agent_process::carry_out_one(const stop_task& wanted)
-{
-    m_tasks.add(m_target.stop(to_text(wanted.m_id)));
-}
-
-void agent_process::carry_out_one(const send_grant& wanted)
-{
-    struct run_reply {
-        task_end m_end;
-        load_report m_report;
-    };
-    const grant sent = wanted.m_grant;
-    const agent_identity peer = wanted.m_worker;
-    auto call = call_node<run_reply>(m_links, wanted.m_address, [this, sent](wire::Node::Client node) {
-        auto request = node.runRequest();
-        write_wire(request.initGrant(), sent, m_clock.now());
-        return request.send().then([](auto response) {
-            return run_reply{read_wire(response.getEnd()),
-                             {read_wire(response.getLoad()), response.getSeen()}};
-        });
-    });
-    m_tasks.add(call.then([this, peer, sent](call_result<run_reply> result) {
-        task_end end = result.m_response.m_end;
-        load_report report = result.m_response.m_report;
-        if (result.m_fate != call_fate::answered) {
-            const bool is_unsent = result.m_fate == call_fate::not_sent;
-            end = {{is_unsent ? verdict::not_run : verdict::may_have_run,
-                    is_unsent ? reason::worker_lost : reason::connection_lost, ticket_state::closed},
-                   {}};
-            // Nothing more is placed there until it is heard of again.
-            report.m_load.m_is_stopped = true;
-            report.m_seen = sent.m_sent;
-        }
-        actions next;
-        on_grant_reply(*m_dispatcher, peer, sent.m_id, sent.m_attempt, end, report, m_clock.now(), next);
-        carry_out(next);
-    }));
-}
-
-void agent_process::carry_out_one(const send_revoke& wanted)
-{
-    const grant_id id = wanted.m_id;
-    const auto valid_for = std::chrono::duration_cast<milliseconds>(wanted.m_valid_until - m_clock.now());
-    auto call = call_node<outcome>(m_links, wanted.m_address, [id, valid_for](wire::Node::Client node) {
-        auto request = node.revokeRequest();
-        write_wire(request.initId(), id);
-        request.setValidForMs(static_cast<std::uint32_t>(std::max<long long>(0, valid_for.count())));
-        return request.send().then([](auto response) { return read_wire(response.getOutcome()); });
-    });
-    m_tasks.add(call.then([this, id](call_result<outcome> result) {
-        if (result.m_fate != call_fate::answered)
-            return;
-        actions next;
-        on_revoke_reply(*m_dispatcher, id, result.m_response, m_clock.now(), next);
-        carry_out(next);
-    }));
-}
-
-void agent_process::carry_out_one(const reply_grant& wanted)
-{
-    const auto found = m_offered.find({wanted.m_home, wanted.m_id, wanted.m_attempt});
-    if (found == m_offered.end())
-        return;
-    end_fulfiller waiting = kj::mv(found->second);
-    m_offered.erase(found);
-    waiting->fulfill(task_end(wanted.m_end));
-}
-
-void agent_process::carry_out_one(const job_ended& wanted)
-{
-    const job_record* job = find_job(m_dispatcher->m_ledger, wanted.m_ticket);
-    const bool is_complete = is_success(job->m_answer->m_outcome);
-    m_metrics.count(is_complete ? counter::jobs_completed : counter::jobs_failed);
-    const std::chrono::duration<double> took = m_clock.now() - job->m_accepted_at;
-    m_metrics.observe(distribution::job_response, took.count());
-    if (!is_complete) {
-        log_event(log_level::info, "job_failed",
-                  {{"ticket", short_text(wanted.m_ticket)},
-                   {"verdict", std::string(to_text(job->m_answer->m_outcome.m_verdict))},
-                   {"reason", std::string(to_text(job->m_answer->m_outcome.m_reason))}});
-    }
-    const auto found = m_waiters.find(wanted.m_ticket);
-    if (found == m_waiters.end())
-        return;
-    std::vector<fulfiller> waiters = std::move(found->second);
-    m_waiters.erase(found);
-    for (fulfiller& waiter : waiters)
-        waiter->fulfill();
-}
-
-void agent_process::carry_out_one(const notify_idle& wanted)
-{
-    const worker_load load = current_load(*m_dispatcher);
-    auto call = call_node<bool>(m_links, wanted.m_address, [this, load](wire::Node::Client node) {
-        auto request = node.idleRequest();
-        write_wire(request.initIdentity(), m_identity);
-        write_wire(request.initLoad(), load);
-        return request.send().then([](auto) { return true; });
-    });
-    m_tasks.add(call.ignoreResult());
-}
-
-void agent_process::take_dispatch_counts()
-{
-    const dispatch_counts& now = m_dispatcher->m_counts;
-    const auto add = [this](counter which, std::uint64_t value, std::uint64_t before) {
-        m_metrics.count(which, value - before);
-    };
-    add(counter::tasks_started, now.m_started, m_counted.m_started);
-    add(counter::tasks_finished, now.m_finished, m_counted.m_finished);
-    add(counter::grants_sent, now.m_grants_sent, m_counted.m_grants_sent);
-    add(counter::grants_received, now.m_grants_received, m_counted.m_grants_received);
-    add(counter::grants_returned_unstarted, now.m_returned_unstarted, m_counted.m_returned_unstarted);
-    add(counter::revokes_sent, now.m_revokes_sent, m_counted.m_revokes_sent);
-    add(counter::idle_notices_sent, now.m_idle_notices, m_counted.m_idle_notices);
-    for (const auto& [why, count] : now.m_refusals)
-        m_metrics.count_refusal(why, count - m_counted.m_refusals[why]);
-    for (const auto& [why, count] : now.m_retries)
-        m_metrics.count_retry(why, count - m_counted.m_retries[why]);
-    m_counted = now;
-}
-
 announcement agent_process::describe_self() const
 {
     announcement news{m_dispatcher->m_self, 0, 0, member_state::serving, current_load(*m_dispatcher)};
--- a/main/agent_process.h
+++ b/main/agent_process.h
@@ -51,6 +51,7 @@
     void take_status(const std::optional<target_status>& status);
     void begin_serving(const target_status& status);
     bool tick();
+    milliseconds lease() const;
     void renew_leases();
     void advance_leaving();
     void carry_out(actions& wanted);
--- a/main/caller_api.cpp
+++ b/main/caller_api.cpp
@@ -65,6 +65,9 @@
     if (is_new) {
         found->second.m_placement.m_settings = m_context.m_placement;
         found->second.m_placement.m_here = m_context.m_here;
+        // Entries begin their turns at different homes.
+        constexpr std::size_t first_turns = 4096;
+        found->second.m_placement.m_next = draw_below(m_random, first_turns);
     }
     return found->second;
 }
@@ -113,20 +116,24 @@
 }
 
 std::optional<ticket> caller_api::mint(const std::string& service, const task_needs& needs, int tasks,
-                                       reason& why)
+                                       ticket_use use, reason& why)
 {
     service_view& view = view_of(service);
     const instant now = m_context.m_clock->now();
-    const auto home = choose_home(view.m_placement, view.m_loads, needs, now, m_random);
+    const bool is_for_later = use == ticket_use::later;
+    const auto home = is_for_later ? choose_home_ahead(view.m_placement, view.m_loads, needs, now)
+                                   : choose_home(view.m_placement, view.m_loads, needs, now, m_random);
     if (!home) {
         const bool is_hopeless = !view.m_loads.empty() && !can_ever_fit(view.m_loads, needs);
         why = is_hopeless ? reason::never_fits : reason::no_worker;
         return std::nullopt;
     }
-    record_minted(view.m_loads, *home, tasks);
+    if (!is_for_later)
+        record_minted(view.m_loads, *home, tasks);
     m_context.m_metrics->count(counter::tickets_minted);
-    return ticket{service, view.m_loads.at(*home).m_worker.identity(), draw_ticket_id(),
-                  now + m_context.m_ticket_life};
+    const worker& chosen = view.m_loads.at(*home).m_worker;
+    return ticket{service, chosen.identity(), draw_ticket_id(), now + m_context.m_ticket_life,
+                  chosen.address()};
 }
 
 kj::Promise<api_response> caller_api::handle_tickets(const api_request& request, const contract& service)
@@ -135,9 +142,11 @@
     const auto count = parse_ticket_count(request.m_body, why);
     if (!count)
         return ready(refuse(why));
+    // Tickets taken together are used one after the other, most of them later.
+    const ticket_use use = *count > 1 ? ticket_use::later : ticket_use::now;
     std::vector<std::string> tickets;
     for (int index = 0; index < *count; ++index) {
-        const auto minted = mint(service.service(), {}, 1, why);
+        const auto minted = mint(service.service(), {}, 1, use, why);
         if (!minted)
             return ready(refuse(why, unreachable_retry_after));
         tickets.push_back(encode_ticket(*minted, m_context.m_keys));
@@ -185,7 +194,8 @@
                                               std::string digest, int tries)
 {
     reason why = reason::none;
-    const auto minted = mint(service.service(), job.m_needs, static_cast<int>(job.m_payloads.size()), why);
+    const auto minted =
+        mint(service.service(), job.m_needs, static_cast<int>(job.m_payloads.size()), ticket_use::now, why);
     if (!minted) {
         const milliseconds retry_after =
             why == reason::never_fits ? milliseconds(0) : unreachable_retry_after;
@@ -240,6 +250,9 @@
     case presence::unknown:
         break;
     }
+    // An entry that does not know the home (yet) asks at the address where it was.
+    if (!known.m_home_address.empty())
+        return known.m_home_address;
     refusal = {verdict::may_have_run, reason::home_unreachable, ticket_state::open};
     return std::nullopt;
 }
--- a/main/caller_api.h
+++ b/main/caller_api.h
@@ -66,7 +66,10 @@
 
     const team* find_team(const std::string& authorization) const;
     service_view& view_of(const std::string& service);
-    std::optional<ticket> mint(const std::string& service, const task_needs& needs, int tasks, reason& why);
+    // Whether a ticket's job comes at once or at a time that is not known.
+    enum class ticket_use { now, later };
+    std::optional<ticket> mint(const std::string& service, const task_needs& needs, int tasks, ticket_use use,
+                               reason& why);
     std::optional<outcome> check_rate(const team& caller, std::size_t tasks, milliseconds& retry_after);
     api_response refuse(reason why, milliseconds retry_after = milliseconds(0));
     api_response refuse_with(const outcome& refusal, milliseconds retry_after = milliseconds(0));
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -120,8 +120,10 @@
         apply_entry(table, from_id, from_address, milliseconds(0), now);
     auto results = context.getResults();
     results.setIsMissingMembers(is_missing);
-    const auto changed = members_changed_since(table, params.getSeen(), from_address);
-    const auto heard = members_heard_since(table, params.getSeen(), from_address);
+    const bool is_sharing = m_process.m_settings.is_set("entries", "share_members");
+    const auto none = std::vector<member>();
+    const auto changed = is_sharing ? members_changed_since(table, params.getSeen(), from_address) : none;
+    const auto heard = is_sharing ? members_heard_since(table, params.getSeen(), from_address) : none;
     write_members(results.initMembers(static_cast<unsigned>(changed.size())), changed, now);
     write_heartbeats(results.initHeartbeats(static_cast<unsigned>(heard.size())), heard, now);
     results.setId(m_process.m_id);
--- a/main/entry_process.cpp
+++ b/main/entry_process.cpp
@@ -187,11 +187,14 @@
             const auto age_of = [now](const member& known) {
                 return std::chrono::duration_cast<milliseconds>(now - known.m_last_heard);
             };
-            const auto changed = members_changed_since(m_members, already_told, address);
+            const bool is_sharing = m_settings.is_set("entries", "share_members");
+            const auto changed =
+                is_sharing ? members_changed_since(m_members, already_told, address) : std::vector<member>();
             auto list = request.initMembers(static_cast<unsigned>(changed.size()));
             for (unsigned index = 0; index < list.size(); ++index)
                 write_wire(list[index], changed[index].m_announcement, age_of(changed[index]));
-            const auto heard = members_heard_since(m_members, already_told, address);
+            const auto heard =
+                is_sharing ? members_heard_since(m_members, already_told, address) : std::vector<member>();
             auto heartbeats = request.initHeartbeats(static_cast<unsigned>(heard.size()));
             for (unsigned index = 0; index < heartbeats.size(); ++index)
                 write_wire(heartbeats[index], make_heartbeat(heard[index]), age_of(heard[index]));
--- a/routing/placement.cpp
+++ b/routing/placement.cpp
@@ -108,6 +108,15 @@
     return settle(state, choose(state, among, random), now);
 }
 
+std::optional<std::string> choose_home_ahead(placement_state& state, load_view& view, const task_needs& needs,
+                                             instant now)
+{
+    const candidates among = find_candidates(state, view, needs, now);
+    if (among.empty())
+        return std::nullopt;
+    return settle(state, among[state.m_next++ % among.size()], now);
+}
+
 std::optional<std::string> choose_worker(placement_state& state, load_view& view, const std::string& self,
                                          const task_needs& needs, instant now, random_source& random)
 {
--- a/routing/placement.h
+++ b/routing/placement.h
@@ -41,6 +41,11 @@
 std::optional<std::string> choose_home(placement_state& state, load_view& view, const task_needs& needs,
                                        instant now, random_source& random);
 
+// Chooses a home for a ticket that will be used later: the load of now says nothing about then, so homes take
+// turns.
+std::optional<std::string> choose_home_ahead(placement_state& state, load_view& view, const task_needs& needs,
+                                             instant now);
+
 // Chooses a worker with room for one more task, leaving out `self`. Empty if none is believed to have room.
 std::optional<std::string> choose_worker(placement_state& state, load_view& view, const std::string& self,
                                          const task_needs& needs, instant now, random_source& random);
--- a/tests/core/ticket_test.cpp
+++ b/tests/core/ticket_test.cpp
@@ -9,7 +9,8 @@
 
 namespace {
 
-const ticket sample{"circles", {"agent-1", incarnation_id{42}}, {1, 2}, from_unix_ms(1'000'000)};
+const ticket sample{
+    "circles", {"agent-1", incarnation_id{42}}, {1, 2}, from_unix_ms(1'000'000), "127.0.0.1:1"};
 
 } // namespace
 
--- a/tests/dispatch/job_ledger_test.cpp
+++ b/tests/dispatch/job_ledger_test.cpp
@@ -95,6 +95,10 @@
 {
     dispatcher state = make_dispatcher();
     actions out;
+    last_reason why;
+    // Granted tasks wait only where the contract favours messages.
+    apply_contract(state, *contract_builder("circles", "cercles").set_favour(favour::messages).build(why),
+                   {});
     for (std::uint32_t task = 0; task < 5; ++task)
         on_grant(state, make_grant_offer(task), at_ms(0), out);
     out.clear();
@@ -141,6 +145,24 @@
     CHECK(is_idle(state));
 }
 
+TEST_CASE("a full worker turns a grant away at once where time weighs more than messages")
+{
+    dispatcher state = make_dispatcher();
+    actions out;
+    for (std::uint32_t task = 0; task < 3; ++task)
+        on_grant(state, make_grant_offer(task), at_ms(0), out);
+    REQUIRE(out.size() == 3);
+    const auto* refusal = std::get_if<reply_grant>(&out.back());
+    REQUIRE(refusal != nullptr);
+    CHECK(refusal->m_end.m_outcome == outcome{verdict::not_run, reason::worker_full, ticket_state::closed});
+    // A newer attempt at it is welcome once a slot is free.
+    on_task_ended(state, make_grant_offer(0).m_id, {{verdict::ran, reason::none, {}}, "x"}, at_ms(1), out);
+    grant again = make_grant_offer(2);
+    again.m_attempt = 2;
+    on_grant(state, again, at_ms(2), out);
+    CHECK(std::holds_alternative<start_task>(out.back()));
+}
+
 TEST_CASE("tasks that an earlier agent left running take slots")
 {
     dispatcher state = make_dispatcher();
--- a/tests/fault_matrix/fault_matrix_test.cpp
+++ b/tests/fault_matrix/fault_matrix_test.cpp
@@ -52,6 +52,7 @@
     plan.m_cancelled_job = static_cast<int>(draw_below(random, 2 * jobs)) - static_cast<int>(jobs);
     plan.m_has_drain = draw_below(random, 2) == 0;
     plan.m_task_time = milliseconds(5 + draw_below(random, 150));
+    plan.m_favour = draw_below(random, 2) == 0 ? favour::response : favour::messages;
     plan.m_early_cancel = milliseconds(draw_below(random, 40));
     const std::size_t faults = 1 + draw_below(random, 10);
     for (std::size_t index = 0; index < faults; ++index) {
@@ -131,7 +132,7 @@
     tried.run();
     CHECK(tried.find_violation() == "");
     for (std::size_t at = 0; at < step_names.size(); ++at) {
-        CAPTURE(step_names.at(at));
+        CAPTURE(std::string(step_names.at(at)));
         CHECK(tried.faults().reached(static_cast<step>(at)) > 0);
     }
 }
--- a/tests/fault_matrix/world.h
+++ b/tests/fault_matrix/world.h
@@ -71,6 +71,8 @@
     // Whether an agent leaves gracefully during the run.
     bool m_has_drain = true;
     milliseconds m_task_time{60};
+    // With messages favoured, granted tasks wait at workers, so that revocations have something to find.
+    favour m_favour = favour::messages;
     // When a job that will be cancelled early gets its cancel, after its submission; negative: before it.
     milliseconds m_early_cancel{6};
 };
--- a/tests/main/caller_contract_test.cpp
+++ b/tests/main/caller_contract_test.cpp
@@ -124,6 +124,17 @@
     const auto skewed = fixture.call("PUT", "/v1/jobs/" + encode_ticket(known, keys), good);
     CHECK(reason_of(skewed) == "ticket_too_far_ahead");
 
+    // A home that the entry does not know is asked at the ticket's address; the agent there knows it is not
+    // meant.
+    auto elsewhere = *decode_ticket(fixture.take_ticket(), keys, why);
+    elsewhere.m_home.m_id = "agent-9";
+    const auto asked = fixture.call("PUT", "/v1/jobs/" + encode_ticket(elsewhere, keys), good);
+    CHECK(reason_of(asked) == "wrong_incarnation");
+    CHECK(asked.m_verdict == "may_have_run");
+    elsewhere.m_home_address = "127.0.0.1:1";
+    CHECK(reason_of(fixture.call("PUT", "/v1/jobs/" + encode_ticket(elsewhere, keys), good)) ==
+          "home_unreachable");
+
     // A team with one start a second is refused at once, with the time to wait.
     const std::string wide = many_tasks(3);
     fixture.call("PUT", "/v1/jobs/" + fixture.take_ticket(), wide, "slow-key");
