--- a/core/metrics.cpp
+++ b/core/metrics.cpp
@@ -33,9 +33,7 @@
     "config_changes_rejected",
     "log_tail_lost",
     "members_suspected",
-    "workers_quarantined",
     "leases_renewed",
-    "leases_lapsed",
     "connections_closed_for_budget",
     "rpc_authentication_failures",
 };
--- a/core/metrics.h
+++ b/core/metrics.h
@@ -46,9 +46,7 @@
     config_changes_rejected,
     log_tail_lost,
     members_suspected,
-    workers_quarantined,
     leases_renewed,
-    leases_lapsed,
     connections_closed_for_budget,
     rpc_authentication_failures,
 };
--- a/core/verdict.h
+++ b/core/verdict.h
@@ -35,13 +35,11 @@
     ticket_expired,
     ticket_too_far_ahead,
     ticket_other_service,
-    ticket_other_home,
     body_differs,
     not_repeatable,
     never_fits,
     // Refusals under load.
     team_rate,
-    team_running_limit,
     queue_full,
     deadline_unreachable,
     ledger_full,
--- a/http/caller_messages.cpp
+++ b/http/caller_messages.cpp
@@ -246,7 +246,6 @@
     case reason::not_repeatable:
         return 428;
     case reason::team_rate:
-    case reason::team_running_limit:
         return 429;
     case reason::header_too_large:
         return 431;
