--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -109,6 +109,8 @@
 }
 
 stop_cluster() {
+    # A process that has already ended is no failure of the caller, which may run with -e.
+    set +e
     local name
     for name in "${!PIDS[@]}"; do kill -CONT "${PIDS[$name]}" 2> /dev/null; kill "${PIDS[$name]}" 2> /dev/null; done
     local end=$((SECONDS + 10))
