--- a/main/job_commands.cpp
+++ b/main/job_commands.cpp
@@ -155,6 +155,15 @@
         take_tickets(loop, call, call.m_arguments[0], call.m_options["count"].as<int>(), code);
     if (!tickets)
         return code;
+    if (call.m_is_json) {
+        json_writer writer;
+        writer.begin_object().key("tickets").begin_array();
+        for (const std::string& text : *tickets)
+            writer.text(text);
+        writer.end_array().end_object();
+        std::cout << writer.to_string() << '\n';
+        return exit_code::success;
+    }
     for (const std::string& text : *tickets)
         std::cout << text << '\n';
     return exit_code::success;
