Queue wait is observed; queries of submitted jobs have a file of their own

Change: each start observes the time since its job was accepted, or since its grant arrived; GET and DELETE moved to main/caller_queries.cpp with one constant for a silent home where two copies stood.

--- a/main/agent_actions.cpp
+++ b/main/agent_actions.cpp
@@ -20,6 +20,12 @@
 {
     const grant_id id = wanted.m_id;
     const auto started = m_clock.now();
+    const job_record* job = find_job(m_dispatcher->m_ledger, id.m_ticket);
+    const bool is_at_home = job != nullptr && !job->m_tasks.empty();
+    const instant queued_at =
+        is_at_home ? job->m_accepted_at : m_dispatcher->m_grants.m_grants.at(id).m_received_at;
+    const std::chrono::duration<double> waited = started - queued_at;
+    m_metrics.observe(distribution::queue_wait, waited.count());
     m_tasks.add(m_target.start(id, wanted.m_payload, wanted.m_budget, lease())
                     .then([this, id, started](task_end end) {
                         const bool is_too_large =
--- a/main/caller_api.cpp
+++ b/main/caller_api.cpp
@@ -12,10 +12,6 @@
 namespace {
 
 constexpr int max_submit_tries = 3;
-constexpr milliseconds unreachable_retry_after{1'000};
-// Time beyond the job's budget after which an entry stops waiting for its home.
-constexpr milliseconds home_grace{2'000};
-constexpr unsigned cancel_timeout_ms = 3'000;
 constexpr milliseconds shortest_pause{50};
 
 constexpr outcome unreachable{verdict::not_run, reason::home_unreachable, ticket_state::open};
@@ -351,60 +347,4 @@
     return reply.m_answer;
 }
 
-kj::Promise<api_response> caller_api::handle_get(const api_request& request, const std::string& text,
-                                                 const ticket& known)
-{
-    outcome refusal;
-    const auto address = find_home(known, refusal);
-    if (!address)
-        return ready(refuse_with(refusal, unreachable_retry_after));
-    constexpr int ms_per_second = 1000;
-    const auto wait_ms = static_cast<unsigned>(parse_wait_seconds(request.m_prefer) * ms_per_second);
-    m_context.m_metrics->count(counter::fetches_sent);
-    auto call =
-        call_node<submit_reply>(*m_context.m_links, *address, [known, wait_ms](wire::Node::Client node) {
-            auto fetch = node.fetchRequest();
-            write_wire(fetch.initTicket(), known);
-            fetch.setWaitMs(wait_ms);
-            return fetch.send().then([](auto response) {
-                return submit_reply{read_wire(response.getAnswer()),
-                                    {read_wire(response.getLoad()), 0},
-                                    response.getAnswer().getPending()};
-            });
-        });
-    auto late = after_delay(wait_ms + static_cast<unsigned>(home_grace.count())).then([] {
-        return call_result<submit_reply>{call_fate::lost, {}};
-    });
-    return call.exclusiveJoin(kj::mv(late)).then([this, text](call_result<submit_reply> result) {
-        if (result.m_fate != call_fate::answered) {
-            constexpr outcome silent{verdict::may_have_run, reason::home_unreachable, ticket_state::open};
-            return refuse_with(silent, unreachable_retry_after);
-        }
-        if (result.m_response.m_is_pending)
-            return describe_pending(text);
-        return describe_answer(text, result.m_response.m_answer);
-    });
-}
-
-kj::Promise<api_response> caller_api::handle_delete(const std::string& text, const ticket& known)
-{
-    outcome refusal;
-    const auto address = find_home(known, refusal);
-    if (!address)
-        return ready(refuse_with(refusal, unreachable_retry_after));
-    m_context.m_metrics->count(counter::cancels_sent);
-    auto call = call_node<outcome>(*m_context.m_links, *address, [known](wire::Node::Client node) {
-        auto cancel = node.cancelRequest();
-        write_wire(cancel.initTicket(), known);
-        return cancel.send().then([](auto response) { return read_wire(response.getOutcome()); });
-    });
-    auto late = after_delay(cancel_timeout_ms).then([] { return call_result<outcome>{call_fate::lost, {}}; });
-    return call.exclusiveJoin(kj::mv(late)).then([this, text](call_result<outcome> result) {
-        if (result.m_fate == call_fate::answered)
-            return describe_cancel(text, result.m_response);
-        constexpr outcome silent{verdict::may_have_run, reason::home_unreachable, ticket_state::open};
-        return refuse_with(silent, unreachable_retry_after);
-    });
-}
-
 } // namespace hawthornpin
--- a/main/caller_api.h
+++ b/main/caller_api.h
@@ -18,6 +18,11 @@
 
 namespace hawthornpin {
 
+// What a caller is told to wait when a home can't be reached.
+inline constexpr milliseconds unreachable_retry_after{1'000};
+// Time beyond the job's budget after which an entry stops waiting for its home.
+inline constexpr milliseconds home_grace{2'000};
+
 // What the entry's parts give to the caller interface.
 struct caller_context {
     const process_clock* m_clock = nullptr;
