--- a/core/instant.cpp
+++ b/core/instant.cpp
@@ -2,6 +2,8 @@
 
 #include "core/instant.h"
 
+#include <ctime>
+
 namespace hawthornpin {
 
 process_clock::process_clock()
@@ -16,4 +18,12 @@
     return m_started_wall + std::chrono::duration_cast<microseconds>(elapsed);
 }
 
+instant boot_now()
+{
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return instant(std::chrono::seconds(now.tv_sec) +
+                   std::chrono::duration_cast<microseconds>(std::chrono::nanoseconds(now.tv_nsec)));
+}
+
 } // namespace hawthornpin
--- a/core/instant.h
+++ b/core/instant.h
@@ -27,6 +27,10 @@
     std::chrono::steady_clock::time_point m_started_steady;
 };
 
+// Time since the machine started, including any time in which it was suspended. For decisions that compare
+// times of one machine with each other; never goes back.
+instant boot_now();
+
 // Whole milliseconds since the Unix epoch.
 inline long long to_unix_ms(instant when)
 {
--- a/core/json.cpp
+++ b/core/json.cpp
@@ -132,6 +132,57 @@
     return result;
 }
 
+std::vector<std::int64_t> json_object::integers(const char* name) const
+{
+    std::vector<std::int64_t> result;
+    JsonNode* node = member(name);
+    if (node == nullptr || !JSON_NODE_HOLDS_ARRAY(node))
+        return result;
+    JsonArray* array = json_node_get_array(node);
+    for (guint index = 0; index < json_array_get_length(array); ++index) {
+        JsonNode* element = json_array_get_element(array, index);
+        if (json_node_get_value_type(element) == G_TYPE_INT64)
+            result.push_back(json_node_get_int(element));
+    }
+    return result;
+}
+
+std::vector<json_row> json_object::rows(const char* name) const
+{
+    std::vector<json_row> result;
+    JsonNode* node = member(name);
+    if (node == nullptr || !JSON_NODE_HOLDS_ARRAY(node))
+        return result;
+    JsonArray* array = json_node_get_array(node);
+    for (guint index = 0; index < json_array_get_length(array); ++index) {
+        JsonNode* element = json_array_get_element(array, index);
+        if (JSON_NODE_HOLDS_ARRAY(element))
+            result.emplace_back(json_node_get_array(element));
+    }
+    return result;
+}
+
+JsonNode* json_row::element(unsigned index) const
+{
+    return index < json_array_get_length(m_array) ? json_array_get_element(m_array, index) : nullptr;
+}
+
+std::optional<std::string> json_row::text(unsigned index) const
+{
+    JsonNode* node = element(index);
+    if (node == nullptr || json_node_get_value_type(node) != G_TYPE_STRING)
+        return std::nullopt;
+    return std::string(json_node_get_string(node));
+}
+
+std::optional<std::int64_t> json_row::integer(unsigned index) const
+{
+    JsonNode* node = element(index);
+    if (node == nullptr || json_node_get_value_type(node) != G_TYPE_INT64)
+        return std::nullopt;
+    return json_node_get_int(node);
+}
+
 std::optional<std::size_t> json_object::count(const char* name) const
 {
     JsonNode* node = member(name);
--- a/core/json.h
+++ b/core/json.h
@@ -18,6 +18,21 @@
 // Deepest nesting accepted; checked before the text is parsed.
 inline constexpr int max_json_depth = 8;
 
+// A view of an array inside an array; valid while its document lives. Getters are empty for a missing or
+// wrong-typed element.
+class json_row {
+public:
+    explicit json_row(JsonArray* array) : m_array(array) {}
+
+    std::optional<std::string> text(unsigned index) const;
+    std::optional<std::int64_t> integer(unsigned index) const;
+
+private:
+    JsonNode* element(unsigned index) const;
+
+    JsonArray* m_array;
+};
+
 // A view of an object; valid while its document lives. Getters are empty for a missing or wrong-typed member.
 class json_object {
 public:
@@ -33,6 +48,8 @@
     // Elements that are not of the type are left out; compare with count() to notice them.
     std::vector<json_object> objects(const char* name) const;
     std::vector<std::string> texts(const char* name) const;
+    std::vector<std::int64_t> integers(const char* name) const;
+    std::vector<json_row> rows(const char* name) const;
     // The number of elements of an array member; empty if it is not an array.
     std::optional<std::size_t> count(const char* name) const;
     std::vector<std::string> names() const;
--- /dev/null
+++ b/dispatch/job_admission.cpp
@@ -0,0 +1,153 @@
+// Chains of work, expected waits and the admission rule.
+
+#include "dispatch/job_admission.h"
+
+#include <algorithm>
+
+namespace hawthornpin {
+
+namespace {
+
+// Told to callers when nothing is known of the workers; agents are found within this time after a start.
+constexpr milliseconds unknown_wait{1'000};
+
+bool is_supported(const work_request& request)
+{
+    if (!request.m_is_best_effort || request.m_repeat_count > 0)
+        return false;
+    return std::none_of(request.m_steps.begin(), request.m_steps.end(), [](const job_step& step) {
+        return step.m_is_gang || step.m_is_long_running || step.m_is_filling;
+    });
+}
+
+bool has_feasible_steps(const job_scheduler& scheduler, const live_job& job)
+{
+    return std::all_of(job.m_request.m_steps.begin(), job.m_request.m_steps.end(), [&](const job_step& step) {
+        placement_request request;
+        request.m_service = job.m_queue.m_service;
+        request.m_needs = step.m_per_task;
+        request.m_required_label = step.m_required_label;
+        return is_feasible(scheduler.m_agents, request);
+    });
+}
+
+bool knows_service(const job_scheduler& scheduler, const std::string& service)
+{
+    return std::any_of(scheduler.m_agents.m_agents.begin(), scheduler.m_agents.m_agents.end(),
+                       [&](const auto& item) { return item.second.m_status.m_service == service; });
+}
+
+// Processor demand of the tasks that can start at once.
+std::int64_t opening_demand(const live_job& job)
+{
+    std::int64_t demand = 0;
+    for (const job_step& step : job.m_request.m_steps) {
+        if (step.m_depends_on.empty())
+            demand += step.m_per_task.m_cpu_milli * step.m_task_count;
+    }
+    return demand;
+}
+
+// Processor demand of the ready tasks that are placed before a task with this latest start.
+std::int64_t demand_ahead(const job_scheduler& scheduler, const std::string& service, instant latest_start)
+{
+    std::int64_t demand = 0;
+    for (const ready_key& key : scheduler.m_ready) {
+        if (key.m_is_late || key.m_latest_start > latest_start)
+            break;
+        const live_job& job = scheduler.m_jobs.at(key.m_job);
+        if (job.m_queue.m_service == service)
+            demand += job.m_request.m_steps[key.m_step].m_per_task.m_cpu_milli;
+    }
+    return demand;
+}
+
+// Thousandths of a core that this entry's runs release per millisecond.
+double release_rate(const job_scheduler& scheduler, const std::string& service)
+{
+    double rate = 0;
+    for (const auto& [id, job] : scheduler.m_jobs) {
+        if (job.m_queue.m_service != service)
+            continue;
+        for (std::size_t index = 0; index < job.m_steps.size(); ++index) {
+            const live_step& step = job.m_steps[index];
+            const auto ordered =
+                std::count_if(step.m_tasks.begin(), step.m_tasks.end(),
+                              [](const live_task& task) { return task.m_phase == task_phase::ordered; });
+            const auto cpu = static_cast<double>(job.m_request.m_steps[index].m_per_task.m_cpu_milli);
+            const auto duration = static_cast<double>(std::max<std::int64_t>(1, step.m_estimate.count()));
+            rate += static_cast<double>(ordered) * cpu / duration;
+        }
+    }
+    return rate;
+}
+
+milliseconds time_to_release(const job_scheduler& scheduler, const std::string& service,
+                             std::int64_t shortage)
+{
+    if (shortage <= 0)
+        return milliseconds(0);
+    const double rate = release_rate(scheduler, service);
+    if (rate <= 0)
+        return unknown_wait;
+    const double wait = static_cast<double>(shortage) / rate;
+    return std::min(unknown_wait, milliseconds(static_cast<std::int64_t>(wait)));
+}
+
+} // namespace
+
+void measure_chains(live_job& job)
+{
+    milliseconds longest{0};
+    for (std::size_t index = job.m_steps.size(); index-- > 0;) {
+        live_step& step = job.m_steps[index];
+        milliseconds after{0};
+        for (std::size_t later = index + 1; later < job.m_steps.size(); ++later) {
+            const auto& depends_on = job.m_request.m_steps[later].m_depends_on;
+            if (std::find(depends_on.begin(), depends_on.end(), index) != depends_on.end())
+                after = std::max(after, job.m_steps[later].m_chain);
+        }
+        step.m_chain = step.m_estimate + after;
+        longest = std::max(longest, step.m_chain);
+    }
+    const auto stretched =
+        milliseconds(static_cast<std::int64_t>(static_cast<double>(longest.count()) * job.m_queue.m_stretch));
+    job.m_objective = job.m_arrived + stretched + job.m_queue.m_latency_target;
+}
+
+std::optional<admission_verdict> check_admission(const job_scheduler& scheduler, const live_job& job,
+                                                 instant now)
+{
+    const std::string& service = job.m_queue.m_service;
+    if (!is_supported(job.m_request))
+        return admission_verdict{job_end::refused, job_end_reason::unsupported, unknown_wait};
+    if (!knows_service(scheduler, service))
+        return admission_verdict{job_end::refused, job_end_reason::no_worker, unknown_wait};
+    if (!has_feasible_steps(scheduler, job))
+        return admission_verdict{job_end::failed, job_end_reason::never_fits, milliseconds(0)};
+    const service_load load = measure_service(scheduler.m_agents, service, now);
+    const auto slack =
+        std::chrono::duration_cast<milliseconds>(job.m_objective - now - job.m_steps.front().m_chain);
+    const std::int64_t ahead = demand_ahead(scheduler, service, now + slack);
+    const std::int64_t shortage = ahead + opening_demand(job) - load.m_free_milli;
+    const milliseconds wait = time_to_release(scheduler, service, shortage);
+    const auto bound = milliseconds(
+        static_cast<std::int64_t>(static_cast<double>(slack.count()) * scheduler.m_limits.m_admitted_slack));
+    if (wait <= bound)
+        return std::nullopt;
+    return admission_verdict{job_end::refused, job_end_reason::overload, wait};
+}
+
+bool is_too_late_to_start(const live_job& job, instant now)
+{
+    return job.m_objective - job.m_steps.front().m_chain < now;
+}
+
+milliseconds expected_wait(const job_scheduler& scheduler, const std::string& service, instant now)
+{
+    const service_load load = measure_service(scheduler.m_agents, service, now);
+    const std::int64_t waiting = demand_ahead(scheduler, service, instant::max());
+    return time_to_release(scheduler, service, waiting - load.m_free_milli);
+}
+
+} // namespace hawthornpin
--- /dev/null
+++ b/dispatch/job_admission.h
@@ -0,0 +1,31 @@
+// Whether a job is admitted, from its slack and the entry's backlog. Pure.
+
+#pragma once
+
+#include "dispatch/job_scheduler.h"
+
+#include <optional>
+
+namespace hawthornpin {
+
+// Why a job is not admitted, and what its caller is told.
+struct admission_verdict {
+    job_end m_end = job_end::refused;
+    job_end_reason m_reason = job_end_reason::overload;
+    milliseconds m_retry_after{0};
+};
+
+// Sets the chains of the job's steps and, from the longest one, its objective.
+void measure_chains(live_job& job);
+
+// Nothing if the job is admitted.
+std::optional<admission_verdict> check_admission(const job_scheduler& scheduler, const live_job& job,
+                                                 instant now);
+
+// Whether a job of which nothing is ordered yet can't be on time any more.
+bool is_too_late_to_start(const live_job& job, instant now);
+
+// Expected time until a new job of the service would find room.
+milliseconds expected_wait(const job_scheduler& scheduler, const std::string& service, instant now);
+
+} // namespace hawthornpin
--- /dev/null
+++ b/dispatch/job_scheduler.cpp
@@ -0,0 +1,501 @@
+// Life of a job at its entry: admission, placement of its tasks, their ends, and the answer.
+
+#include "dispatch/job_scheduler.h"
+
+#include "dispatch/job_admission.h"
+
+#include <algorithm>
+
+namespace hawthornpin {
+
+namespace {
+
+ready_key make_ready_key(const live_job& job, std::uint32_t step, std::uint32_t index, instant now)
+{
+    const instant latest_start = job.m_objective - job.m_steps[step].m_chain;
+    return {latest_start < now, latest_start, job.m_request.m_id, step, index};
+}
+
+void make_ready(job_scheduler& scheduler, live_job& job, std::uint32_t step, std::uint32_t index, instant now)
+{
+    job.m_steps[step].m_tasks[index].m_phase = task_phase::ready;
+    scheduler.m_ready.insert(make_ready_key(job, step, index, now));
+}
+
+void open_step(job_scheduler& scheduler, live_job& job, std::uint32_t step, instant now)
+{
+    for (std::uint32_t index = 0; index < job.m_steps[step].m_tasks.size(); ++index)
+        make_ready(scheduler, job, step, index, now);
+}
+
+void forget_ready_tasks(job_scheduler& scheduler, const std::string& job)
+{
+    std::erase_if(scheduler.m_ready, [&](const ready_key& key) { return key.m_job == job; });
+}
+
+run_id make_run_id(const live_job& job, std::uint32_t step, std::uint32_t index)
+{
+    return {{job.m_request.m_id, 0, step, index}, job.m_steps[step].m_tasks[index].m_run};
+}
+
+void release_run(job_scheduler& scheduler, const std::string& agent)
+{
+    const auto found = scheduler.m_agents.m_agents.find(agent);
+    if (found != scheduler.m_agents.m_agents.end() && found->second.m_runs > 0)
+        --found->second.m_runs;
+}
+
+// Takes an order back that has not left this process; false if it may have.
+bool withdraw_order(agent_channel& channel, const run_id& run)
+{
+    return std::erase_if(channel.m_starts, [&](const run_order& order) { return order.m_run == run; }) > 0;
+}
+
+void stop_running_tasks(job_scheduler& scheduler, const live_job& job)
+{
+    for (std::uint32_t step = 0; step < job.m_steps.size(); ++step) {
+        for (std::uint32_t index = 0; index < job.m_steps[step].m_tasks.size(); ++index) {
+            const live_task& task = job.m_steps[step].m_tasks[index];
+            if (task.m_phase != task_phase::ordered)
+                continue;
+            release_run(scheduler, task.m_agent);
+            agent_channel& channel = scheduler.m_channels[task.m_agent];
+            const run_id run = make_run_id(job, step, index);
+            if (!withdraw_order(channel, run))
+                channel.m_stops.push_back(run);
+        }
+    }
+}
+
+void remove_job(job_scheduler& scheduler, std::map<std::string, live_job>::iterator position)
+{
+    forget_ready_tasks(scheduler, position->first);
+    stop_running_tasks(scheduler, position->second);
+    scheduler.m_jobs.erase(position);
+}
+
+void answer_job(job_scheduler& scheduler, const std::string& id, job_end end, job_end_reason why,
+                milliseconds retry_after = milliseconds(0))
+{
+    const auto position = scheduler.m_jobs.find(id);
+    if (position == scheduler.m_jobs.end())
+        return;
+    remove_job(scheduler, position);
+    scheduler.m_answers.push_back({id, end, why, retry_after});
+}
+
+void finish_step(job_scheduler& scheduler, live_job& job, std::uint32_t finished, instant now)
+{
+    for (std::uint32_t step = finished + 1; step < job.m_steps.size(); ++step) {
+        const auto& depends_on = job.m_request.m_steps[step].m_depends_on;
+        if (std::find(depends_on.begin(), depends_on.end(), finished) == depends_on.end())
+            continue;
+        if (--job.m_steps[step].m_unfinished_dependencies == 0)
+            open_step(scheduler, job, step, now);
+    }
+}
+
+bool is_job_done(const live_job& job)
+{
+    return std::all_of(job.m_steps.begin(), job.m_steps.end(),
+                       [](const live_step& step) { return step.m_unfinished == 0; });
+}
+
+void finish_task(job_scheduler& scheduler, live_job& job, const run_outcome& outcome, instant now)
+{
+    const std::uint32_t step = outcome.m_run.m_task.m_step;
+    live_task& task = job.m_steps[step].m_tasks[outcome.m_run.m_task.m_index];
+    task.m_phase = task_phase::done;
+    const auto agent = scheduler.m_agents.m_agents.find(task.m_agent);
+    if (agent != scheduler.m_agents.m_agents.end()) {
+        note_success(agent->second);
+        note_duration(agent->second, outcome.m_duration, job.m_steps[step].m_estimate);
+    }
+    note_duration(scheduler.m_estimator, job.m_queue.m_name, step,
+                  milliseconds(job.m_request.m_steps[step].m_estimate_ms), outcome.m_duration);
+    if (--job.m_steps[step].m_unfinished > 0)
+        return;
+    finish_step(scheduler, job, step, now);
+    if (is_job_done(job))
+        answer_job(scheduler, outcome.m_run.m_task.m_job, job_end::completed, job_end_reason::all_done);
+}
+
+void blame_agent(job_scheduler& scheduler, live_task& task, instant now)
+{
+    const auto agent = scheduler.m_agents.m_agents.find(task.m_agent);
+    // A task that failed elsewhere too may be at fault itself.
+    if (agent != scheduler.m_agents.m_agents.end() && task.m_failed_runs <= 1)
+        note_failure(scheduler.m_agents, agent->second, now);
+    task.m_avoided.push_back(task.m_agent);
+}
+
+void repeat_task(job_scheduler& scheduler, live_job& job, const run_outcome& outcome, instant now)
+{
+    const std::uint32_t step = outcome.m_run.m_task.m_step;
+    const std::uint32_t index = outcome.m_run.m_task.m_index;
+    live_task& task = job.m_steps[step].m_tasks[index];
+    if (outcome.m_result == run_result::failed)
+        ++task.m_failed_runs;
+    const bool is_agent_suspect = outcome.m_result == run_result::failed ||
+                                  outcome.m_result == run_result::stalled ||
+                                  outcome.m_result == run_result::refused;
+    if (is_agent_suspect)
+        blame_agent(scheduler, task, now);
+    if (task.m_failed_runs >= job.m_queue.m_max_attempts) {
+        answer_job(scheduler, outcome.m_run.m_task.m_job, job_end::failed,
+                   job_end_reason::attempts_exhausted);
+        return;
+    }
+    make_ready(scheduler, job, step, index, now);
+}
+
+// The ordered task that the outcome is about; null if that run is not the newest.
+live_task* find_ordered(live_job& job, const run_id& run, const std::string& agent)
+{
+    const task_id& id = run.m_task;
+    if (id.m_step >= job.m_steps.size() || id.m_index >= job.m_steps[id.m_step].m_tasks.size())
+        return nullptr;
+    live_task& task = job.m_steps[id.m_step].m_tasks[id.m_index];
+    const bool is_newest =
+        task.m_phase == task_phase::ordered && task.m_run == run.m_number && task.m_agent == agent;
+    return is_newest ? &task : nullptr;
+}
+
+bool is_still_ordered(job_scheduler& scheduler, const run_id& run, const std::string& agent)
+{
+    const auto found = scheduler.m_jobs.find(run.m_task.m_job);
+    return found != scheduler.m_jobs.end() && find_ordered(found->second, run, agent) != nullptr;
+}
+
+void note_outcome(job_scheduler& scheduler, const std::string& agent, const run_outcome& outcome, instant now)
+{
+    const auto found = scheduler.m_jobs.find(outcome.m_run.m_task.m_job);
+    if (found == scheduler.m_jobs.end())
+        return;
+    if (find_ordered(found->second, outcome.m_run, agent) == nullptr)
+        return;
+    release_run(scheduler, agent);
+    withdraw_order(scheduler.m_channels[agent], outcome.m_run);
+    if (outcome.m_result == run_result::done)
+        finish_task(scheduler, found->second, outcome, now);
+    else
+        repeat_task(scheduler, found->second, outcome, now);
+}
+
+// All runs that were ordered there have ended, or never begin.
+void lose_agent_runs(job_scheduler& scheduler, const std::string& agent, instant now)
+{
+    std::vector<run_outcome> lost;
+    for (const auto& [id, job] : scheduler.m_jobs) {
+        for (std::uint32_t step = 0; step < job.m_steps.size(); ++step) {
+            for (std::uint32_t index = 0; index < job.m_steps[step].m_tasks.size(); ++index) {
+                const live_task& task = job.m_steps[step].m_tasks[index];
+                if (task.m_phase == task_phase::ordered && task.m_agent == agent)
+                    lost.push_back({make_run_id(job, step, index), run_result::lost, milliseconds(0)});
+            }
+        }
+    }
+    for (const run_outcome& outcome : lost)
+        note_outcome(scheduler, agent, outcome, now);
+}
+
+// Once a new life of an agent has stopped what the old one started, those runs can be repeated.
+void settle_agent(job_scheduler& scheduler, const std::string& id, instant now)
+{
+    agent_view& agent = scheduler.m_agents.m_agents.at(id);
+    if (agent.m_is_settled || !agent.m_status.m_is_settled)
+        return;
+    lose_agent_runs(scheduler, id, now);
+    agent.m_is_settled = true;
+}
+
+void expire_agents(job_scheduler& scheduler, instant now)
+{
+    const agent_table_limits& limits = scheduler.m_agents.m_limits;
+    std::vector<std::string> lost;
+    for (const auto& [id, agent] : scheduler.m_agents.m_agents) {
+        const instant heard_at = agent.m_is_settled ? agent.m_clock_seen_at : agent.m_known_since;
+        if (agent.m_runs > 0 && heard_at + limits.m_lost_after < now)
+            lost.push_back(id);
+    }
+    for (const std::string& id : lost) {
+        lose_agent_runs(scheduler, id, now);
+        scheduler.m_agents.m_agents.at(id).m_is_settled = true;
+    }
+    std::erase_if(scheduler.m_agents.m_agents, [&](const auto& item) {
+        const bool is_forgotten =
+            item.second.m_runs == 0 && item.second.m_heard_at + limits.m_forget_after < now;
+        if (is_forgotten)
+            scheduler.m_channels.erase(item.first);
+        return is_forgotten;
+    });
+}
+
+void end_overdue_jobs(job_scheduler& scheduler, instant now)
+{
+    std::vector<std::string> abandoned;
+    std::vector<std::string> late;
+    for (const auto& [id, job] : scheduler.m_jobs) {
+        if (job.m_give_up <= now)
+            abandoned.push_back(id);
+        else if (!job.m_is_ordered && is_too_late_to_start(job, now))
+            late.push_back(id);
+    }
+    for (const std::string& id : abandoned) {
+        const bool is_ordered = scheduler.m_jobs.at(id).m_is_ordered;
+        answer_job(scheduler, id, is_ordered ? job_end::failed : job_end::refused,
+                   job_end_reason::caller_deadline, milliseconds(0));
+    }
+    for (const std::string& id : late) {
+        const milliseconds retry_after =
+            expected_wait(scheduler, scheduler.m_jobs.at(id).m_queue.m_service, now);
+        answer_job(scheduler, id, job_end::refused, job_end_reason::late_before_start, retry_after);
+    }
+}
+
+placement_request make_placement_request(const live_job& job, std::uint32_t step, const live_task& task)
+{
+    const job_step& wanted = job.m_request.m_steps[step];
+    placement_request request;
+    request.m_service = job.m_queue.m_service;
+    request.m_needs = wanted.m_per_task;
+    request.m_estimate = job.m_steps[step].m_estimate;
+    request.m_required_label = wanted.m_required_label;
+    request.m_preferred_rack = wanted.m_preferred_rack;
+    request.m_avoided = task.m_avoided;
+    if (wanted.m_max_per_worker == 0)
+        return request;
+    std::map<std::string, std::uint32_t> tasks_by_agent;
+    for (const live_task& sibling : job.m_steps[step].m_tasks) {
+        if (sibling.m_phase == task_phase::ordered &&
+            ++tasks_by_agent[sibling.m_agent] >= wanted.m_max_per_worker)
+            request.m_excluded.push_back(sibling.m_agent);
+    }
+    return request;
+}
+
+void order_run(job_scheduler& scheduler, live_job& job, const ready_key& key, agent_view& agent, instant now)
+{
+    live_task& task = job.m_steps[key.m_step].m_tasks[key.m_index];
+    task.m_phase = task_phase::ordered;
+    ++task.m_run;
+    task.m_agent = agent.m_status.m_life.m_id;
+    job.m_is_ordered = true;
+    ++agent.m_runs;
+    agent_channel& channel = scheduler.m_channels[task.m_agent];
+    run_order order;
+    order.m_run = make_run_id(job, key.m_step, key.m_index);
+    order.m_specification = job.m_request.m_specification;
+    order.m_needs = job.m_request.m_steps[key.m_step].m_per_task;
+    order.m_estimate = job.m_steps[key.m_step].m_estimate;
+    order.m_start_within = scheduler.m_limits.m_start_within;
+    order.m_slack = std::chrono::duration_cast<milliseconds>(key.m_latest_start - now);
+    agent.m_unseen.push_back({channel.m_number + 1, order.m_needs});
+    channel.m_starts.push_back(std::move(order));
+}
+
+void place_ready_tasks(job_scheduler& scheduler, instant now)
+{
+    std::size_t misses = 0;
+    for (auto position = scheduler.m_ready.begin();
+         position != scheduler.m_ready.end() && misses < scheduler.m_limits.m_placement_misses;) {
+        const ready_key key = *position;
+        live_job& job = scheduler.m_jobs.at(key.m_job);
+        const auto request =
+            make_placement_request(job, key.m_step, job.m_steps[key.m_step].m_tasks[key.m_index]);
+        agent_view* agent = choose_agent(scheduler.m_agents, request, now);
+        if (agent == nullptr) {
+            ++misses;
+            ++position;
+            continue;
+        }
+        order_run(scheduler, job, key, *agent, now);
+        position = scheduler.m_ready.erase(position);
+    }
+}
+
+// Tasks whose latest start has passed yield to those that can still be on time.
+void demote_late_tasks(job_scheduler& scheduler, instant now)
+{
+    std::vector<ready_key> late;
+    for (const ready_key& key : scheduler.m_ready) {
+        if (key.m_is_late || key.m_latest_start >= now)
+            break;
+        late.push_back(key);
+    }
+    for (ready_key key : late) {
+        scheduler.m_ready.erase(key);
+        key.m_is_late = true;
+        scheduler.m_ready.insert(key);
+    }
+}
+
+live_job make_live_job(const job_scheduler& scheduler, const work_request& request,
+                       const queue_contract& queue, milliseconds caller_patience, instant now)
+{
+    live_job job;
+    job.m_request = request;
+    job.m_queue = queue;
+    job.m_arrived = now;
+    job.m_give_up = now + caller_patience;
+    for (std::uint32_t index = 0; index < request.m_steps.size(); ++index) {
+        const job_step& wanted = request.m_steps[index];
+        live_step step;
+        step.m_unfinished = wanted.m_task_count;
+        step.m_unfinished_dependencies = static_cast<std::uint32_t>(wanted.m_depends_on.size());
+        step.m_estimate =
+            estimate_duration(scheduler.m_estimator, queue.m_name, index, milliseconds(wanted.m_estimate_ms));
+        step.m_tasks.resize(wanted.m_task_count);
+        job.m_steps.push_back(std::move(step));
+    }
+    measure_chains(job);
+    return job;
+}
+
+void refuse(job_scheduler& scheduler, const std::string& job, const admission_verdict& verdict)
+{
+    scheduler.m_answers.push_back({job, verdict.m_end, verdict.m_reason, verdict.m_retry_after});
+}
+
+} // namespace
+
+const char* to_text(job_end_reason why)
+{
+    switch (why) {
+    case job_end_reason::all_done:
+        return "all_done";
+    case job_end_reason::attempts_exhausted:
+        return "attempts_exhausted";
+    case job_end_reason::never_fits:
+        return "never_fits";
+    case job_end_reason::unsupported:
+        return "unsupported";
+    case job_end_reason::no_worker:
+        return "no_worker";
+    case job_end_reason::overload:
+        return "overload";
+    case job_end_reason::late_before_start:
+        return "late_before_start";
+    case job_end_reason::caller_deadline:
+        return "caller_deadline";
+    case job_end_reason::shutting_down:
+        break;
+    }
+    return "shutting_down";
+}
+
+void submit_job(job_scheduler& scheduler, const work_request& request, const queue_contract& queue,
+                milliseconds caller_patience, instant now)
+{
+    if (scheduler.m_jobs.contains(request.m_id))
+        return;
+    live_job job = make_live_job(scheduler, request, queue, caller_patience, now);
+    const auto verdict = check_admission(scheduler, job, now);
+    if (verdict) {
+        refuse(scheduler, request.m_id, *verdict);
+        return;
+    }
+    live_job& admitted = scheduler.m_jobs.emplace(request.m_id, std::move(job)).first->second;
+    for (std::uint32_t step = 0; step < admitted.m_steps.size(); ++step) {
+        if (admitted.m_steps[step].m_unfinished_dependencies == 0)
+            open_step(scheduler, admitted, step, now);
+    }
+}
+
+bool cancel_job(job_scheduler& scheduler, const std::string& job)
+{
+    const auto position = scheduler.m_jobs.find(job);
+    if (position == scheduler.m_jobs.end())
+        return false;
+    remove_job(scheduler, position);
+    return true;
+}
+
+void note_agent_report(job_scheduler& scheduler, const agent_status& status,
+                       const std::vector<run_outcome>& outcomes, instant now)
+{
+    const std::string& agent = status.m_life.m_id;
+    if (!scheduler.m_agents.m_retired.contains(status.m_life)) {
+        const auto known = scheduler.m_agents.m_agents.find(agent);
+        if (known != scheduler.m_agents.m_agents.end() && known->second.m_status.m_life != status.m_life)
+            scheduler.m_channels.erase(agent);
+        note_status(scheduler.m_agents, status, now);
+        settle_agent(scheduler, agent, now);
+    }
+    for (const run_outcome& outcome : outcomes)
+        note_outcome(scheduler, agent, outcome, now);
+}
+
+void note_batch_answered(job_scheduler& scheduler, const std::string& agent, const agent_status& status,
+                         instant now)
+{
+    note_agent_report(scheduler, status, {}, now);
+    const auto found = scheduler.m_agents.m_agents.find(agent);
+    if (found != scheduler.m_agents.m_agents.end())
+        note_clock(found->second, status, now);
+    const auto channel = scheduler.m_channels.find(agent);
+    if (channel != scheduler.m_channels.end())
+        channel->second.m_in_flight.reset();
+}
+
+void note_batch_lost(job_scheduler& scheduler, const std::string& agent, instant now)
+{
+    const auto found = scheduler.m_channels.find(agent);
+    if (found == scheduler.m_channels.end() || !found->second.m_in_flight)
+        return;
+    // Repeated under the next number; an agent that received it the first time ignores the repetition.
+    agent_channel& channel = found->second;
+    const order_batch lost = std::move(*channel.m_in_flight);
+    channel.m_in_flight.reset();
+    channel.m_retry_at = now + scheduler.m_limits.m_retry_pause;
+    std::copy_if(lost.m_starts.begin(), lost.m_starts.end(), std::back_inserter(channel.m_starts),
+                 [&](const run_order& order) { return is_still_ordered(scheduler, order.m_run, agent); });
+    channel.m_stops.insert(channel.m_stops.begin(), lost.m_stops.begin(), lost.m_stops.end());
+    const auto view = scheduler.m_agents.m_agents.find(agent);
+    if (view == scheduler.m_agents.m_agents.end())
+        return;
+    for (unseen_order& order : view->second.m_unseen)
+        order.m_batch = channel.m_number + 1;
+}
+
+void advance(job_scheduler& scheduler, instant now)
+{
+    expire_agents(scheduler, now);
+    end_overdue_jobs(scheduler, now);
+    demote_late_tasks(scheduler, now);
+    place_ready_tasks(scheduler, now);
+}
+
+std::vector<outgoing_batch> take_batches(job_scheduler& scheduler, instant now)
+{
+    std::vector<outgoing_batch> batches;
+    for (const auto& [id, agent] : scheduler.m_agents.m_agents) {
+        agent_channel& channel = scheduler.m_channels[id];
+        const bool has_orders = !channel.m_starts.empty() || !channel.m_stops.empty();
+        const bool is_due = has_orders || channel.m_sent_at + scheduler.m_limits.m_heartbeat <= now;
+        if (channel.m_in_flight || !is_due || now < channel.m_retry_at)
+            continue;
+        order_batch batch;
+        batch.m_home = scheduler.m_self;
+        batch.m_home_address = scheduler.m_self_address;
+        batch.m_clock_seen = agent.m_clock_seen;
+        batch.m_number = ++channel.m_number;
+        batch.m_starts = std::exchange(channel.m_starts, {});
+        batch.m_stops = std::exchange(channel.m_stops, {});
+        batch.m_entries = scheduler.m_entries;
+        channel.m_in_flight = batch;
+        channel.m_sent_at = now;
+        batches.push_back({id, agent.m_status.m_address, std::move(batch)});
+    }
+    return batches;
+}
+
+std::size_t count_pending(const job_scheduler& scheduler, const std::string& queue)
+{
+    return static_cast<std::size_t>(
+        std::count_if(scheduler.m_jobs.begin(), scheduler.m_jobs.end(), [&](const auto& item) {
+            return item.second.m_queue.m_name == queue && !item.second.m_is_ordered;
+        }));
+}
+
+} // namespace hawthornpin
--- /dev/null
+++ b/dispatch/job_scheduler.h
@@ -0,0 +1,177 @@
+// An entry's decisions about the jobs that its callers wait for: admission, order, placement, repetition and
+// the answer.
+//
+// Pure: time is an argument; messages to agents and answers to callers are values that the process carries
+// out.
+
+#pragma once
+
+#include "config/service_directory.h"
+#include "dispatch/duration_estimator.h"
+#include "routing/agent_table.h"
+
+#include <compare>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace hawthornpin {
+
+// The state of a task as its entry knows it.
+enum class task_phase { blocked, ready, ordered, done };
+
+struct live_task {
+    task_phase m_phase = task_phase::blocked;
+    // Number of the newest run; 0 before the first.
+    std::uint32_t m_run = 0;
+    // Where the newest run was ordered.
+    std::string m_agent;
+    std::uint32_t m_failed_runs = 0;
+    // Agents where a run failed, was refused or made no progress.
+    std::vector<std::string> m_avoided;
+};
+
+struct live_step {
+    std::uint32_t m_unfinished = 0;
+    std::uint32_t m_unfinished_dependencies = 0;
+    milliseconds m_estimate{0};
+    // Expected length of the chain from this step's start to the job's end.
+    milliseconds m_chain{0};
+    std::vector<live_task> m_tasks;
+};
+
+// A job whose caller waits. Invariant: it is answered exactly once, when it leaves the scheduler.
+struct live_job {
+    work_request m_request;
+    queue_contract m_queue;
+    instant m_arrived;
+    // On time until then.
+    instant m_objective;
+    // The caller leaves then.
+    instant m_give_up;
+    std::vector<live_step> m_steps;
+    // Whether an order for any of its tasks may have left this process.
+    bool m_is_ordered = false;
+};
+
+// Ready tasks in the order in which they are placed: those that can be on time first, the least slack first.
+struct ready_key {
+    bool m_is_late = false;
+    instant m_latest_start;
+    std::string m_job;
+    std::uint32_t m_step = 0;
+    std::uint32_t m_index = 0;
+
+    friend auto operator<=>(const ready_key&, const ready_key&) = default;
+};
+
+// How a job left the scheduler.
+enum class job_end {
+    completed,
+    failed,
+    // Not run and never will be by this request; the caller may come back after m_retry_after.
+    refused,
+};
+
+// Why; the name of a counter and of a log field.
+enum class job_end_reason {
+    all_done,
+    attempts_exhausted,
+    never_fits,
+    unsupported,
+    no_worker,
+    overload,
+    late_before_start,
+    caller_deadline,
+    shutting_down,
+};
+inline constexpr std::size_t job_end_reason_count =
+    static_cast<std::size_t>(job_end_reason::shutting_down) + 1;
+const char* to_text(job_end_reason why);
+
+struct job_answer_event {
+    std::string m_job;
+    job_end m_end = job_end::completed;
+    job_end_reason m_reason = job_end_reason::all_done;
+    milliseconds m_retry_after{0};
+
+    friend bool operator==(const job_answer_event&, const job_answer_event&) = default;
+};
+
+// A message that is due to an agent.
+struct outgoing_batch {
+    std::string m_agent;
+    std::string m_address;
+    order_batch m_batch;
+};
+
+struct scheduler_limits {
+    // An idle agent hears from the entry this often, so that its clock is known and its home lease lasts.
+    milliseconds m_heartbeat{100};
+    // A message to an agent is repeated if it is not answered by then.
+    milliseconds m_answer_timeout{250};
+    // Pause before a message that was not answered is repeated.
+    milliseconds m_retry_pause{25};
+    // How long an order may wait at an agent whose room was taken by another entry.
+    milliseconds m_start_within{40};
+    // Tasks looked at, without finding room, before the rest of the ready tasks waits for the next round.
+    std::size_t m_placement_misses = 16;
+    // Share of a job's slack that may be spent on waiting when it is admitted.
+    double m_admitted_slack = 1.0;
+};
+
+// Messages between this entry and one agent.
+struct agent_channel {
+    std::vector<run_order> m_starts;
+    std::vector<run_id> m_stops;
+    // The batch that waits for its answer.
+    std::optional<order_batch> m_in_flight;
+    std::uint64_t m_number = 0;
+    instant m_sent_at;
+    // After a message that was not answered.
+    instant m_retry_at;
+};
+
+struct job_scheduler {
+    scheduler_limits m_limits;
+    home_identity m_self;
+    std::string m_self_address;
+    std::vector<std::string> m_entries;
+    bool m_is_shutting_down = false;
+
+    agent_table m_agents;
+    duration_estimator m_estimator;
+    std::map<std::string, live_job> m_jobs;
+    std::set<ready_key> m_ready;
+    std::map<std::string, agent_channel> m_channels;
+    std::vector<job_answer_event> m_answers;
+};
+
+// Admits the job or ends it at once with an answer. A job that is known already is left as it is.
+void submit_job(job_scheduler& scheduler, const work_request& request, const queue_contract& queue,
+                milliseconds caller_patience, instant now);
+
+// The caller left or cancelled: stops what runs; no answer follows. False if the job is not known.
+bool cancel_job(job_scheduler& scheduler, const std::string& job);
+
+// A status and outcomes from an agent.
+void note_agent_report(job_scheduler& scheduler, const agent_status& status,
+                       const std::vector<run_outcome>& outcomes, instant now);
+
+// The end of a message to an agent.
+void note_batch_answered(job_scheduler& scheduler, const std::string& agent, const agent_status& status,
+                         instant now);
+void note_batch_lost(job_scheduler& scheduler, const std::string& agent, instant now);
+
+// Moves everything that is due: lost agents, late jobs, placement. Answers collect in m_answers.
+void advance(job_scheduler& scheduler, instant now);
+
+// Messages that are due; each must end in note_batch_answered() or note_batch_lost().
+std::vector<outgoing_batch> take_batches(job_scheduler& scheduler, instant now);
+
+// Admitted jobs of a queue of which nothing has been ordered.
+std::size_t count_pending(const job_scheduler& scheduler, const std::string& queue);
+
+} // namespace hawthornpin
--- a/http/api_server.cpp
+++ b/http/api_server.cpp
@@ -3,6 +3,9 @@
 #include "http/api_server.h"
 
 #include <gio/gio.h>
+#include <sys/socket.h>
+
+#include <cerrno>
 
 namespace hawthornpin {
 
@@ -54,7 +57,7 @@
     meter->m_left -= std::min<std::size_t>(size, meter->m_left);
 }
 
-api_request read_request(SoupServerMessage* message, const char* path)
+api_request read_request(SoupServerMessage* message, const char* path, const api_limits& limits)
 {
     SoupMessageHeaders* headers = soup_server_message_get_request_headers(message);
     api_request request;
@@ -65,6 +68,9 @@
     request.m_authorization = header(headers, "Authorization");
     request.m_prefer = header(headers, "Prefer");
     request.m_budget_ms = header(headers, "Hawthornpin-Budget-Ms");
+    request.m_host = header(headers, "Host");
+    for (const std::string& name : limits.m_kept_headers)
+        request.m_kept_headers.push_back(header(headers, name.c_str()));
     request.m_input_fault = noted_fault(message);
     if (request.m_input_fault != reason::none)
         return request;
@@ -153,12 +159,17 @@
     {
         ++m_server.m_in_progress;
         m_finished = g_signal_connect(message, "finished", G_CALLBACK(+[](SoupServerMessage*, gpointer data) {
-                                          static_cast<exchange*>(data)->m_is_over = true;
+                                          auto* self = static_cast<exchange*>(data);
+                                          self->m_is_over = true;
+                                          self->m_gone.fulfiller->fulfill();
                                       }),
                                       this);
+        if (server.m_limits.m_is_abandoned_on_close)
+            watch_socket();
     }
     ~exchange()
     {
+        stop_watching();
         g_signal_handler_disconnect(m_message, m_finished);
         g_object_unref(m_message);
         --m_server.m_in_progress;
@@ -166,8 +177,45 @@
     exchange(const exchange&) = delete;
     exchange& operator=(const exchange&) = delete;
 
+    // Fulfilled when the client is gone. Call once.
+    kj::Promise<void> when_gone() { return kj::mv(m_gone.promise); }
+
+    // libsoup does not look at a connection whose request is being handled.
+    void watch_socket()
+    {
+        GSocket* socket = soup_server_message_get_socket(m_message);
+        if (socket == nullptr)
+            return;
+        m_watch = g_socket_create_source(socket, static_cast<GIOCondition>(G_IO_IN | G_IO_HUP | G_IO_ERR), nullptr);
+        g_source_set_callback(m_watch, G_SOURCE_FUNC(on_socket_event), this, nullptr);
+        g_source_attach(m_watch, nullptr);
+    }
+    void stop_watching()
+    {
+        if (m_watch == nullptr)
+            return;
+        g_source_destroy(m_watch);
+        g_source_unref(m_watch);
+        m_watch = nullptr;
+    }
+    static gboolean on_socket_event(GSocket* socket, GIOCondition /*condition*/, gpointer data)
+    {
+        auto* self = static_cast<exchange*>(data);
+        char byte = 0;
+        const ssize_t size = ::recv(g_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        const bool is_open = size > 0 || (size < 0 && (errno == EAGAIN || errno == EINTR));
+        if (!is_open)
+            self->m_gone.fulfiller->fulfill();
+        // The next request of an impatient client; it is read after this one's response.
+        if (size > 0 || !is_open)
+            self->stop_watching();
+        return G_SOURCE_CONTINUE;
+    }
+
     api_server& m_server;
     SoupServerMessage* m_message;
+    GSource* m_watch = nullptr;
+    kj::PromiseFulfillerPair<void> m_gone = kj::newPromiseAndFulfiller<void>();
     gulong m_finished = 0;
     // Set when the client went away before the response.
     bool m_is_over = false;
@@ -180,7 +228,14 @@
     soup_server_message_pause(message);
     auto current = kj::heap<exchange>(*self, message);
     exchange& open = *current;
-    auto answered = kj::evalNow([&] { return self->m_handler(read_request(message, path)); });
+    auto answered = kj::evalNow([&] { return self->m_handler(read_request(message, path, self->m_limits)); });
+    if (self->m_limits.m_is_abandoned_on_close) {
+        answered = answered.exclusiveJoin(open.when_gone().then([] {
+            api_response dropped;
+            dropped.m_is_dropped = true;
+            return dropped;
+        }));
+    }
     auto written = answered.then(
         [self, &open](api_response&& response) {
             if (!open.m_is_over)
--- a/http/api_server.h
+++ b/http/api_server.h
@@ -25,6 +25,9 @@
     std::string m_authorization;
     std::string m_prefer;
     std::string m_budget_ms;
+    std::string m_host;
+    // Values of the headers that api_limits names, in that order; empty where there is none.
+    std::vector<std::string> m_kept_headers;
     // Set when the input broke a limit of the server; the body is empty then.
     reason m_input_fault = reason::none;
 };
@@ -45,6 +48,10 @@
     std::size_t m_max_header_bytes = 8 * 1024;
     // A client that sends nothing for this long is cut off.
     unsigned m_idle_seconds = 30;
+    // Names of further request headers that the handler needs.
+    std::vector<std::string> m_kept_headers;
+    // Drops the handler's promise when the client closes its connection, instead of letting it run on.
+    bool m_is_abandoned_on_close = false;
 };
 
 using api_handler = std::function<kj::Promise<api_response>(api_request)>;
--- a/main/agent_main.cpp
+++ b/main/agent_main.cpp
@@ -2,6 +2,7 @@
 
 #include "main/agent_process.h"
 #include "main/daemon.h"
+#include "main/platform_process.h"
 #include "main/process_settings.h"
 
 #include <csignal>
@@ -33,5 +34,5 @@
 
 int main(int argument_count, char** arguments)
 {
-    return run_daemon(argument_count, arguments, "hawthornpin-agent", agent_settings_table(), run_agent);
+    return run_daemon(argument_count, arguments, "hawthornpin-agent", agent_settings_table(), run_agent, run_platform_agent);
 }
--- a/main/daemon.cpp
+++ b/main/daemon.cpp
@@ -20,6 +20,7 @@
     add("help", "show this help");
     add("version", "show the version");
     add("settings", options::value<std::string>(), "the settings file (INI)");
+    add("platform", "run with the settings that the users' platform hands over");
     add("check-settings", "check the settings file and exit; 0 if it is good, 2 if not");
     add("settings-reference", "print a table of all settings");
     return description;
@@ -48,7 +49,7 @@
 } // namespace
 
 int run_daemon(int argument_count, char** arguments, const std::string& program, const settings_table& table,
-               const daemon_body& body)
+               const daemon_body& body, const platform_body& on_platform)
 {
     std::signal(SIGPIPE, SIG_IGN);
     const auto description = describe_options();
@@ -72,6 +73,8 @@
         std::cout << to_markdown(table);
         return to_status(exit_code::success);
     }
+    if (values.count("platform") != 0)
+        return to_status(on_platform());
     return run_with_settings(values, table, body);
 }
 
--- a/main/daemon.h
+++ b/main/daemon.h
@@ -20,9 +20,12 @@
 // How a daemon runs once its settings are checked; returns its exit code.
 using daemon_body = std::function<exit_code(const settings&)>;
 
+// The same, with settings that the platform hands over.
+using platform_body = std::function<exit_code()>;
+
 // Parses the options of a daemon, checks its settings and runs it. Handles --help, --version,
-// --check-settings and --settings-reference.
+// --check-settings, --settings-reference and --platform.
 int run_daemon(int argument_count, char** arguments, const std::string& program, const settings_table& table,
-               const daemon_body& body);
+               const daemon_body& body, const platform_body& on_platform);
 
 } // namespace hawthornpin
--- a/main/entry_main.cpp
+++ b/main/entry_main.cpp
@@ -2,6 +2,7 @@
 
 #include "main/daemon.h"
 #include "main/entry_process.h"
+#include "main/platform_process.h"
 #include "main/process_settings.h"
 
 #include <csignal>
@@ -33,5 +34,5 @@
 
 int main(int argument_count, char** arguments)
 {
-    return run_daemon(argument_count, arguments, "hawthornpin-entry", entry_settings_table(), run_entry);
+    return run_daemon(argument_count, arguments, "hawthornpin-entry", entry_settings_table(), run_entry, run_platform_entry);
 }
--- /dev/null
+++ b/main/platform_agent.cpp
@@ -0,0 +1,326 @@
+// Wiring of the agent on the platform: worker, entries, store and shutdown.
+
+#include "main/platform_agent.h"
+
+#include "core/logging.h"
+#include "core/random.h"
+#include "platform/call_paths.h"
+#include "platform/message_decoding.h"
+
+namespace hawthornpin {
+
+namespace {
+
+// Time-driven decisions happen at this pace; all others at once.
+constexpr unsigned tick_ms = 20;
+// After a renewal that was refused or not answered.
+constexpr unsigned renewal_pause_ms = 20;
+// A report or presentation that takes longer is repeated on a new connection.
+constexpr milliseconds call_timeout{250};
+// An entry that has not ordered for this long is told that the agent is there.
+constexpr milliseconds present_after{600};
+constexpr milliseconds present_pause{250};
+// Without any entry for this long, the store is asked for them.
+constexpr milliseconds ask_store_after{1'500};
+constexpr milliseconds ask_store_pause{2'000};
+// Before the grace is over: what still runs is stopped, and the process ends.
+constexpr milliseconds stop_before_grace{1'000};
+constexpr milliseconds exit_before_grace{400};
+// Orders that were under way when the entries were told are still handed back.
+constexpr milliseconds linger_when_idle{300};
+constexpr std::size_t max_links = 64;
+
+} // namespace
+
+class platform_agent::node_server final : public wire::Node::Server {
+public:
+    explicit node_server(platform_agent& agent) : m_agent(agent) {}
+
+    kj::Promise<void> order(OrderContext context) override
+    {
+        const order_batch batch = read_wire(context.getParams().getBatch());
+        context.releaseParams();
+        m_agent.on_orders(batch);
+        write_wire(context.getResults().initStatus(), m_agent.make_status(&batch.m_home));
+        return kj::READY_NOW;
+    }
+
+private:
+    platform_agent& m_agent;
+};
+
+platform_agent::platform_agent(event_loop& loop, const process_place& place)
+    : m_loop(loop), m_place(place), m_life{place.m_node, draw_unpredictable()},
+      m_worker(place.m_worker_address), m_store(place.m_store_address), m_links(max_links)
+{
+    m_guard.m_limits = make_run_guard_limits(place.m_max_lease, place.m_stop_time, place.m_resubmit_after);
+    // Rises from life to life; an agent whose clock was set back finds out from the worker.
+    m_guard.m_fence = to_unix_ms(process_clock().now());
+    m_entries.m_self = place.m_peer_address;
+    add_seeds(m_entries, place.m_seed_addresses);
+}
+
+platform_agent::~platform_agent() = default;
+
+bool platform_agent::start(last_reason& why)
+{
+    m_report_server = std::make_unique<api_server>(
+        [this](const api_request& request) { return on_worker_call(request); }, api_limits());
+    if (!m_report_server->listen(m_place.m_report_address, why))
+        return false;
+    auto socket = listen_on(m_place.m_peer_address, why);
+    if (!socket)
+        return false;
+    m_rpc_server = std::make_unique<rpc_server>(std::move(*socket), platform_cluster_key,
+                                                kj::heap<node_server>(*this), rpc_server_limits(), m_metrics);
+    m_tasks.add(renew_forever());
+    m_tick = std::make_unique<timer>(tick_ms, [this] { return on_tick(); });
+    return true;
+}
+
+void platform_agent::begin_leaving()
+{
+    if (m_leaving_since)
+        return;
+    log_event(log_level::info, "leaving");
+    m_leaving_since = boot_now();
+    m_guard.m_is_shutting_down = true;
+    for (const auto& [home, owed] : m_guard.m_homes)
+        present_to(owed.m_address);
+    schedule_step();
+}
+
+kj::Promise<api_response> platform_agent::on_worker_call(const api_request& request)
+{
+    const auto target = decode_worker_call(request.m_method, request.m_path);
+    if (!target)
+        return api_response{404, "", "application/json", "", "", false};
+    if (target->m_call == worker_call::leave) {
+        log_event(log_level::info, "worker_left", {{"worker", target->m_worker}});
+        note_worker_left(m_guard, target->m_worker, boot_now());
+        schedule_step();
+        return api_response{200, "{}", "application/json", "", "", false};
+    }
+    last_reason why;
+    const auto report = decode_worker_report(target->m_worker, request.m_body, why);
+    if (!report) {
+        log_event(log_level::warning, "worker_report_unreadable", {{"reason", why.text()}});
+        return api_response{400, "{}", "application/json", "", "", false};
+    }
+    const bool was_draining = m_guard.m_report && m_guard.m_report->m_is_draining;
+    note_worker_report(m_guard, *report, boot_now());
+    if (report->m_is_draining && !was_draining)
+        log_event(log_level::info, "worker_draining", {{"worker", target->m_worker}});
+    schedule_step();
+    return api_response{200, "{}", "application/json", "", "", false};
+}
+
+void platform_agent::on_orders(const order_batch& batch)
+{
+    const instant now = boot_now();
+    m_heard_entry_at = now;
+    note_heard(m_entries, batch.m_home_address, now);
+    note_hearsay(m_entries, batch.m_entries, now);
+    accept_orders(m_guard, batch, now);
+    schedule_step();
+}
+
+void platform_agent::schedule_step()
+{
+    if (m_is_step_scheduled)
+        return;
+    m_is_step_scheduled = true;
+    m_tasks.add(kj::evalLater([this] {
+        m_is_step_scheduled = false;
+        step();
+    }));
+}
+
+void platform_agent::step()
+{
+    const guard_actions actions = advance(m_guard, boot_now());
+    for (const run_order& order : actions.m_starts)
+        call_start(order);
+    for (const run_id& run : actions.m_stops)
+        call_stop(run);
+    send_reports();
+}
+
+void platform_agent::call_start(const run_order& order)
+{
+    m_metrics.count(counter::tasks_started);
+    const run_id run = order.m_run;
+    const std::int64_t deadline = next_deadline_ms(m_guard, boot_now());
+    m_tasks.add(m_worker.start(order, m_guard.m_fence, deadline, worker_id()).then([this, run](start_answer answer) {
+        const instant now = boot_now();
+        if (answer == start_answer::fenced)
+            note_fenced(m_guard);
+        if (answer == start_answer::other_life)
+            note_other_life(m_guard, now);
+        note_start_answer(m_guard, run, answer, now);
+        schedule_step();
+    }));
+}
+
+void platform_agent::call_stop(const run_id& run)
+{
+    m_tasks.add(m_worker.stop(run, m_guard.m_fence, worker_id()).then([this, run](bool is_answered) {
+        note_stop_answer(m_guard, run, is_answered, boot_now());
+        schedule_step();
+    }));
+}
+
+void platform_agent::send_reports()
+{
+    for (const auto& [home, owed] : m_guard.m_homes) {
+        if (!owed.m_outcomes.empty() && !m_reports_in_flight.contains(home))
+            send_report(home, owed);
+    }
+}
+
+void platform_agent::send_report(const home_identity& home, const guarded_home& owed)
+{
+    m_reports_in_flight.insert(home);
+    const std::size_t count = owed.m_outcomes.size();
+    m_tasks.add(m_links.report(owed.m_address, make_status(&home), owed.m_outcomes, call_timeout)
+                    .then([this, home, count](bool is_answered) {
+                        m_reports_in_flight.erase(home);
+                        if (!is_answered)
+                            return;
+                        m_metrics.count(counter::tasks_finished, count);
+                        acknowledge_outcomes(m_guard, home, count);
+                        send_reports();
+                    }));
+}
+
+kj::Promise<void> platform_agent::renew_forever()
+{
+    const renewal asked = begin_renewal(m_guard, boot_now());
+    return m_worker.renew(asked, worker_id()).then([this, asked](renewal_answer answer) -> kj::Promise<void> {
+        note_renewal(asked, answer);
+        schedule_step();
+        if (answer.m_fate == renewal_fate::listed && asked.m_wait.count() > 0)
+            return renew_forever();
+        return after_delay(renewal_pause_ms).then([this] { return renew_forever(); });
+    });
+}
+
+void platform_agent::note_renewal(const renewal& asked, const renewal_answer& answer)
+{
+    const instant now = boot_now();
+    switch (answer.m_fate) {
+    case renewal_fate::listed:
+        m_metrics.count(counter::leases_renewed);
+        note_listing(m_guard, answer.m_listing, asked, now);
+        break;
+    case renewal_fate::fenced:
+        note_fenced(m_guard);
+        break;
+    case renewal_fate::other_life:
+        log_event(log_level::warning, "worker_replaced", {{"worker", worker_id()}});
+        note_other_life(m_guard, now);
+        break;
+    case renewal_fate::unanswered:
+        break;
+    }
+}
+
+bool platform_agent::on_tick()
+{
+    forget_silent(m_entries, boot_now());
+    present_to_entries();
+    step();
+    finish_if_idle();
+    return true;
+}
+
+void platform_agent::present_to_entries()
+{
+    const instant now = boot_now();
+    for (auto& [address, entry] : m_entries.m_entries) {
+        const bool is_due = entry.m_heard_at + present_after < now && entry.m_called_at + present_pause < now;
+        if (!is_due || m_presents_in_flight.contains(address))
+            continue;
+        entry.m_called_at = now;
+        present_to(address);
+    }
+    const bool is_alone = m_heard_entry_at + ask_store_after < now && m_store_read_at + ask_store_pause < now;
+    if (is_alone)
+        learn_entries_from_store();
+}
+
+void platform_agent::present_to(const std::string& address)
+{
+    m_presents_in_flight.insert(address);
+    m_metrics.count(counter::announces_sent);
+    m_tasks.add(m_links.present(address, make_status(nullptr), call_timeout)
+                    .then([this, address](std::optional<std::vector<std::string>> entries) {
+                        m_presents_in_flight.erase(address);
+                        if (entries)
+                            note_hearsay(m_entries, *entries, boot_now());
+                    }));
+}
+
+void platform_agent::learn_entries_from_store()
+{
+    if (m_is_reading_store)
+        return;
+    m_is_reading_store = true;
+    m_store_read_at = boot_now();
+    m_tasks.add(m_store.read_newest(entry_topic).then([this](std::optional<newest_page> page) {
+        m_is_reading_store = false;
+        if (!page)
+            return;
+        std::vector<std::string> addresses;
+        for (const keyed_record& record : page->m_records)
+            addresses.push_back(record.m_value);
+        note_hearsay(m_entries, addresses, boot_now());
+    }));
+}
+
+void platform_agent::finish_if_idle()
+{
+    if (!m_leaving_since)
+        return;
+    const instant now = boot_now();
+    if (*m_leaving_since + m_place.m_shutdown_grace - stop_before_grace < now)
+        stop_all(m_guard, now);
+    if (!is_idle(m_guard))
+        m_idle_since.reset();
+    else if (!m_idle_since)
+        m_idle_since = now;
+    const bool is_done = m_idle_since && *m_idle_since + linger_when_idle < now;
+    const bool is_over = *m_leaving_since + m_place.m_shutdown_grace - exit_before_grace < now;
+    if (is_done || is_over)
+        m_loop.stop();
+}
+
+agent_status platform_agent::make_status(const home_identity* receiver)
+{
+    const instant now = boot_now();
+    agent_status status;
+    status.m_life = m_life;
+    status.m_address = m_place.m_peer_address;
+    status.m_zone = m_place.m_zone;
+    status.m_service = m_place.m_service;
+    status.m_state = state_of(m_guard, now);
+    status.m_is_settled = m_guard.m_has_listing && m_guard.m_foreign.empty();
+    status.m_free = free_capacity(m_guard);
+    status.m_clock = static_cast<std::uint64_t>(now.time_since_epoch().count());
+    status.m_sequence = ++m_status_sequence;
+    if (m_guard.m_report) {
+        status.m_capacity = m_guard.m_report->m_capacity;
+        status.m_labels = m_guard.m_report->m_labels;
+    }
+    const auto home = receiver == nullptr ? m_guard.m_homes.end() : m_guard.m_homes.find(*receiver);
+    if (home != m_guard.m_homes.end())
+        status.m_orders_seen = home->second.m_orders_seen;
+    return status;
+}
+
+std::string platform_agent::worker_id() const
+{
+    return m_guard.m_report ? m_guard.m_report->m_life.m_id : "";
+}
+
+} // namespace hawthornpin
--- /dev/null
+++ b/main/platform_agent.h
@@ -0,0 +1,85 @@
+// The agent on the users' platform: the only process that calls its worker.
+
+#pragma once
+
+#include "core/event_loop.h"
+#include "core/metrics.h"
+#include "dispatch/run_guard.h"
+#include "http/api_server.h"
+#include "main/platform_link.h"
+#include "membership/entry_list.h"
+#include "platform/process_place.h"
+#include "platform/store_client.h"
+#include "platform/worker_client.h"
+#include "rpc/rpc_server.h"
+
+#include <memory>
+#include <set>
+#include <string>
+
+namespace hawthornpin {
+
+class platform_agent {
+public:
+    platform_agent(event_loop& loop, const process_place& place);
+    ~platform_agent();
+    platform_agent(const platform_agent&) = delete;
+    platform_agent& operator=(const platform_agent&) = delete;
+
+    // Listens and begins to look for entries; false with a reason on failure.
+    bool start(last_reason& why);
+
+    // Takes no more orders, lets runs end and stops the loop within the platform's grace.
+    void begin_leaving();
+
+private:
+    class node_server;
+
+    kj::Promise<api_response> on_worker_call(const api_request& request);
+    void on_orders(const order_batch& batch);
+
+    // Carries out what the guard decides, after each event.
+    void step();
+    void schedule_step();
+    void call_start(const run_order& order);
+    void call_stop(const run_id& run);
+    void send_reports();
+    void send_report(const home_identity& home, const guarded_home& owed);
+
+    kj::Promise<void> renew_forever();
+    void note_renewal(const renewal& asked, const renewal_answer& answer);
+
+    bool on_tick();
+    void present_to_entries();
+    void present_to(const std::string& address);
+    void learn_entries_from_store();
+    void finish_if_idle();
+
+    agent_status make_status(const home_identity* receiver);
+    std::string worker_id() const;
+
+    event_loop& m_loop;
+    process_place m_place;
+    metrics m_metrics;
+    run_guard m_guard;
+    agent_life m_life;
+    std::uint64_t m_status_sequence = 0;
+    entry_list m_entries;
+    worker_client m_worker;
+    store_client m_store;
+    platform_link m_links;
+    std::unique_ptr<api_server> m_report_server;
+    std::unique_ptr<rpc_server> m_rpc_server;
+    std::unique_ptr<timer> m_tick;
+    std::set<home_identity> m_reports_in_flight;
+    std::set<std::string> m_presents_in_flight;
+    bool m_is_step_scheduled = false;
+    bool m_is_reading_store = false;
+    instant m_store_read_at;
+    instant m_heard_entry_at;
+    std::optional<instant> m_leaving_since;
+    std::optional<instant> m_idle_since;
+    background_tasks m_tasks;
+};
+
+} // namespace hawthornpin
--- /dev/null
+++ b/main/platform_link.cpp
@@ -0,0 +1,94 @@
+// Requests and responses of the run calls.
+
+#include "main/platform_link.h"
+
+#include "core/event_loop.h"
+
+namespace hawthornpin {
+
+namespace {
+
+// Turns the outcome of a call into an optional.
+template <typename Value>
+kj::Promise<std::optional<Value>> to_optional(kj::Promise<call_result<std::optional<Value>>>&& call)
+{
+    return call.then([](call_result<std::optional<Value>> result) {
+        return result.m_fate == call_fate::answered ? std::move(result.m_response) : std::nullopt;
+    });
+}
+
+} // namespace
+
+template <typename Value>
+kj::Promise<std::optional<Value>> platform_link::within(kj::Promise<std::optional<Value>>&& call,
+                                                        const std::string& address, milliseconds timeout)
+{
+    auto late = after_delay(static_cast<unsigned>(timeout.count())).then([this, address] {
+        m_links.drop(address);
+        return std::optional<Value>();
+    });
+    return call.exclusiveJoin(kj::mv(late));
+}
+
+kj::Promise<std::optional<agent_status>> platform_link::order(const std::string& address,
+                                                              const order_batch& batch, milliseconds timeout)
+{
+    using response = std::optional<agent_status>;
+    auto call = call_node<response>(m_links, address, [batch](wire::Node::Client node) {
+        auto request = node.orderRequest();
+        write_wire(request.initBatch(), batch);
+        return request.send().then([](auto answer) { return response(read_wire(answer.getStatus())); });
+    });
+    return within(to_optional(kj::mv(call)), address, timeout);
+}
+
+kj::Promise<bool> platform_link::report(const std::string& address, const agent_status& status,
+                                        const std::vector<run_outcome>& outcomes, milliseconds timeout)
+{
+    using response = std::optional<bool>;
+    auto call = call_node<response>(m_links, address, [status, outcomes](wire::Node::Client node) {
+        auto request = node.reportRequest();
+        write_wire(request.initStatus(), status);
+        write_wire(request.initOutcomes(static_cast<unsigned>(outcomes.size())), outcomes);
+        return request.send().then([](auto) { return response(true); });
+    });
+    return within(to_optional(kj::mv(call)), address, timeout).then([](response answer) {
+        return answer.value_or(false);
+    });
+}
+
+kj::Promise<std::optional<std::vector<std::string>>>
+platform_link::present(const std::string& address, const agent_status& status, milliseconds timeout)
+{
+    using response = std::optional<std::vector<std::string>>;
+    auto call = call_node<response>(m_links, address, [status](wire::Node::Client node) {
+        auto request = node.presentRequest();
+        write_wire(request.initStatus(), status);
+        return request.send().then([](auto answer) { return response(read_wire(answer.getEntries())); });
+    });
+    return within(to_optional(kj::mv(call)), address, timeout);
+}
+
+kj::Promise<std::optional<shared_knowledge>> platform_link::share(const std::string& address,
+                                                                  const std::string& own_address,
+                                                                  const shared_knowledge& known,
+                                                                  milliseconds timeout)
+{
+    using response = std::optional<shared_knowledge>;
+    auto call = call_node<response>(m_links, address, [own_address, known](wire::Node::Client node) {
+        auto request = node.shareRequest();
+        request.setAddress(own_address);
+        write_wire(request.initEntries(static_cast<unsigned>(known.m_entries.size())), known.m_entries);
+        request.setVersion(known.m_version);
+        return request.send().then([](auto answer) {
+            shared_knowledge other;
+            other.m_entries = read_wire(answer.getEntries());
+            other.m_version = answer.getVersion();
+            other.m_directory = answer.getDirectory().cStr();
+            return response(std::move(other));
+        });
+    });
+    return within(to_optional(kj::mv(call)), address, timeout);
+}
+
+} // namespace hawthornpin
--- /dev/null
+++ b/main/platform_link.h
@@ -0,0 +1,50 @@
+// Calls between the processes of this system about runs, each with a time limit.
+
+#pragma once
+
+#include "rpc/link.h"
+#include "rpc/run_wire.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace hawthornpin {
+
+// The platform's settings hold no secret; its network admits only the machines of one system.
+inline constexpr const char* platform_cluster_key = "hawthornpin-platform";
+
+// Knowledge that entries exchange.
+struct shared_knowledge {
+    std::vector<std::string> m_entries;
+    std::int64_t m_version = 0;
+    // The configuration's text, if it is newer than what the other one has.
+    std::string m_directory;
+};
+
+// Every promise is empty or false if the peer can't be reached or does not answer in time; its link is closed
+// then, so that a connection that went silent is not used again.
+class platform_link {
+public:
+    explicit platform_link(std::size_t max_links) : m_links(platform_cluster_key, max_links) {}
+
+    kj::Promise<std::optional<agent_status>> order(const std::string& address, const order_batch& batch,
+                                                   milliseconds timeout);
+    kj::Promise<bool> report(const std::string& address, const agent_status& status,
+                             const std::vector<run_outcome>& outcomes, milliseconds timeout);
+    kj::Promise<std::optional<std::vector<std::string>>> present(const std::string& address,
+                                                                 const agent_status& status,
+                                                                 milliseconds timeout);
+    kj::Promise<std::optional<shared_knowledge>> share(const std::string& address,
+                                                       const std::string& own_address,
+                                                       const shared_knowledge& known, milliseconds timeout);
+
+private:
+    template <typename Value>
+    kj::Promise<std::optional<Value>> within(kj::Promise<std::optional<Value>>&& call,
+                                             const std::string& address, milliseconds timeout);
+
+    link_pool m_links;
+};
+
+} // namespace hawthornpin
--- /dev/null
+++ b/membership/entry_list.cpp
@@ -0,0 +1,50 @@
+// Bookkeeping of known entries.
+
+#include "membership/entry_list.h"
+
+namespace hawthornpin {
+
+void add_seeds(entry_list& list, const std::vector<std::string>& addresses)
+{
+    for (const std::string& address : addresses) {
+        if (address != list.m_self)
+            list.m_entries[address].m_is_seed = true;
+    }
+}
+
+void note_hearsay(entry_list& list, const std::vector<std::string>& addresses, instant now)
+{
+    for (const std::string& address : addresses) {
+        if (address == list.m_self || address.empty())
+            continue;
+        list.m_entries.try_emplace(address, known_entry{false, now, instant()});
+    }
+}
+
+void note_heard(entry_list& list, const std::string& address, instant now)
+{
+    if (address == list.m_self || address.empty())
+        return;
+    list.m_entries[address].m_heard_at = now;
+}
+
+void forget_silent(entry_list& list, instant now)
+{
+    std::erase_if(list.m_entries, [now](const auto& item) {
+        return !item.second.m_is_seed && item.second.m_heard_at + forget_entry_after < now;
+    });
+}
+
+std::vector<std::string> list_live(const entry_list& list, instant now)
+{
+    // Shorter than the time after which others forget, so that hearsay does not keep a dead entry alive.
+    constexpr milliseconds live_within{3'000};
+    std::vector<std::string> live;
+    for (const auto& [address, entry] : list.m_entries) {
+        if (entry.m_heard_at + live_within >= now)
+            live.push_back(address);
+    }
+    return live;
+}
+
+} // namespace hawthornpin
--- /dev/null
+++ b/membership/entry_list.h
@@ -0,0 +1,39 @@
+// The entries that a process knows, by peer address. Pure.
+
+#pragma once
+
+#include "core/instant.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace hawthornpin {
+
+// An entry that was not heard for this long is forgotten, unless it is a seed. Longer than a restart takes.
+inline constexpr milliseconds forget_entry_after{15'000};
+
+struct known_entry {
+    bool m_is_seed = false;
+    // When it was last heard itself; hearsay does not count.
+    instant m_heard_at;
+    instant m_called_at;
+};
+
+struct entry_list {
+    // Never listed.
+    std::string m_self;
+    std::map<std::string, known_entry> m_entries;
+};
+
+void add_seeds(entry_list& list, const std::vector<std::string>& addresses);
+// Learned from another process. An entry that is new starts as if heard now.
+void note_hearsay(entry_list& list, const std::vector<std::string>& addresses, instant now);
+// The entry itself called or answered.
+void note_heard(entry_list& list, const std::string& address, instant now);
+void forget_silent(entry_list& list, instant now);
+
+// Entries heard within the period after which they are forgotten: what is told to others.
+std::vector<std::string> list_live(const entry_list& list, instant now);
+
+} // namespace hawthornpin
--- /dev/null
+++ b/routing/agent_table.cpp
@@ -0,0 +1,197 @@
+// Statuses, outcome statistics and the cost of a placement.
+
+#include "routing/agent_table.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace hawthornpin {
+
+namespace {
+
+// Weight of the newest value in the running means: four to seven runs decide.
+constexpr double slowness_weight = 0.15;
+constexpr double failure_weight = 0.3;
+// A worker whose runs fail more often than this is quarantined.
+constexpr double failure_limit = 0.5;
+// Of a quarantined worker's failure share after the quarantine: one more failure brings it back.
+constexpr double probation_share = 0.4;
+// At most this share of a service is quarantined, so that a fault of the tasks does not take all workers.
+constexpr double quarantined_share = 1.0 / 3;
+
+bool has_label(const agent_view& agent, const std::string& label)
+{
+    const auto& labels = agent.m_status.m_labels;
+    return label.empty() || std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
+bool contains(const std::vector<std::string>& ids, const std::string& id)
+{
+    return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
+double placement_cost(const agent_table& table, const agent_view& agent, const placement_request& request)
+{
+    const resources free = free_for_orders(agent);
+    const double capacity = static_cast<double>(std::max<std::int64_t>(1, agent.m_status.m_capacity.m_cpu_milli));
+    const double load = 1 - static_cast<double>(free.m_cpu_milli) / capacity;
+    double cost = agent.m_slowness * (1 + table.m_limits.m_load_cost * load);
+    if (agent.m_status.m_zone != table.m_zone)
+        cost += table.m_limits.m_other_zone_cost;
+    if (!request.m_preferred_rack.empty() && !has_label(agent, request.m_preferred_rack))
+        cost *= table.m_limits.m_other_rack_factor;
+    return cost;
+}
+
+bool is_quarantine_allowed(const agent_table& table, const agent_view& candidate, instant now)
+{
+    double agents = 0;
+    double quarantined = 1;
+    for (const auto& [id, agent] : table.m_agents) {
+        if (agent.m_status.m_service != candidate.m_status.m_service)
+            continue;
+        ++agents;
+        if (agent.m_quarantined_until && *agent.m_quarantined_until > now)
+            ++quarantined;
+    }
+    return quarantined <= std::max(1.0, agents * quarantined_share);
+}
+
+} // namespace
+
+void note_status(agent_table& table, const agent_status& status, instant now)
+{
+    if (table.m_retired.contains(status.m_life))
+        return;
+    const auto found = table.m_agents.find(status.m_life.m_id);
+    const bool is_known = found != table.m_agents.end();
+    if (!is_known || found->second.m_status.m_life != status.m_life) {
+        agent_view fresh;
+        fresh.m_status = status;
+        fresh.m_heard_at = now;
+        fresh.m_known_since = now;
+        if (is_known) {
+            fresh.m_runs = found->second.m_runs;
+            table.m_retired.insert(found->second.m_status.m_life);
+        }
+        table.m_agents[status.m_life.m_id] = std::move(fresh);
+        return;
+    }
+    agent_view& agent = found->second;
+    if (status.m_sequence <= agent.m_status.m_sequence)
+        return;
+    agent.m_status = status;
+    agent.m_heard_at = now;
+    std::erase_if(agent.m_unseen, [&](const unseen_order& order) {
+        return order.m_batch <= status.m_orders_seen;
+    });
+}
+
+void note_clock(agent_view& agent, const agent_status& status, instant now)
+{
+    if (status.m_life != agent.m_status.m_life || status.m_clock < agent.m_clock_seen)
+        return;
+    agent.m_clock_seen = status.m_clock;
+    agent.m_clock_seen_at = now;
+}
+
+void note_duration(agent_view& agent, milliseconds duration, milliseconds estimate)
+{
+    constexpr double least_ms = 1;
+    const double expected = std::max(least_ms, static_cast<double>(estimate.count()));
+    const double ratio = std::max(least_ms, static_cast<double>(duration.count())) / expected;
+    const double mean = std::log(agent.m_slowness);
+    agent.m_slowness = std::exp(mean + slowness_weight * (std::log(ratio) - mean));
+}
+
+void note_success(agent_view& agent)
+{
+    agent.m_failure_share *= 1 - failure_weight;
+    agent.m_quarantine = milliseconds(0);
+    agent.m_quarantined_until.reset();
+}
+
+void note_failure(agent_table& table, agent_view& agent, instant now)
+{
+    agent.m_failure_share += failure_weight * (1 - agent.m_failure_share);
+    const bool is_failing = agent.m_failure_share > failure_limit;
+    if (!is_failing || !is_quarantine_allowed(table, agent, now))
+        return;
+    agent.m_quarantine = std::clamp(2 * agent.m_quarantine, table.m_limits.m_first_quarantine,
+                                    table.m_limits.m_longest_quarantine);
+    agent.m_quarantined_until = now + agent.m_quarantine;
+    agent.m_failure_share = probation_share;
+}
+
+bool is_usable(const agent_table& table, const agent_view& agent, instant now)
+{
+    if (agent.m_status.m_state != agent_state::serving || !agent.m_is_settled)
+        return false;
+    if (agent.m_clock_seen == 0 || now > agent.m_clock_seen_at + table.m_limits.m_suspect_after)
+        return false;
+    if (!agent.m_quarantined_until)
+        return true;
+    // After its quarantine a worker gets one run at a time until one succeeds.
+    return *agent.m_quarantined_until <= now && agent.m_runs == 0;
+}
+
+resources free_for_orders(const agent_view& agent)
+{
+    resources free = agent.m_status.m_free;
+    for (const unseen_order& order : agent.m_unseen)
+        free = free - order.m_needs;
+    return free;
+}
+
+agent_view* choose_agent(agent_table& table, const placement_request& request, instant now)
+{
+    constexpr double avoidance_cost = 1'000;
+    agent_view* best = nullptr;
+    double best_cost = std::numeric_limits<double>::infinity();
+    for (auto& [id, agent] : table.m_agents) {
+        if (agent.m_status.m_service != request.m_service || !is_usable(table, agent, now))
+            continue;
+        if (!has_label(agent, request.m_required_label) || contains(request.m_excluded, id))
+            continue;
+        if (!fits(request.m_needs, free_for_orders(agent)))
+            continue;
+        const double avoidance = contains(request.m_avoided, id) ? avoidance_cost : 0;
+        const double cost = placement_cost(table, agent, request) + avoidance;
+        if (cost < best_cost) {
+            best = &agent;
+            best_cost = cost;
+        }
+    }
+    return best;
+}
+
+bool is_feasible(const agent_table& table, const placement_request& request)
+{
+    return std::any_of(table.m_agents.begin(), table.m_agents.end(), [&](const auto& item) {
+        const agent_view& agent = item.second;
+        return agent.m_status.m_service == request.m_service &&
+               has_label(agent, request.m_required_label) &&
+               fits(request.m_needs, agent.m_status.m_capacity);
+    });
+}
+
+service_load measure_service(const agent_table& table, const std::string& service, instant now)
+{
+    service_load load;
+    double weighted = 0;
+    for (const auto& [id, agent] : table.m_agents) {
+        if (agent.m_status.m_service != service || !is_usable(table, agent, now))
+            continue;
+        const std::int64_t capacity = agent.m_status.m_capacity.m_cpu_milli;
+        load.m_capacity_milli += capacity;
+        load.m_free_milli += std::max<std::int64_t>(0, free_for_orders(agent).m_cpu_milli);
+        weighted += agent.m_slowness * static_cast<double>(capacity);
+        ++load.m_usable_agents;
+    }
+    if (load.m_capacity_milli > 0)
+        load.m_slowness = weighted / static_cast<double>(load.m_capacity_milli);
+    return load;
+}
+
+} // namespace hawthornpin
--- /dev/null
+++ b/routing/agent_table.h
@@ -0,0 +1,114 @@
+// An entry's view of the agents and their workers, and the choice of one for a task. Pure.
+
+#pragma once
+
+#include "world/run_messages.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace hawthornpin {
+
+struct agent_table_limits {
+    // An agent that has not answered for this long gets no orders. Three heartbeats fit in.
+    milliseconds m_suspect_after{300};
+    // All runs of an agent that has not answered for this long have ended: its home lease, the worker's lease
+    // and the time of a stop are over.
+    milliseconds m_lost_after{1'400};
+    // An agent that has not answered for this long is forgotten.
+    milliseconds m_forget_after{10'000};
+    // First and longest time that a failing worker gets no orders; it doubles with each failed probe.
+    milliseconds m_first_quarantine{500};
+    milliseconds m_longest_quarantine{4'000};
+    // Cost of placing a task in another availability zone, as a share of its duration.
+    double m_other_zone_cost = 0.02;
+    // Cost of a full worker over an empty one, as a share of the duration: spreads load among equals.
+    double m_load_cost = 0.1;
+    // How much longer a task takes away from the rack of its data.
+    double m_other_rack_factor = 1.5;
+};
+
+// Orders that the agent's last status did not account for.
+struct unseen_order {
+    std::uint64_t m_batch = 0;
+    resources m_needs;
+};
+
+struct agent_view {
+    agent_status m_status;
+    // When the last status arrived, and when the last answer to a message of this entry did.
+    instant m_heard_at;
+    instant m_clock_seen_at;
+    std::uint64_t m_clock_seen = 0;
+    // When this life was first heard of, and whether the runs of the life before have ended.
+    instant m_known_since;
+    bool m_is_settled = false;
+    std::vector<unseen_order> m_unseen;
+    // Runs that this entry has there.
+    std::uint32_t m_runs = 0;
+    // Mean of duration over estimate, and of failed over ended, weighted towards the newest.
+    double m_slowness = 1;
+    double m_failure_share = 0;
+    std::optional<instant> m_quarantined_until;
+    milliseconds m_quarantine{0};
+};
+
+struct agent_table {
+    agent_table_limits m_limits;
+    std::string m_zone;
+    std::map<std::string, agent_view> m_agents;
+    // Lives that a newer one has replaced; a message of them that arrives late changes nothing.
+    std::set<agent_life> m_retired;
+};
+
+// Takes a status into the table; a late one is ignored. A new life replaces the old one's view, but for the
+// number of runs.
+void note_status(agent_table& table, const agent_status& status, instant now);
+
+// An answer to a message of this entry, with the agent's clock at that time.
+void note_clock(agent_view& agent, const agent_status& status, instant now);
+
+// A run ended there after `duration` where `estimate` was expected.
+void note_duration(agent_view& agent, milliseconds duration, milliseconds estimate);
+void note_success(agent_view& agent);
+void note_failure(agent_table& table, agent_view& agent, instant now);
+
+// What a task asks of the agent that runs it.
+struct placement_request {
+    std::string m_service;
+    resources m_needs;
+    milliseconds m_estimate{0};
+    std::string m_required_label;
+    std::string m_preferred_rack;
+    // Agents that are only taken if there is no other.
+    std::vector<std::string> m_avoided;
+    // Agents that are not taken.
+    std::vector<std::string> m_excluded;
+};
+
+// The agent where the task is expected to end first; null if none has room.
+agent_view* choose_agent(agent_table& table, const placement_request& request, instant now);
+
+// Whether any known worker of the service could run the task when empty.
+bool is_feasible(const agent_table& table, const placement_request& request);
+
+// Whether the agent may get orders now.
+bool is_usable(const agent_table& table, const agent_view& agent, instant now);
+
+// Capacity free for this entry, by its own account.
+resources free_for_orders(const agent_view& agent);
+
+// Totals over the usable workers of a service, in thousandths of a core.
+struct service_load {
+    std::int64_t m_capacity_milli = 0;
+    std::int64_t m_free_milli = 0;
+    std::size_t m_usable_agents = 0;
+    // Mean slowness of the usable agents, by capacity.
+    double m_slowness = 1;
+};
+service_load measure_service(const agent_table& table, const std::string& service, instant now);
+
+} // namespace hawthornpin
--- a/rpc/hawthornpin.capnp
+++ b/rpc/hawthornpin.capnp
@@ -123,6 +123,66 @@
   files @1 :List(ConfigFile);
 }
 
+struct RunRef {
+  job @0 :Text;
+  occurrence @1 :UInt32;
+  step @2 :UInt32;
+  index @3 :UInt32;
+  number @4 :UInt32;
+}
+
+struct Resources {
+  cpuMilli @0 :Int64;
+  memoryMib @1 :Int64;
+  accelerators @2 :Int32;
+}
+
+# Runs of one step, which share all but their index and number.
+struct RunOrders {
+  runs @0 :List(RunRef);
+  specification @1 :Text;
+  needs @2 :Resources;
+  estimateMs @3 :UInt32;
+  startWithinMs @4 :UInt32;
+  slackMs @5 :Int64;
+}
+
+struct Life {
+  id @0 :Text;
+  incarnation @1 :UInt64;
+}
+
+struct OrderBatch {
+  home @0 :Life;
+  homeAddress @1 :Text;
+  clockSeen @2 :UInt64;
+  number @3 :UInt64;
+  starts @4 :List(RunOrders);
+  stops @5 :List(RunRef);
+  entries @6 :List(Text);
+}
+
+struct AgentStatus {
+  life @0 :Life;
+  address @1 :Text;
+  zone @2 :Text;
+  service @3 :Text;
+  labels @4 :List(Text);
+  state @5 :UInt8;
+  isSettled @6 :Bool;
+  capacity @7 :Resources;
+  free @8 :Resources;
+  clock @9 :UInt64;
+  ordersSeen @10 :UInt64;
+  sequence @11 :UInt64;
+}
+
+struct RunOutcome {
+  run @0 :RunRef;
+  result @1 :UInt8;
+  durationMs @2 :UInt32;
+}
+
 # The first capability of every connection: proves that both ends hold the same cluster key.
 interface Authenticator {
   challenge @0 () -> (nonce :Text);
@@ -146,4 +206,12 @@
                configVersion :UInt64, wantsCheckpoint :Bool)
       -> (id :Text, changes :UInt64, entries :List(EntryInfo), members :List(Announcement),
           heartbeats :List(Heartbeat), isMissingMembers :Bool, configVersion :UInt64, checkpoint :Text);
+
+  # Runs on a worker: an entry orders, the agent reports how they ended and presents itself to entries.
+  order @8 (batch :OrderBatch) -> (status :AgentStatus);
+  report @9 (status :AgentStatus, outcomes :List(RunOutcome)) -> ();
+  present @10 (status :AgentStatus) -> (entries :List(Text));
+  # Between entries: who is there, and the directory if the answering one has a newer version.
+  share @11 (address :Text, entries :List(Text), version :Int64)
+      -> (entries :List(Text), version :Int64, directory :Text);
 }
--- a/rpc/hawthornpin.capnp.h
+++ b/rpc/hawthornpin.capnp.h
@@ -34,6 +34,13 @@
 CAPNP_DECLARE_SCHEMA(c75718c6d673f8ec);
 CAPNP_DECLARE_SCHEMA(f7fec9fdbc22b194);
 CAPNP_DECLARE_SCHEMA(a5e13bde3e5e1d98);
+CAPNP_DECLARE_SCHEMA(b8cf2a61129698ad);
+CAPNP_DECLARE_SCHEMA(fcdb1a6e7238c63b);
+CAPNP_DECLARE_SCHEMA(942bfcc623fd4c0e);
+CAPNP_DECLARE_SCHEMA(876b9a92512fe458);
+CAPNP_DECLARE_SCHEMA(c827ce08d5626e51);
+CAPNP_DECLARE_SCHEMA(ea319bdd5dbe9ef2);
+CAPNP_DECLARE_SCHEMA(ecc04a079d328096);
 CAPNP_DECLARE_SCHEMA(8d73251c47bf737c);
 CAPNP_DECLARE_SCHEMA(fe54a2ce80b3194a);
 CAPNP_DECLARE_SCHEMA(e4f22f4e280ba877);
@@ -56,6 +63,14 @@
 CAPNP_DECLARE_SCHEMA(c63b2f10a159a27e);
 CAPNP_DECLARE_SCHEMA(c576a618b9e07156);
 CAPNP_DECLARE_SCHEMA(aa70738f1451f677);
+CAPNP_DECLARE_SCHEMA(8c3a76ee2016a7e9);
+CAPNP_DECLARE_SCHEMA(a6b739353d9e2680);
+CAPNP_DECLARE_SCHEMA(f068fa45ae9fec6d);
+CAPNP_DECLARE_SCHEMA(8d7af4adc5efa01f);
+CAPNP_DECLARE_SCHEMA(d08843c78d3bd194);
+CAPNP_DECLARE_SCHEMA(86e3a4d8f2f436a9);
+CAPNP_DECLARE_SCHEMA(fb4cc42e005e7817);
+CAPNP_DECLARE_SCHEMA(9b28466d322aae4d);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -288,6 +303,111 @@
   };
 };
 
+struct RunRef {
+  RunRef() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b8cf2a61129698ad, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Resources {
+  Resources() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fcdb1a6e7238c63b, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RunOrders {
+  RunOrders() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(942bfcc623fd4c0e, 2, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Life {
+  Life() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(876b9a92512fe458, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct OrderBatch {
+  OrderBatch() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c827ce08d5626e51, 2, 5)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct AgentStatus {
+  AgentStatus() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ea319bdd5dbe9ef2, 4, 7)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RunOutcome {
+  RunOutcome() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ecc04a079d328096, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Authenticator {
   Authenticator() = delete;
 
@@ -393,6 +513,14 @@
   struct AnnounceResults;
   struct ExchangeParams;
   struct ExchangeResults;
+  struct OrderParams;
+  struct OrderResults;
+  struct ReportParams;
+  struct ReportResults;
+  struct PresentParams;
+  struct PresentResults;
+  struct ShareParams;
+  struct ShareResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -642,6 +770,126 @@
   };
 };
 
+struct Node::OrderParams {
+  OrderParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8c3a76ee2016a7e9, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Node::OrderResults {
+  OrderResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a6b739353d9e2680, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Node::ReportParams {
+  ReportParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f068fa45ae9fec6d, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Node::ReportResults {
+  ReportResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8d7af4adc5efa01f, 0, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Node::PresentParams {
+  PresentParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d08843c78d3bd194, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Node::PresentResults {
+  PresentResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(86e3a4d8f2f436a9, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Node::ShareParams {
+  ShareParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fb4cc42e005e7817, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Node::ShareResults {
+  ShareResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9b28466d322aae4d, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class AgentIdentity::Reader {
@@ -2231,68 +2479,9 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class Authenticator::Client
-    : public virtual ::capnp::Capability::Client {
-public:
-  typedef Authenticator Calls;
-  typedef Authenticator Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::hawthornpin::wire::Authenticator::ChallengeParams,  ::hawthornpin::wire::Authenticator::ChallengeResults> challengeRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::hawthornpin::wire::Authenticator::AuthenticateParams,  ::hawthornpin::wire::Authenticator::AuthenticateResults> authenticateRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-
-protected:
-  Client() = default;
-};
-
-class Authenticator::Server
-    : public virtual ::capnp::Capability::Server {
-public:
-  typedef Authenticator Serves;
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::hawthornpin::wire::Authenticator::ChallengeParams ChallengeParams;
-  typedef  ::hawthornpin::wire::Authenticator::ChallengeResults ChallengeResults;
-  typedef ::capnp::CallContext<ChallengeParams, ChallengeResults> ChallengeContext;
-  virtual ::kj::Promise<void> challenge(ChallengeContext context);
-  typedef  ::hawthornpin::wire::Authenticator::AuthenticateParams AuthenticateParams;
-  typedef  ::hawthornpin::wire::Authenticator::AuthenticateResults AuthenticateResults;
-  typedef ::capnp::CallContext<AuthenticateParams, AuthenticateResults> AuthenticateContext;
-  virtual ::kj::Promise<void> authenticate(AuthenticateContext context);
-
-  inline  ::hawthornpin::wire::Authenticator::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::hawthornpin::wire::Authenticator>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
-
-class Authenticator::ChallengeParams::Reader {
+class RunRef::Reader {
 public:
-  typedef ChallengeParams Reads;
+  typedef RunRef Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2307,6 +2496,17 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasJob() const;
+  inline  ::capnp::Text::Reader getJob() const;
+
+  inline  ::uint32_t getOccurrence() const;
+
+  inline  ::uint32_t getStep() const;
+
+  inline  ::uint32_t getIndex() const;
+
+  inline  ::uint32_t getNumber() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2319,9 +2519,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Authenticator::ChallengeParams::Builder {
+class RunRef::Builder {
 public:
-  typedef ChallengeParams Builds;
+  typedef RunRef Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2335,6 +2535,25 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasJob();
+  inline  ::capnp::Text::Builder getJob();
+  inline void setJob( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initJob(unsigned int size);
+  inline void adoptJob(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownJob();
+
+  inline  ::uint32_t getOccurrence();
+  inline void setOccurrence( ::uint32_t value);
+
+  inline  ::uint32_t getStep();
+  inline void setStep( ::uint32_t value);
+
+  inline  ::uint32_t getIndex();
+  inline void setIndex( ::uint32_t value);
+
+  inline  ::uint32_t getNumber();
+  inline void setNumber( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2345,9 +2564,9 @@
 };
 
 #if !CAPNP_LITE
-class Authenticator::ChallengeParams::Pipeline {
+class RunRef::Pipeline {
 public:
-  typedef ChallengeParams Pipelines;
+  typedef RunRef Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2361,9 +2580,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Authenticator::ChallengeResults::Reader {
+class Resources::Reader {
 public:
-  typedef ChallengeResults Reads;
+  typedef Resources Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2378,8 +2597,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasNonce() const;
-  inline  ::capnp::Text::Reader getNonce() const;
+  inline  ::int64_t getCpuMilli() const;
+
+  inline  ::int64_t getMemoryMib() const;
+
+  inline  ::int32_t getAccelerators() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2393,9 +2615,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Authenticator::ChallengeResults::Builder {
+class Resources::Builder {
 public:
-  typedef ChallengeResults Builds;
+  typedef Resources Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2409,12 +2631,14 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasNonce();
-  inline  ::capnp::Text::Builder getNonce();
-  inline void setNonce( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initNonce(unsigned int size);
-  inline void adoptNonce(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownNonce();
+  inline  ::int64_t getCpuMilli();
+  inline void setCpuMilli( ::int64_t value);
+
+  inline  ::int64_t getMemoryMib();
+  inline void setMemoryMib( ::int64_t value);
+
+  inline  ::int32_t getAccelerators();
+  inline void setAccelerators( ::int32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2426,9 +2650,9 @@
 };
 
 #if !CAPNP_LITE
-class Authenticator::ChallengeResults::Pipeline {
+class Resources::Pipeline {
 public:
-  typedef ChallengeResults Pipelines;
+  typedef Resources Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2442,9 +2666,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Authenticator::AuthenticateParams::Reader {
+class RunOrders::Reader {
 public:
-  typedef AuthenticateParams Reads;
+  typedef RunOrders Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2459,8 +2683,20 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasProof() const;
-  inline  ::capnp::Text::Reader getProof() const;
+  inline bool hasRuns() const;
+  inline  ::capnp::List< ::hawthornpin::wire::RunRef,  ::capnp::Kind::STRUCT>::Reader getRuns() const;
+
+  inline bool hasSpecification() const;
+  inline  ::capnp::Text::Reader getSpecification() const;
+
+  inline bool hasNeeds() const;
+  inline  ::hawthornpin::wire::Resources::Reader getNeeds() const;
+
+  inline  ::uint32_t getEstimateMs() const;
+
+  inline  ::uint32_t getStartWithinMs() const;
+
+  inline  ::int64_t getSlackMs() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2474,9 +2710,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Authenticator::AuthenticateParams::Builder {
+class RunOrders::Builder {
 public:
-  typedef AuthenticateParams Builds;
+  typedef RunOrders Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2490,12 +2726,35 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasProof();
-  inline  ::capnp::Text::Builder getProof();
-  inline void setProof( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initProof(unsigned int size);
-  inline void adoptProof(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownProof();
+  inline bool hasRuns();
+  inline  ::capnp::List< ::hawthornpin::wire::RunRef,  ::capnp::Kind::STRUCT>::Builder getRuns();
+  inline void setRuns( ::capnp::List< ::hawthornpin::wire::RunRef,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::hawthornpin::wire::RunRef,  ::capnp::Kind::STRUCT>::Builder initRuns(unsigned int size);
+  inline void adoptRuns(::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::RunRef,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::RunRef,  ::capnp::Kind::STRUCT>> disownRuns();
+
+  inline bool hasSpecification();
+  inline  ::capnp::Text::Builder getSpecification();
+  inline void setSpecification( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSpecification(unsigned int size);
+  inline void adoptSpecification(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSpecification();
+
+  inline bool hasNeeds();
+  inline  ::hawthornpin::wire::Resources::Builder getNeeds();
+  inline void setNeeds( ::hawthornpin::wire::Resources::Reader value);
+  inline  ::hawthornpin::wire::Resources::Builder initNeeds();
+  inline void adoptNeeds(::capnp::Orphan< ::hawthornpin::wire::Resources>&& value);
+  inline ::capnp::Orphan< ::hawthornpin::wire::Resources> disownNeeds();
+
+  inline  ::uint32_t getEstimateMs();
+  inline void setEstimateMs( ::uint32_t value);
+
+  inline  ::uint32_t getStartWithinMs();
+  inline void setStartWithinMs( ::uint32_t value);
+
+  inline  ::int64_t getSlackMs();
+  inline void setSlackMs( ::int64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2507,14 +2766,15 @@
 };
 
 #if !CAPNP_LITE
-class Authenticator::AuthenticateParams::Pipeline {
+class RunOrders::Pipeline {
 public:
-  typedef AuthenticateParams Pipelines;
+  typedef RunOrders Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::hawthornpin::wire::Resources::Pipeline getNeeds();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2523,9 +2783,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Authenticator::AuthenticateResults::Reader {
+class Life::Reader {
 public:
-  typedef AuthenticateResults Reads;
+  typedef Life Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2540,10 +2800,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasNode() const;
-#if !CAPNP_LITE
-  inline  ::hawthornpin::wire::Node::Client getNode() const;
-#endif  // !CAPNP_LITE
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
+
+  inline  ::uint64_t getIncarnation() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2557,9 +2817,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Authenticator::AuthenticateResults::Builder {
+class Life::Builder {
 public:
-  typedef AuthenticateResults Builds;
+  typedef Life Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2573,14 +2833,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasNode();
-#if !CAPNP_LITE
-  inline  ::hawthornpin::wire::Node::Client getNode();
-  inline void setNode( ::hawthornpin::wire::Node::Client&& value);
-  inline void setNode( ::hawthornpin::wire::Node::Client& value);
-  inline void adoptNode(::capnp::Orphan< ::hawthornpin::wire::Node>&& value);
-  inline ::capnp::Orphan< ::hawthornpin::wire::Node> disownNode();
-#endif  // !CAPNP_LITE
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2592,15 +2853,14 @@
 };
 
 #if !CAPNP_LITE
-class Authenticator::AuthenticateResults::Pipeline {
+class Life::Pipeline {
 public:
-  typedef AuthenticateResults Pipelines;
+  typedef Life Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::hawthornpin::wire::Node::Client getNode();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2609,104 +2869,9 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class Node::Client
-    : public virtual ::capnp::Capability::Client {
-public:
-  typedef Node Calls;
-  typedef Node Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::hawthornpin::wire::Node::SubmitParams,  ::hawthornpin::wire::Node::SubmitResults> submitRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::hawthornpin::wire::Node::FetchParams,  ::hawthornpin::wire::Node::FetchResults> fetchRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::hawthornpin::wire::Node::CancelParams,  ::hawthornpin::wire::Node::CancelResults> cancelRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::hawthornpin::wire::Node::RunParams,  ::hawthornpin::wire::Node::RunResults> runRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::hawthornpin::wire::Node::RevokeParams,  ::hawthornpin::wire::Node::RevokeResults> revokeRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::hawthornpin::wire::Node::IdleParams,  ::hawthornpin::wire::Node::IdleResults> idleRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::hawthornpin::wire::Node::AnnounceParams,  ::hawthornpin::wire::Node::AnnounceResults> announceRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::hawthornpin::wire::Node::ExchangeParams,  ::hawthornpin::wire::Node::ExchangeResults> exchangeRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-
-protected:
-  Client() = default;
-};
-
-class Node::Server
-    : public virtual ::capnp::Capability::Server {
-public:
-  typedef Node Serves;
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::hawthornpin::wire::Node::SubmitParams SubmitParams;
-  typedef  ::hawthornpin::wire::Node::SubmitResults SubmitResults;
-  typedef ::capnp::CallContext<SubmitParams, SubmitResults> SubmitContext;
-  virtual ::kj::Promise<void> submit(SubmitContext context);
-  typedef  ::hawthornpin::wire::Node::FetchParams FetchParams;
-  typedef  ::hawthornpin::wire::Node::FetchResults FetchResults;
-  typedef ::capnp::CallContext<FetchParams, FetchResults> FetchContext;
-  virtual ::kj::Promise<void> fetch(FetchContext context);
-  typedef  ::hawthornpin::wire::Node::CancelParams CancelParams;
-  typedef  ::hawthornpin::wire::Node::CancelResults CancelResults;
-  typedef ::capnp::CallContext<CancelParams, CancelResults> CancelContext;
-  virtual ::kj::Promise<void> cancel(CancelContext context);
-  typedef  ::hawthornpin::wire::Node::RunParams RunParams;
-  typedef  ::hawthornpin::wire::Node::RunResults RunResults;
-  typedef ::capnp::CallContext<RunParams, RunResults> RunContext;
-  virtual ::kj::Promise<void> run(RunContext context);
-  typedef  ::hawthornpin::wire::Node::RevokeParams RevokeParams;
-  typedef  ::hawthornpin::wire::Node::RevokeResults RevokeResults;
-  typedef ::capnp::CallContext<RevokeParams, RevokeResults> RevokeContext;
-  virtual ::kj::Promise<void> revoke(RevokeContext context);
-  typedef  ::hawthornpin::wire::Node::IdleParams IdleParams;
-  typedef  ::hawthornpin::wire::Node::IdleResults IdleResults;
-  typedef ::capnp::CallContext<IdleParams, IdleResults> IdleContext;
-  virtual ::kj::Promise<void> idle(IdleContext context);
-  typedef  ::hawthornpin::wire::Node::AnnounceParams AnnounceParams;
-  typedef  ::hawthornpin::wire::Node::AnnounceResults AnnounceResults;
-  typedef ::capnp::CallContext<AnnounceParams, AnnounceResults> AnnounceContext;
-  virtual ::kj::Promise<void> announce(AnnounceContext context);
-  typedef  ::hawthornpin::wire::Node::ExchangeParams ExchangeParams;
-  typedef  ::hawthornpin::wire::Node::ExchangeResults ExchangeResults;
-  typedef ::capnp::CallContext<ExchangeParams, ExchangeResults> ExchangeContext;
-  virtual ::kj::Promise<void> exchange(ExchangeContext context);
-
-  inline  ::hawthornpin::wire::Node::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::hawthornpin::wire::Node>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
-
-class Node::SubmitParams::Reader {
+class OrderBatch::Reader {
 public:
-  typedef SubmitParams Reads;
+  typedef OrderBatch Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2721,13 +2886,24 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasSubmission() const;
-  inline  ::hawthornpin::wire::Submission::Reader getSubmission() const;
+  inline bool hasHome() const;
+  inline  ::hawthornpin::wire::Life::Reader getHome() const;
 
-  inline bool hasFrom() const;
-  inline  ::capnp::Text::Reader getFrom() const;
+  inline bool hasHomeAddress() const;
+  inline  ::capnp::Text::Reader getHomeAddress() const;
 
-  inline  ::uint64_t getSent() const;
+  inline  ::uint64_t getClockSeen() const;
+
+  inline  ::uint64_t getNumber() const;
+
+  inline bool hasStarts() const;
+  inline  ::capnp::List< ::hawthornpin::wire::RunOrders,  ::capnp::Kind::STRUCT>::Reader getStarts() const;
+
+  inline bool hasStops() const;
+  inline  ::capnp::List< ::hawthornpin::wire::RunRef,  ::capnp::Kind::STRUCT>::Reader getStops() const;
+
+  inline bool hasEntries() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getEntries() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2741,9 +2917,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::SubmitParams::Builder {
+class OrderBatch::Builder {
 public:
-  typedef SubmitParams Builds;
+  typedef OrderBatch Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2757,22 +2933,47 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasSubmission();
-  inline  ::hawthornpin::wire::Submission::Builder getSubmission();
-  inline void setSubmission( ::hawthornpin::wire::Submission::Reader value);
-  inline  ::hawthornpin::wire::Submission::Builder initSubmission();
-  inline void adoptSubmission(::capnp::Orphan< ::hawthornpin::wire::Submission>&& value);
-  inline ::capnp::Orphan< ::hawthornpin::wire::Submission> disownSubmission();
-
-  inline bool hasFrom();
-  inline  ::capnp::Text::Builder getFrom();
-  inline void setFrom( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initFrom(unsigned int size);
-  inline void adoptFrom(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownFrom();
+  inline bool hasHome();
+  inline  ::hawthornpin::wire::Life::Builder getHome();
+  inline void setHome( ::hawthornpin::wire::Life::Reader value);
+  inline  ::hawthornpin::wire::Life::Builder initHome();
+  inline void adoptHome(::capnp::Orphan< ::hawthornpin::wire::Life>&& value);
+  inline ::capnp::Orphan< ::hawthornpin::wire::Life> disownHome();
+
+  inline bool hasHomeAddress();
+  inline  ::capnp::Text::Builder getHomeAddress();
+  inline void setHomeAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initHomeAddress(unsigned int size);
+  inline void adoptHomeAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownHomeAddress();
+
+  inline  ::uint64_t getClockSeen();
+  inline void setClockSeen( ::uint64_t value);
+
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
+  inline bool hasStarts();
+  inline  ::capnp::List< ::hawthornpin::wire::RunOrders,  ::capnp::Kind::STRUCT>::Builder getStarts();
+  inline void setStarts( ::capnp::List< ::hawthornpin::wire::RunOrders,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::hawthornpin::wire::RunOrders,  ::capnp::Kind::STRUCT>::Builder initStarts(unsigned int size);
+  inline void adoptStarts(::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::RunOrders,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::RunOrders,  ::capnp::Kind::STRUCT>> disownStarts();
+
+  inline bool hasStops();
+  inline  ::capnp::List< ::hawthornpin::wire::RunRef,  ::capnp::Kind::STRUCT>::Builder getStops();
+  inline void setStops( ::capnp::List< ::hawthornpin::wire::RunRef,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::hawthornpin::wire::RunRef,  ::capnp::Kind::STRUCT>::Builder initStops(unsigned int size);
+  inline void adoptStops(::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::RunRef,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::RunRef,  ::capnp::Kind::STRUCT>> disownStops();
 
-  inline  ::uint64_t getSent();
-  inline void setSent( ::uint64_t value);
+  inline bool hasEntries();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getEntries();
+  inline void setEntries( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setEntries(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initEntries(unsigned int size);
+  inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownEntries();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2784,15 +2985,15 @@
 };
 
 #if !CAPNP_LITE
-class Node::SubmitParams::Pipeline {
+class OrderBatch::Pipeline {
 public:
-  typedef SubmitParams Pipelines;
+  typedef OrderBatch Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::hawthornpin::wire::Submission::Pipeline getSubmission();
+  inline  ::hawthornpin::wire::Life::Pipeline getHome();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2801,9 +3002,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::SubmitResults::Reader {
+class AgentStatus::Reader {
 public:
-  typedef SubmitResults Reads;
+  typedef AgentStatus Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2818,13 +3019,36 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAnswer() const;
-  inline  ::hawthornpin::wire::JobAnswer::Reader getAnswer() const;
+  inline bool hasLife() const;
+  inline  ::hawthornpin::wire::Life::Reader getLife() const;
 
-  inline bool hasLoad() const;
-  inline  ::hawthornpin::wire::Load::Reader getLoad() const;
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
 
-  inline  ::uint64_t getSeen() const;
+  inline bool hasZone() const;
+  inline  ::capnp::Text::Reader getZone() const;
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool hasLabels() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getLabels() const;
+
+  inline  ::uint8_t getState() const;
+
+  inline bool getIsSettled() const;
+
+  inline bool hasCapacity() const;
+  inline  ::hawthornpin::wire::Resources::Reader getCapacity() const;
+
+  inline bool hasFree() const;
+  inline  ::hawthornpin::wire::Resources::Reader getFree() const;
+
+  inline  ::uint64_t getClock() const;
+
+  inline  ::uint64_t getOrdersSeen() const;
+
+  inline  ::uint64_t getSequence() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2838,9 +3062,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::SubmitResults::Builder {
+class AgentStatus::Builder {
 public:
-  typedef SubmitResults Builds;
+  typedef AgentStatus Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2854,24 +3078,72 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAnswer();
-  inline  ::hawthornpin::wire::JobAnswer::Builder getAnswer();
-  inline void setAnswer( ::hawthornpin::wire::JobAnswer::Reader value);
-  inline  ::hawthornpin::wire::JobAnswer::Builder initAnswer();
-  inline void adoptAnswer(::capnp::Orphan< ::hawthornpin::wire::JobAnswer>&& value);
-  inline ::capnp::Orphan< ::hawthornpin::wire::JobAnswer> disownAnswer();
+  inline bool hasLife();
+  inline  ::hawthornpin::wire::Life::Builder getLife();
+  inline void setLife( ::hawthornpin::wire::Life::Reader value);
+  inline  ::hawthornpin::wire::Life::Builder initLife();
+  inline void adoptLife(::capnp::Orphan< ::hawthornpin::wire::Life>&& value);
+  inline ::capnp::Orphan< ::hawthornpin::wire::Life> disownLife();
 
-  inline bool hasLoad();
-  inline  ::hawthornpin::wire::Load::Builder getLoad();
-  inline void setLoad( ::hawthornpin::wire::Load::Reader value);
-  inline  ::hawthornpin::wire::Load::Builder initLoad();
-  inline void adoptLoad(::capnp::Orphan< ::hawthornpin::wire::Load>&& value);
-  inline ::capnp::Orphan< ::hawthornpin::wire::Load> disownLoad();
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
 
-  inline  ::uint64_t getSeen();
-  inline void setSeen( ::uint64_t value);
+  inline bool hasZone();
+  inline  ::capnp::Text::Builder getZone();
+  inline void setZone( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initZone(unsigned int size);
+  inline void adoptZone(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownZone();
 
-private:
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasLabels();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getLabels();
+  inline void setLabels( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setLabels(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initLabels(unsigned int size);
+  inline void adoptLabels(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownLabels();
+
+  inline  ::uint8_t getState();
+  inline void setState( ::uint8_t value);
+
+  inline bool getIsSettled();
+  inline void setIsSettled(bool value);
+
+  inline bool hasCapacity();
+  inline  ::hawthornpin::wire::Resources::Builder getCapacity();
+  inline void setCapacity( ::hawthornpin::wire::Resources::Reader value);
+  inline  ::hawthornpin::wire::Resources::Builder initCapacity();
+  inline void adoptCapacity(::capnp::Orphan< ::hawthornpin::wire::Resources>&& value);
+  inline ::capnp::Orphan< ::hawthornpin::wire::Resources> disownCapacity();
+
+  inline bool hasFree();
+  inline  ::hawthornpin::wire::Resources::Builder getFree();
+  inline void setFree( ::hawthornpin::wire::Resources::Reader value);
+  inline  ::hawthornpin::wire::Resources::Builder initFree();
+  inline void adoptFree(::capnp::Orphan< ::hawthornpin::wire::Resources>&& value);
+  inline ::capnp::Orphan< ::hawthornpin::wire::Resources> disownFree();
+
+  inline  ::uint64_t getClock();
+  inline void setClock( ::uint64_t value);
+
+  inline  ::uint64_t getOrdersSeen();
+  inline void setOrdersSeen( ::uint64_t value);
+
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
+
+private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::ToDynamic_;
@@ -2881,16 +3153,17 @@
 };
 
 #if !CAPNP_LITE
-class Node::SubmitResults::Pipeline {
+class AgentStatus::Pipeline {
 public:
-  typedef SubmitResults Pipelines;
+  typedef AgentStatus Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::hawthornpin::wire::JobAnswer::Pipeline getAnswer();
-  inline  ::hawthornpin::wire::Load::Pipeline getLoad();
+  inline  ::hawthornpin::wire::Life::Pipeline getLife();
+  inline  ::hawthornpin::wire::Resources::Pipeline getCapacity();
+  inline  ::hawthornpin::wire::Resources::Pipeline getFree();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2899,9 +3172,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::FetchParams::Reader {
+class RunOutcome::Reader {
 public:
-  typedef FetchParams Reads;
+  typedef RunOutcome Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2916,10 +3189,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasTicket() const;
-  inline  ::hawthornpin::wire::Ticket::Reader getTicket() const;
+  inline bool hasRun() const;
+  inline  ::hawthornpin::wire::RunRef::Reader getRun() const;
 
-  inline  ::uint32_t getWaitMs() const;
+  inline  ::uint8_t getResult() const;
+
+  inline  ::uint32_t getDurationMs() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2933,9 +3208,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::FetchParams::Builder {
+class RunOutcome::Builder {
 public:
-  typedef FetchParams Builds;
+  typedef RunOutcome Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2949,15 +3224,18 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasTicket();
-  inline  ::hawthornpin::wire::Ticket::Builder getTicket();
-  inline void setTicket( ::hawthornpin::wire::Ticket::Reader value);
-  inline  ::hawthornpin::wire::Ticket::Builder initTicket();
-  inline void adoptTicket(::capnp::Orphan< ::hawthornpin::wire::Ticket>&& value);
-  inline ::capnp::Orphan< ::hawthornpin::wire::Ticket> disownTicket();
+  inline bool hasRun();
+  inline  ::hawthornpin::wire::RunRef::Builder getRun();
+  inline void setRun( ::hawthornpin::wire::RunRef::Reader value);
+  inline  ::hawthornpin::wire::RunRef::Builder initRun();
+  inline void adoptRun(::capnp::Orphan< ::hawthornpin::wire::RunRef>&& value);
+  inline ::capnp::Orphan< ::hawthornpin::wire::RunRef> disownRun();
 
-  inline  ::uint32_t getWaitMs();
-  inline void setWaitMs( ::uint32_t value);
+  inline  ::uint8_t getResult();
+  inline void setResult( ::uint8_t value);
+
+  inline  ::uint32_t getDurationMs();
+  inline void setDurationMs( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2969,15 +3247,15 @@
 };
 
 #if !CAPNP_LITE
-class Node::FetchParams::Pipeline {
+class RunOutcome::Pipeline {
 public:
-  typedef FetchParams Pipelines;
+  typedef RunOutcome Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::hawthornpin::wire::Ticket::Pipeline getTicket();
+  inline  ::hawthornpin::wire::RunRef::Pipeline getRun();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2986,9 +3264,68 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::FetchResults::Reader {
+#if !CAPNP_LITE
+class Authenticator::Client
+    : public virtual ::capnp::Capability::Client {
 public:
-  typedef FetchResults Reads;
+  typedef Authenticator Calls;
+  typedef Authenticator Reads;
+
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+  ::capnp::Request< ::hawthornpin::wire::Authenticator::ChallengeParams,  ::hawthornpin::wire::Authenticator::ChallengeResults> challengeRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::hawthornpin::wire::Authenticator::AuthenticateParams,  ::hawthornpin::wire::Authenticator::AuthenticateResults> authenticateRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
+  Client() = default;
+};
+
+class Authenticator::Server
+    : public virtual ::capnp::Capability::Server {
+public:
+  typedef Authenticator Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef  ::hawthornpin::wire::Authenticator::ChallengeParams ChallengeParams;
+  typedef  ::hawthornpin::wire::Authenticator::ChallengeResults ChallengeResults;
+  typedef ::capnp::CallContext<ChallengeParams, ChallengeResults> ChallengeContext;
+  virtual ::kj::Promise<void> challenge(ChallengeContext context);
+  typedef  ::hawthornpin::wire::Authenticator::AuthenticateParams AuthenticateParams;
+  typedef  ::hawthornpin::wire::Authenticator::AuthenticateResults AuthenticateResults;
+  typedef ::capnp::CallContext<AuthenticateParams, AuthenticateResults> AuthenticateContext;
+  virtual ::kj::Promise<void> authenticate(AuthenticateContext context);
+
+  inline  ::hawthornpin::wire::Authenticator::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::hawthornpin::wire::Authenticator>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+class Authenticator::ChallengeParams::Reader {
+public:
+  typedef ChallengeParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3003,12 +3340,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAnswer() const;
-  inline  ::hawthornpin::wire::JobAnswer::Reader getAnswer() const;
-
-  inline bool hasLoad() const;
-  inline  ::hawthornpin::wire::Load::Reader getLoad() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3021,9 +3352,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::FetchResults::Builder {
+class Authenticator::ChallengeParams::Builder {
 public:
-  typedef FetchResults Builds;
+  typedef ChallengeParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3037,20 +3368,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAnswer();
-  inline  ::hawthornpin::wire::JobAnswer::Builder getAnswer();
-  inline void setAnswer( ::hawthornpin::wire::JobAnswer::Reader value);
-  inline  ::hawthornpin::wire::JobAnswer::Builder initAnswer();
-  inline void adoptAnswer(::capnp::Orphan< ::hawthornpin::wire::JobAnswer>&& value);
-  inline ::capnp::Orphan< ::hawthornpin::wire::JobAnswer> disownAnswer();
-
-  inline bool hasLoad();
-  inline  ::hawthornpin::wire::Load::Builder getLoad();
-  inline void setLoad( ::hawthornpin::wire::Load::Reader value);
-  inline  ::hawthornpin::wire::Load::Builder initLoad();
-  inline void adoptLoad(::capnp::Orphan< ::hawthornpin::wire::Load>&& value);
-  inline ::capnp::Orphan< ::hawthornpin::wire::Load> disownLoad();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3061,16 +3378,14 @@
 };
 
 #if !CAPNP_LITE
-class Node::FetchResults::Pipeline {
+class Authenticator::ChallengeParams::Pipeline {
 public:
-  typedef FetchResults Pipelines;
+  typedef ChallengeParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::hawthornpin::wire::JobAnswer::Pipeline getAnswer();
-  inline  ::hawthornpin::wire::Load::Pipeline getLoad();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3079,9 +3394,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::CancelParams::Reader {
+class Authenticator::ChallengeResults::Reader {
 public:
-  typedef CancelParams Reads;
+  typedef ChallengeResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3096,8 +3411,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasTicket() const;
-  inline  ::hawthornpin::wire::Ticket::Reader getTicket() const;
+  inline bool hasNonce() const;
+  inline  ::capnp::Text::Reader getNonce() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3111,9 +3426,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::CancelParams::Builder {
+class Authenticator::ChallengeResults::Builder {
 public:
-  typedef CancelParams Builds;
+  typedef ChallengeResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3127,12 +3442,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasTicket();
-  inline  ::hawthornpin::wire::Ticket::Builder getTicket();
-  inline void setTicket( ::hawthornpin::wire::Ticket::Reader value);
-  inline  ::hawthornpin::wire::Ticket::Builder initTicket();
-  inline void adoptTicket(::capnp::Orphan< ::hawthornpin::wire::Ticket>&& value);
-  inline ::capnp::Orphan< ::hawthornpin::wire::Ticket> disownTicket();
+  inline bool hasNonce();
+  inline  ::capnp::Text::Builder getNonce();
+  inline void setNonce( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initNonce(unsigned int size);
+  inline void adoptNonce(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownNonce();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3144,15 +3459,14 @@
 };
 
 #if !CAPNP_LITE
-class Node::CancelParams::Pipeline {
+class Authenticator::ChallengeResults::Pipeline {
 public:
-  typedef CancelParams Pipelines;
+  typedef ChallengeResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::hawthornpin::wire::Ticket::Pipeline getTicket();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3161,9 +3475,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::CancelResults::Reader {
+class Authenticator::AuthenticateParams::Reader {
 public:
-  typedef CancelResults Reads;
+  typedef AuthenticateParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3178,8 +3492,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasOutcome() const;
-  inline  ::hawthornpin::wire::Outcome::Reader getOutcome() const;
+  inline bool hasProof() const;
+  inline  ::capnp::Text::Reader getProof() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3193,9 +3507,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::CancelResults::Builder {
+class Authenticator::AuthenticateParams::Builder {
 public:
-  typedef CancelResults Builds;
+  typedef AuthenticateParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3209,12 +3523,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasOutcome();
-  inline  ::hawthornpin::wire::Outcome::Builder getOutcome();
-  inline void setOutcome( ::hawthornpin::wire::Outcome::Reader value);
-  inline  ::hawthornpin::wire::Outcome::Builder initOutcome();
-  inline void adoptOutcome(::capnp::Orphan< ::hawthornpin::wire::Outcome>&& value);
-  inline ::capnp::Orphan< ::hawthornpin::wire::Outcome> disownOutcome();
+  inline bool hasProof();
+  inline  ::capnp::Text::Builder getProof();
+  inline void setProof( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initProof(unsigned int size);
+  inline void adoptProof(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownProof();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3226,15 +3540,14 @@
 };
 
 #if !CAPNP_LITE
-class Node::CancelResults::Pipeline {
+class Authenticator::AuthenticateParams::Pipeline {
 public:
-  typedef CancelResults Pipelines;
+  typedef AuthenticateParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::hawthornpin::wire::Outcome::Pipeline getOutcome();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3243,9 +3556,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::RunParams::Reader {
+class Authenticator::AuthenticateResults::Reader {
 public:
-  typedef RunParams Reads;
+  typedef AuthenticateResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3260,8 +3573,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasGrant() const;
-  inline  ::hawthornpin::wire::Grant::Reader getGrant() const;
+  inline bool hasNode() const;
+#if !CAPNP_LITE
+  inline  ::hawthornpin::wire::Node::Client getNode() const;
+#endif  // !CAPNP_LITE
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3275,9 +3590,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::RunParams::Builder {
+class Authenticator::AuthenticateResults::Builder {
 public:
-  typedef RunParams Builds;
+  typedef AuthenticateResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3291,12 +3606,14 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasGrant();
-  inline  ::hawthornpin::wire::Grant::Builder getGrant();
-  inline void setGrant( ::hawthornpin::wire::Grant::Reader value);
-  inline  ::hawthornpin::wire::Grant::Builder initGrant();
-  inline void adoptGrant(::capnp::Orphan< ::hawthornpin::wire::Grant>&& value);
-  inline ::capnp::Orphan< ::hawthornpin::wire::Grant> disownGrant();
+  inline bool hasNode();
+#if !CAPNP_LITE
+  inline  ::hawthornpin::wire::Node::Client getNode();
+  inline void setNode( ::hawthornpin::wire::Node::Client&& value);
+  inline void setNode( ::hawthornpin::wire::Node::Client& value);
+  inline void adoptNode(::capnp::Orphan< ::hawthornpin::wire::Node>&& value);
+  inline ::capnp::Orphan< ::hawthornpin::wire::Node> disownNode();
+#endif  // !CAPNP_LITE
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3308,15 +3625,15 @@
 };
 
 #if !CAPNP_LITE
-class Node::RunParams::Pipeline {
+class Authenticator::AuthenticateResults::Pipeline {
 public:
-  typedef RunParams Pipelines;
+  typedef AuthenticateResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::hawthornpin::wire::Grant::Pipeline getGrant();
+  inline  ::hawthornpin::wire::Node::Client getNode();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3325,30 +3642,149 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::RunResults::Reader {
+#if !CAPNP_LITE
+class Node::Client
+    : public virtual ::capnp::Capability::Client {
 public:
-  typedef RunResults Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  typedef Node Calls;
+  typedef Node Reads;
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
 
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  ::capnp::Request< ::hawthornpin::wire::Node::SubmitParams,  ::hawthornpin::wire::Node::SubmitResults> submitRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::hawthornpin::wire::Node::FetchParams,  ::hawthornpin::wire::Node::FetchResults> fetchRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::hawthornpin::wire::Node::CancelParams,  ::hawthornpin::wire::Node::CancelResults> cancelRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::hawthornpin::wire::Node::RunParams,  ::hawthornpin::wire::Node::RunResults> runRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::hawthornpin::wire::Node::RevokeParams,  ::hawthornpin::wire::Node::RevokeResults> revokeRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::hawthornpin::wire::Node::IdleParams,  ::hawthornpin::wire::Node::IdleResults> idleRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::hawthornpin::wire::Node::AnnounceParams,  ::hawthornpin::wire::Node::AnnounceResults> announceRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::hawthornpin::wire::Node::ExchangeParams,  ::hawthornpin::wire::Node::ExchangeResults> exchangeRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::hawthornpin::wire::Node::OrderParams,  ::hawthornpin::wire::Node::OrderResults> orderRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::hawthornpin::wire::Node::ReportParams,  ::hawthornpin::wire::Node::ReportResults> reportRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::hawthornpin::wire::Node::PresentParams,  ::hawthornpin::wire::Node::PresentResults> presentRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::hawthornpin::wire::Node::ShareParams,  ::hawthornpin::wire::Node::ShareResults> shareRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
+  Client() = default;
+};
+
+class Node::Server
+    : public virtual ::capnp::Capability::Server {
+public:
+  typedef Node Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef  ::hawthornpin::wire::Node::SubmitParams SubmitParams;
+  typedef  ::hawthornpin::wire::Node::SubmitResults SubmitResults;
+  typedef ::capnp::CallContext<SubmitParams, SubmitResults> SubmitContext;
+  virtual ::kj::Promise<void> submit(SubmitContext context);
+  typedef  ::hawthornpin::wire::Node::FetchParams FetchParams;
+  typedef  ::hawthornpin::wire::Node::FetchResults FetchResults;
+  typedef ::capnp::CallContext<FetchParams, FetchResults> FetchContext;
+  virtual ::kj::Promise<void> fetch(FetchContext context);
+  typedef  ::hawthornpin::wire::Node::CancelParams CancelParams;
+  typedef  ::hawthornpin::wire::Node::CancelResults CancelResults;
+  typedef ::capnp::CallContext<CancelParams, CancelResults> CancelContext;
+  virtual ::kj::Promise<void> cancel(CancelContext context);
+  typedef  ::hawthornpin::wire::Node::RunParams RunParams;
+  typedef  ::hawthornpin::wire::Node::RunResults RunResults;
+  typedef ::capnp::CallContext<RunParams, RunResults> RunContext;
+  virtual ::kj::Promise<void> run(RunContext context);
+  typedef  ::hawthornpin::wire::Node::RevokeParams RevokeParams;
+  typedef  ::hawthornpin::wire::Node::RevokeResults RevokeResults;
+  typedef ::capnp::CallContext<RevokeParams, RevokeResults> RevokeContext;
+  virtual ::kj::Promise<void> revoke(RevokeContext context);
+  typedef  ::hawthornpin::wire::Node::IdleParams IdleParams;
+  typedef  ::hawthornpin::wire::Node::IdleResults IdleResults;
+  typedef ::capnp::CallContext<IdleParams, IdleResults> IdleContext;
+  virtual ::kj::Promise<void> idle(IdleContext context);
+  typedef  ::hawthornpin::wire::Node::AnnounceParams AnnounceParams;
+  typedef  ::hawthornpin::wire::Node::AnnounceResults AnnounceResults;
+  typedef ::capnp::CallContext<AnnounceParams, AnnounceResults> AnnounceContext;
+  virtual ::kj::Promise<void> announce(AnnounceContext context);
+  typedef  ::hawthornpin::wire::Node::ExchangeParams ExchangeParams;
+  typedef  ::hawthornpin::wire::Node::ExchangeResults ExchangeResults;
+  typedef ::capnp::CallContext<ExchangeParams, ExchangeResults> ExchangeContext;
+  virtual ::kj::Promise<void> exchange(ExchangeContext context);
+  typedef  ::hawthornpin::wire::Node::OrderParams OrderParams;
+  typedef  ::hawthornpin::wire::Node::OrderResults OrderResults;
+  typedef ::capnp::CallContext<OrderParams, OrderResults> OrderContext;
+  virtual ::kj::Promise<void> order(OrderContext context);
+  typedef  ::hawthornpin::wire::Node::ReportParams ReportParams;
+  typedef  ::hawthornpin::wire::Node::ReportResults ReportResults;
+  typedef ::capnp::CallContext<ReportParams, ReportResults> ReportContext;
+  virtual ::kj::Promise<void> report(ReportContext context);
+  typedef  ::hawthornpin::wire::Node::PresentParams PresentParams;
+  typedef  ::hawthornpin::wire::Node::PresentResults PresentResults;
+  typedef ::capnp::CallContext<PresentParams, PresentResults> PresentContext;
+  virtual ::kj::Promise<void> present(PresentContext context);
+  typedef  ::hawthornpin::wire::Node::ShareParams ShareParams;
+  typedef  ::hawthornpin::wire::Node::ShareResults ShareResults;
+  typedef ::capnp::CallContext<ShareParams, ShareResults> ShareContext;
+  virtual ::kj::Promise<void> share(ShareContext context);
+
+  inline  ::hawthornpin::wire::Node::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::hawthornpin::wire::Node>();
   }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
 #endif  // !CAPNP_LITE
 
-  inline bool hasEnd() const;
-  inline  ::hawthornpin::wire::TaskEnd::Reader getEnd() const;
+class Node::SubmitParams::Reader {
+public:
+  typedef SubmitParams Reads;
 
-  inline bool hasLoad() const;
-  inline  ::hawthornpin::wire::Load::Reader getLoad() const;
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline  ::uint64_t getSeen() const;
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSubmission() const;
+  inline  ::hawthornpin::wire::Submission::Reader getSubmission() const;
+
+  inline bool hasFrom() const;
+  inline  ::capnp::Text::Reader getFrom() const;
+
+  inline  ::uint64_t getSent() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3362,9 +3798,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::RunResults::Builder {
+class Node::SubmitParams::Builder {
 public:
-  typedef RunResults Builds;
+  typedef SubmitParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3378,22 +3814,22 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasEnd();
-  inline  ::hawthornpin::wire::TaskEnd::Builder getEnd();
-  inline void setEnd( ::hawthornpin::wire::TaskEnd::Reader value);
-  inline  ::hawthornpin::wire::TaskEnd::Builder initEnd();
-  inline void adoptEnd(::capnp::Orphan< ::hawthornpin::wire::TaskEnd>&& value);
-  inline ::capnp::Orphan< ::hawthornpin::wire::TaskEnd> disownEnd();
+  inline bool hasSubmission();
+  inline  ::hawthornpin::wire::Submission::Builder getSubmission();
+  inline void setSubmission( ::hawthornpin::wire::Submission::Reader value);
+  inline  ::hawthornpin::wire::Submission::Builder initSubmission();
+  inline void adoptSubmission(::capnp::Orphan< ::hawthornpin::wire::Submission>&& value);
+  inline ::capnp::Orphan< ::hawthornpin::wire::Submission> disownSubmission();
 
-  inline bool hasLoad();
-  inline  ::hawthornpin::wire::Load::Builder getLoad();
-  inline void setLoad( ::hawthornpin::wire::Load::Reader value);
-  inline  ::hawthornpin::wire::Load::Builder initLoad();
-  inline void adoptLoad(::capnp::Orphan< ::hawthornpin::wire::Load>&& value);
-  inline ::capnp::Orphan< ::hawthornpin::wire::Load> disownLoad();
+  inline bool hasFrom();
+  inline  ::capnp::Text::Builder getFrom();
+  inline void setFrom( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initFrom(unsigned int size);
+  inline void adoptFrom(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownFrom();
 
-  inline  ::uint64_t getSeen();
-  inline void setSeen( ::uint64_t value);
+  inline  ::uint64_t getSent();
+  inline void setSent( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3405,16 +3841,15 @@
 };
 
 #if !CAPNP_LITE
-class Node::RunResults::Pipeline {
+class Node::SubmitParams::Pipeline {
 public:
-  typedef RunResults Pipelines;
+  typedef SubmitParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::hawthornpin::wire::TaskEnd::Pipeline getEnd();
-  inline  ::hawthornpin::wire::Load::Pipeline getLoad();
+  inline  ::hawthornpin::wire::Submission::Pipeline getSubmission();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3423,9 +3858,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::RevokeParams::Reader {
+class Node::SubmitResults::Reader {
 public:
-  typedef RevokeParams Reads;
+  typedef SubmitResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3440,10 +3875,13 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasId() const;
-  inline  ::hawthornpin::wire::GrantId::Reader getId() const;
+  inline bool hasAnswer() const;
+  inline  ::hawthornpin::wire::JobAnswer::Reader getAnswer() const;
 
-  inline  ::uint32_t getValidForMs() const;
+  inline bool hasLoad() const;
+  inline  ::hawthornpin::wire::Load::Reader getLoad() const;
+
+  inline  ::uint64_t getSeen() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3457,9 +3895,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::RevokeParams::Builder {
+class Node::SubmitResults::Builder {
 public:
-  typedef RevokeParams Builds;
+  typedef SubmitResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3473,15 +3911,22 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasId();
-  inline  ::hawthornpin::wire::GrantId::Builder getId();
-  inline void setId( ::hawthornpin::wire::GrantId::Reader value);
-  inline  ::hawthornpin::wire::GrantId::Builder initId();
-  inline void adoptId(::capnp::Orphan< ::hawthornpin::wire::GrantId>&& value);
-  inline ::capnp::Orphan< ::hawthornpin::wire::GrantId> disownId();
+  inline bool hasAnswer();
+  inline  ::hawthornpin::wire::JobAnswer::Builder getAnswer();
+  inline void setAnswer( ::hawthornpin::wire::JobAnswer::Reader value);
+  inline  ::hawthornpin::wire::JobAnswer::Builder initAnswer();
+  inline void adoptAnswer(::capnp::Orphan< ::hawthornpin::wire::JobAnswer>&& value);
+  inline ::capnp::Orphan< ::hawthornpin::wire::JobAnswer> disownAnswer();
 
-  inline  ::uint32_t getValidForMs();
-  inline void setValidForMs( ::uint32_t value);
+  inline bool hasLoad();
+  inline  ::hawthornpin::wire::Load::Builder getLoad();
+  inline void setLoad( ::hawthornpin::wire::Load::Reader value);
+  inline  ::hawthornpin::wire::Load::Builder initLoad();
+  inline void adoptLoad(::capnp::Orphan< ::hawthornpin::wire::Load>&& value);
+  inline ::capnp::Orphan< ::hawthornpin::wire::Load> disownLoad();
+
+  inline  ::uint64_t getSeen();
+  inline void setSeen( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3493,15 +3938,16 @@
 };
 
 #if !CAPNP_LITE
-class Node::RevokeParams::Pipeline {
+class Node::SubmitResults::Pipeline {
 public:
-  typedef RevokeParams Pipelines;
+  typedef SubmitResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::hawthornpin::wire::GrantId::Pipeline getId();
+  inline  ::hawthornpin::wire::JobAnswer::Pipeline getAnswer();
+  inline  ::hawthornpin::wire::Load::Pipeline getLoad();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3510,9 +3956,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::RevokeResults::Reader {
+class Node::FetchParams::Reader {
 public:
-  typedef RevokeResults Reads;
+  typedef FetchParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3527,8 +3973,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasOutcome() const;
-  inline  ::hawthornpin::wire::Outcome::Reader getOutcome() const;
+  inline bool hasTicket() const;
+  inline  ::hawthornpin::wire::Ticket::Reader getTicket() const;
+
+  inline  ::uint32_t getWaitMs() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3542,9 +3990,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::RevokeResults::Builder {
+class Node::FetchParams::Builder {
 public:
-  typedef RevokeResults Builds;
+  typedef FetchParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3558,12 +4006,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasOutcome();
-  inline  ::hawthornpin::wire::Outcome::Builder getOutcome();
-  inline void setOutcome( ::hawthornpin::wire::Outcome::Reader value);
-  inline  ::hawthornpin::wire::Outcome::Builder initOutcome();
-  inline void adoptOutcome(::capnp::Orphan< ::hawthornpin::wire::Outcome>&& value);
-  inline ::capnp::Orphan< ::hawthornpin::wire::Outcome> disownOutcome();
+  inline bool hasTicket();
+  inline  ::hawthornpin::wire::Ticket::Builder getTicket();
+  inline void setTicket( ::hawthornpin::wire::Ticket::Reader value);
+  inline  ::hawthornpin::wire::Ticket::Builder initTicket();
+  inline void adoptTicket(::capnp::Orphan< ::hawthornpin::wire::Ticket>&& value);
+  inline ::capnp::Orphan< ::hawthornpin::wire::Ticket> disownTicket();
+
+  inline  ::uint32_t getWaitMs();
+  inline void setWaitMs( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3575,15 +4026,15 @@
 };
 
 #if !CAPNP_LITE
-class Node::RevokeResults::Pipeline {
+class Node::FetchParams::Pipeline {
 public:
-  typedef RevokeResults Pipelines;
+  typedef FetchParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::hawthornpin::wire::Outcome::Pipeline getOutcome();
+  inline  ::hawthornpin::wire::Ticket::Pipeline getTicket();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3592,9 +4043,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::IdleParams::Reader {
+class Node::FetchResults::Reader {
 public:
-  typedef IdleParams Reads;
+  typedef FetchResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3609,8 +4060,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasIdentity() const;
-  inline  ::hawthornpin::wire::AgentIdentity::Reader getIdentity() const;
+  inline bool hasAnswer() const;
+  inline  ::hawthornpin::wire::JobAnswer::Reader getAnswer() const;
 
   inline bool hasLoad() const;
   inline  ::hawthornpin::wire::Load::Reader getLoad() const;
@@ -3627,9 +4078,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::IdleParams::Builder {
+class Node::FetchResults::Builder {
 public:
-  typedef IdleParams Builds;
+  typedef FetchResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3643,12 +4094,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasIdentity();
-  inline  ::hawthornpin::wire::AgentIdentity::Builder getIdentity();
-  inline void setIdentity( ::hawthornpin::wire::AgentIdentity::Reader value);
-  inline  ::hawthornpin::wire::AgentIdentity::Builder initIdentity();
-  inline void adoptIdentity(::capnp::Orphan< ::hawthornpin::wire::AgentIdentity>&& value);
-  inline ::capnp::Orphan< ::hawthornpin::wire::AgentIdentity> disownIdentity();
+  inline bool hasAnswer();
+  inline  ::hawthornpin::wire::JobAnswer::Builder getAnswer();
+  inline void setAnswer( ::hawthornpin::wire::JobAnswer::Reader value);
+  inline  ::hawthornpin::wire::JobAnswer::Builder initAnswer();
+  inline void adoptAnswer(::capnp::Orphan< ::hawthornpin::wire::JobAnswer>&& value);
+  inline ::capnp::Orphan< ::hawthornpin::wire::JobAnswer> disownAnswer();
 
   inline bool hasLoad();
   inline  ::hawthornpin::wire::Load::Builder getLoad();
@@ -3667,15 +4118,15 @@
 };
 
 #if !CAPNP_LITE
-class Node::IdleParams::Pipeline {
+class Node::FetchResults::Pipeline {
 public:
-  typedef IdleParams Pipelines;
+  typedef FetchResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::hawthornpin::wire::AgentIdentity::Pipeline getIdentity();
+  inline  ::hawthornpin::wire::JobAnswer::Pipeline getAnswer();
   inline  ::hawthornpin::wire::Load::Pipeline getLoad();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
@@ -3685,9 +4136,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::IdleResults::Reader {
+class Node::CancelParams::Reader {
 public:
-  typedef IdleResults Reads;
+  typedef CancelParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3702,6 +4153,9 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasTicket() const;
+  inline  ::hawthornpin::wire::Ticket::Reader getTicket() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3714,9 +4168,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::IdleResults::Builder {
+class Node::CancelParams::Builder {
 public:
-  typedef IdleResults Builds;
+  typedef CancelParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3730,6 +4184,13 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasTicket();
+  inline  ::hawthornpin::wire::Ticket::Builder getTicket();
+  inline void setTicket( ::hawthornpin::wire::Ticket::Reader value);
+  inline  ::hawthornpin::wire::Ticket::Builder initTicket();
+  inline void adoptTicket(::capnp::Orphan< ::hawthornpin::wire::Ticket>&& value);
+  inline ::capnp::Orphan< ::hawthornpin::wire::Ticket> disownTicket();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3740,14 +4201,15 @@
 };
 
 #if !CAPNP_LITE
-class Node::IdleResults::Pipeline {
+class Node::CancelParams::Pipeline {
 public:
-  typedef IdleResults Pipelines;
+  typedef CancelParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::hawthornpin::wire::Ticket::Pipeline getTicket();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3756,9 +4218,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::AnnounceParams::Reader {
+class Node::CancelResults::Reader {
 public:
-  typedef AnnounceParams Reads;
+  typedef CancelResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3773,14 +4235,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAnnouncement() const;
-  inline  ::hawthornpin::wire::Announcement::Reader getAnnouncement() const;
-
-  inline  ::uint64_t getConfigVersion() const;
-
-  inline  ::uint64_t getSeen() const;
-
-  inline bool getWantsPeers() const;
+  inline bool hasOutcome() const;
+  inline  ::hawthornpin::wire::Outcome::Reader getOutcome() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3794,9 +4250,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::AnnounceParams::Builder {
+class Node::CancelResults::Builder {
 public:
-  typedef AnnounceParams Builds;
+  typedef CancelResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3810,21 +4266,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAnnouncement();
-  inline  ::hawthornpin::wire::Announcement::Builder getAnnouncement();
-  inline void setAnnouncement( ::hawthornpin::wire::Announcement::Reader value);
-  inline  ::hawthornpin::wire::Announcement::Builder initAnnouncement();
-  inline void adoptAnnouncement(::capnp::Orphan< ::hawthornpin::wire::Announcement>&& value);
-  inline ::capnp::Orphan< ::hawthornpin::wire::Announcement> disownAnnouncement();
-
-  inline  ::uint64_t getConfigVersion();
-  inline void setConfigVersion( ::uint64_t value);
-
-  inline  ::uint64_t getSeen();
-  inline void setSeen( ::uint64_t value);
-
-  inline bool getWantsPeers();
-  inline void setWantsPeers(bool value);
+  inline bool hasOutcome();
+  inline  ::hawthornpin::wire::Outcome::Builder getOutcome();
+  inline void setOutcome( ::hawthornpin::wire::Outcome::Reader value);
+  inline  ::hawthornpin::wire::Outcome::Builder initOutcome();
+  inline void adoptOutcome(::capnp::Orphan< ::hawthornpin::wire::Outcome>&& value);
+  inline ::capnp::Orphan< ::hawthornpin::wire::Outcome> disownOutcome();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3836,15 +4283,15 @@
 };
 
 #if !CAPNP_LITE
-class Node::AnnounceParams::Pipeline {
+class Node::CancelResults::Pipeline {
 public:
-  typedef AnnounceParams Pipelines;
+  typedef CancelResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::hawthornpin::wire::Announcement::Pipeline getAnnouncement();
+  inline  ::hawthornpin::wire::Outcome::Pipeline getOutcome();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3853,9 +4300,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::AnnounceResults::Reader {
+class Node::RunParams::Reader {
 public:
-  typedef AnnounceResults Reads;
+  typedef RunParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3870,21 +4317,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getSupersededBy() const;
-
-  inline bool hasEntries() const;
-  inline  ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>::Reader getEntries() const;
-
-  inline  ::uint64_t getChanges() const;
-
-  inline bool hasMembers() const;
-  inline  ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Reader getMembers() const;
-
-  inline bool hasPeers() const;
-  inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Reader getPeers() const;
-
-  inline bool hasConfig() const;
-  inline  ::hawthornpin::wire::ConfigUpdate::Reader getConfig() const;
+  inline bool hasGrant() const;
+  inline  ::hawthornpin::wire::Grant::Reader getGrant() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3898,9 +4332,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::AnnounceResults::Builder {
+class Node::RunParams::Builder {
 public:
-  typedef AnnounceResults Builds;
+  typedef RunParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3914,39 +4348,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getSupersededBy();
-  inline void setSupersededBy( ::uint64_t value);
-
-  inline bool hasEntries();
-  inline  ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>::Builder getEntries();
-  inline void setEntries( ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>::Builder initEntries(unsigned int size);
-  inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>> disownEntries();
-
-  inline  ::uint64_t getChanges();
-  inline void setChanges( ::uint64_t value);
-
-  inline bool hasMembers();
-  inline  ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Builder getMembers();
-  inline void setMembers( ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Builder initMembers(unsigned int size);
-  inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>> disownMembers();
-
-  inline bool hasPeers();
-  inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Builder getPeers();
-  inline void setPeers( ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Builder initPeers(unsigned int size);
-  inline void adoptPeers(::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>> disownPeers();
-
-  inline bool hasConfig();
-  inline  ::hawthornpin::wire::ConfigUpdate::Builder getConfig();
-  inline void setConfig( ::hawthornpin::wire::ConfigUpdate::Reader value);
-  inline  ::hawthornpin::wire::ConfigUpdate::Builder initConfig();
-  inline void adoptConfig(::capnp::Orphan< ::hawthornpin::wire::ConfigUpdate>&& value);
-  inline ::capnp::Orphan< ::hawthornpin::wire::ConfigUpdate> disownConfig();
+  inline bool hasGrant();
+  inline  ::hawthornpin::wire::Grant::Builder getGrant();
+  inline void setGrant( ::hawthornpin::wire::Grant::Reader value);
+  inline  ::hawthornpin::wire::Grant::Builder initGrant();
+  inline void adoptGrant(::capnp::Orphan< ::hawthornpin::wire::Grant>&& value);
+  inline ::capnp::Orphan< ::hawthornpin::wire::Grant> disownGrant();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3958,15 +4365,15 @@
 };
 
 #if !CAPNP_LITE
-class Node::AnnounceResults::Pipeline {
+class Node::RunParams::Pipeline {
 public:
-  typedef AnnounceResults Pipelines;
+  typedef RunParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::hawthornpin::wire::ConfigUpdate::Pipeline getConfig();
+  inline  ::hawthornpin::wire::Grant::Pipeline getGrant();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3975,9 +4382,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::ExchangeParams::Reader {
+class Node::RunResults::Reader {
 public:
-  typedef ExchangeParams Reads;
+  typedef RunResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3992,21 +4399,14 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasFrom() const;
-  inline  ::hawthornpin::wire::EntryInfo::Reader getFrom() const;
-
-  inline bool hasMembers() const;
-  inline  ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Reader getMembers() const;
+  inline bool hasEnd() const;
+  inline  ::hawthornpin::wire::TaskEnd::Reader getEnd() const;
 
-  inline bool hasHeartbeats() const;
-  inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Reader getHeartbeats() const;
+  inline bool hasLoad() const;
+  inline  ::hawthornpin::wire::Load::Reader getLoad() const;
 
   inline  ::uint64_t getSeen() const;
 
-  inline  ::uint64_t getConfigVersion() const;
-
-  inline bool getWantsCheckpoint() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4019,9 +4419,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::ExchangeParams::Builder {
+class Node::RunResults::Builder {
 public:
-  typedef ExchangeParams Builds;
+  typedef RunResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4035,36 +4435,23 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasFrom();
-  inline  ::hawthornpin::wire::EntryInfo::Builder getFrom();
-  inline void setFrom( ::hawthornpin::wire::EntryInfo::Reader value);
-  inline  ::hawthornpin::wire::EntryInfo::Builder initFrom();
-  inline void adoptFrom(::capnp::Orphan< ::hawthornpin::wire::EntryInfo>&& value);
-  inline ::capnp::Orphan< ::hawthornpin::wire::EntryInfo> disownFrom();
-
-  inline bool hasMembers();
-  inline  ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Builder getMembers();
-  inline void setMembers( ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Builder initMembers(unsigned int size);
-  inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>> disownMembers();
+  inline bool hasEnd();
+  inline  ::hawthornpin::wire::TaskEnd::Builder getEnd();
+  inline void setEnd( ::hawthornpin::wire::TaskEnd::Reader value);
+  inline  ::hawthornpin::wire::TaskEnd::Builder initEnd();
+  inline void adoptEnd(::capnp::Orphan< ::hawthornpin::wire::TaskEnd>&& value);
+  inline ::capnp::Orphan< ::hawthornpin::wire::TaskEnd> disownEnd();
 
-  inline bool hasHeartbeats();
-  inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Builder getHeartbeats();
-  inline void setHeartbeats( ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Builder initHeartbeats(unsigned int size);
-  inline void adoptHeartbeats(::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>> disownHeartbeats();
+  inline bool hasLoad();
+  inline  ::hawthornpin::wire::Load::Builder getLoad();
+  inline void setLoad( ::hawthornpin::wire::Load::Reader value);
+  inline  ::hawthornpin::wire::Load::Builder initLoad();
+  inline void adoptLoad(::capnp::Orphan< ::hawthornpin::wire::Load>&& value);
+  inline ::capnp::Orphan< ::hawthornpin::wire::Load> disownLoad();
 
   inline  ::uint64_t getSeen();
   inline void setSeen( ::uint64_t value);
 
-  inline  ::uint64_t getConfigVersion();
-  inline void setConfigVersion( ::uint64_t value);
-
-  inline bool getWantsCheckpoint();
-  inline void setWantsCheckpoint(bool value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4075,15 +4462,16 @@
 };
 
 #if !CAPNP_LITE
-class Node::ExchangeParams::Pipeline {
+class Node::RunResults::Pipeline {
 public:
-  typedef ExchangeParams Pipelines;
+  typedef RunResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::hawthornpin::wire::EntryInfo::Pipeline getFrom();
+  inline  ::hawthornpin::wire::TaskEnd::Pipeline getEnd();
+  inline  ::hawthornpin::wire::Load::Pipeline getLoad();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4092,9 +4480,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::ExchangeResults::Reader {
+class Node::RevokeParams::Reader {
 public:
-  typedef ExchangeResults Reads;
+  typedef RevokeParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4110,25 +4498,9 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasId() const;
-  inline  ::capnp::Text::Reader getId() const;
-
-  inline  ::uint64_t getChanges() const;
-
-  inline bool hasEntries() const;
-  inline  ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>::Reader getEntries() const;
-
-  inline bool hasMembers() const;
-  inline  ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Reader getMembers() const;
-
-  inline bool hasHeartbeats() const;
-  inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Reader getHeartbeats() const;
-
-  inline bool getIsMissingMembers() const;
-
-  inline  ::uint64_t getConfigVersion() const;
+  inline  ::hawthornpin::wire::GrantId::Reader getId() const;
 
-  inline bool hasCheckpoint() const;
-  inline  ::capnp::Text::Reader getCheckpoint() const;
+  inline  ::uint32_t getValidForMs() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4142,9 +4514,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::ExchangeResults::Builder {
+class Node::RevokeParams::Builder {
 public:
-  typedef ExchangeResults Builds;
+  typedef RevokeParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
