+inline bool OrderBatch::Reader::hasStops() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool OrderBatch::Builder::hasStops() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::hawthornpin::wire::RunRef,  ::capnp::Kind::STRUCT>::Reader OrderBatch::Reader::getStops() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::RunRef,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::hawthornpin::wire::RunRef,  ::capnp::Kind::STRUCT>::Builder OrderBatch::Builder::getStops() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::RunRef,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t Heartbeat::Builder::getQueued() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+inline void OrderBatch::Builder::setStops( ::capnp::List< ::hawthornpin::wire::RunRef,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::RunRef,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline void Heartbeat::Builder::setQueued( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::hawthornpin::wire::RunRef,  ::capnp::Kind::STRUCT>::Builder OrderBatch::Builder::initStops(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::RunRef,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-
-inline  ::uint32_t Heartbeat::Reader::getEstimatedWaitMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline void OrderBatch::Builder::adoptStops(
+    ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::RunRef,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::RunRef,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::RunRef,  ::capnp::Kind::STRUCT>> OrderBatch::Builder::disownStops() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::RunRef,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t Heartbeat::Builder::getEstimatedWaitMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline bool OrderBatch::Reader::hasEntries() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline void Heartbeat::Builder::setEstimatedWaitMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+inline bool OrderBatch::Builder::hasEntries() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint16_t Heartbeat::Reader::getAgeMs() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader OrderBatch::Reader::getEntries() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-
-inline  ::uint16_t Heartbeat::Builder::getAgeMs() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder OrderBatch::Builder::getEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void Heartbeat::Builder::setAgeMs( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<14>() * ::capnp::ELEMENTS, value);
+inline void OrderBatch::Builder::setEntries( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-
-inline bool Heartbeat::Reader::getStopped() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<240>() * ::capnp::ELEMENTS);
+inline void OrderBatch::Builder::setEntries(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-
-inline bool Heartbeat::Builder::getStopped() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<240>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder OrderBatch::Builder::initEntries(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-inline void Heartbeat::Builder::setStopped(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<240>() * ::capnp::ELEMENTS, value);
+inline void OrderBatch::Builder::adoptEntries(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> OrderBatch::Builder::disownEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline bool EntryInfo::Reader::hasId() const {
+inline bool AgentStatus::Reader::hasLife() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool EntryInfo::Builder::hasId() {
+inline bool AgentStatus::Builder::hasLife() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader EntryInfo::Reader::getId() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::hawthornpin::wire::Life::Reader AgentStatus::Reader::getLife() const {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Life>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder EntryInfo::Builder::getId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::hawthornpin::wire::Life::Builder AgentStatus::Builder::getLife() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Life>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void EntryInfo::Builder::setId( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::hawthornpin::wire::Life::Pipeline AgentStatus::Pipeline::getLife() {
+  return  ::hawthornpin::wire::Life::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void AgentStatus::Builder::setLife( ::hawthornpin::wire::Life::Reader value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::Life>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder EntryInfo::Builder::initId(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::hawthornpin::wire::Life::Builder AgentStatus::Builder::initLife() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Life>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void EntryInfo::Builder::adoptId(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void AgentStatus::Builder::adoptLife(
+    ::capnp::Orphan< ::hawthornpin::wire::Life>&& value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::Life>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> EntryInfo::Builder::disownId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::hawthornpin::wire::Life> AgentStatus::Builder::disownLife() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Life>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool EntryInfo::Reader::hasAddress() const {
+inline bool AgentStatus::Reader::hasAddress() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool EntryInfo::Builder::hasAddress() {
+inline bool AgentStatus::Builder::hasAddress() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader EntryInfo::Reader::getAddress() const {
+inline  ::capnp::Text::Reader AgentStatus::Reader::getAddress() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder EntryInfo::Builder::getAddress() {
+inline  ::capnp::Text::Builder AgentStatus::Builder::getAddress() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void EntryInfo::Builder::setAddress( ::capnp::Text::Reader value) {
+inline void AgentStatus::Builder::setAddress( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder EntryInfo::Builder::initAddress(unsigned int size) {
+inline  ::capnp::Text::Builder AgentStatus::Builder::initAddress(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void EntryInfo::Builder::adoptAddress(
+inline void AgentStatus::Builder::adoptAddress(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> EntryInfo::Builder::disownAddress() {
+inline ::capnp::Orphan< ::capnp::Text> AgentStatus::Builder::disownAddress() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t EntryInfo::Reader::getAgeMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool AgentStatus::Reader::hasZone() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint32_t EntryInfo::Builder::getAgeMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool AgentStatus::Builder::hasZone() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline void EntryInfo::Builder::setAgeMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Reader AgentStatus::Reader::getZone() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder AgentStatus::Builder::getZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void AgentStatus::Builder::setZone( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder AgentStatus::Builder::initZone(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void AgentStatus::Builder::adoptZone(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> AgentStatus::Builder::disownZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool ConfigFile::Reader::hasPath() const {
+inline bool AgentStatus::Reader::hasService() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool ConfigFile::Builder::hasPath() {
+inline bool AgentStatus::Builder::hasService() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ConfigFile::Reader::getPath() const {
+inline  ::capnp::Text::Reader AgentStatus::Reader::getService() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ConfigFile::Builder::getPath() {
+inline  ::capnp::Text::Builder AgentStatus::Builder::getService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void ConfigFile::Builder::setPath( ::capnp::Text::Reader value) {
+inline void AgentStatus::Builder::setService( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ConfigFile::Builder::initPath(unsigned int size) {
+inline  ::capnp::Text::Builder AgentStatus::Builder::initService(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void ConfigFile::Builder::adoptPath(
+inline void AgentStatus::Builder::adoptService(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ConfigFile::Builder::disownPath() {
+inline ::capnp::Orphan< ::capnp::Text> AgentStatus::Builder::disownService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t ConfigFile::Reader::getVersion() const {
-  return _reader.getDataField< ::uint64_t>(
+inline bool AgentStatus::Reader::hasLabels() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool AgentStatus::Builder::hasLabels() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader AgentStatus::Reader::getLabels() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder AgentStatus::Builder::getLabels() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void AgentStatus::Builder::setLabels( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline void AgentStatus::Builder::setLabels(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder AgentStatus::Builder::initLabels(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void AgentStatus::Builder::adoptLabels(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> AgentStatus::Builder::disownLabels() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline  ::uint8_t AgentStatus::Reader::getState() const {
+  return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t ConfigFile::Builder::getVersion() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::uint8_t AgentStatus::Builder::getState() {
+  return _builder.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ConfigFile::Builder::setVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void AgentStatus::Builder::setState( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ConfigFile::Reader::hasContent() const {
+inline bool AgentStatus::Reader::getIsSettled() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline bool AgentStatus::Builder::getIsSettled() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void AgentStatus::Builder::setIsSettled(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool AgentStatus::Reader::hasCapacity() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline bool ConfigFile::Builder::hasContent() {
+inline bool AgentStatus::Builder::hasCapacity() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ConfigFile::Reader::getContent() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::hawthornpin::wire::Resources::Reader AgentStatus::Reader::getCapacity() const {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Resources>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ConfigFile::Builder::getContent() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::hawthornpin::wire::Resources::Builder AgentStatus::Builder::getCapacity() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Resources>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline void ConfigFile::Builder::setContent( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+#if !CAPNP_LITE
+inline  ::hawthornpin::wire::Resources::Pipeline AgentStatus::Pipeline::getCapacity() {
+  return  ::hawthornpin::wire::Resources::Pipeline(_typeless.getPointerField(5));
 }
-inline  ::capnp::Text::Builder ConfigFile::Builder::initContent(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+#endif  // !CAPNP_LITE
+inline void AgentStatus::Builder::setCapacity( ::hawthornpin::wire::Resources::Reader value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::Resources>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
-inline void ConfigFile::Builder::adoptContent(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::hawthornpin::wire::Resources::Builder AgentStatus::Builder::initCapacity() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Resources>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void AgentStatus::Builder::adoptCapacity(
+    ::capnp::Orphan< ::hawthornpin::wire::Resources>&& value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::Resources>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::hawthornpin::wire::Resources> AgentStatus::Builder::disownCapacity() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Resources>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline bool AgentStatus::Reader::hasFree() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool AgentStatus::Builder::hasFree() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::hawthornpin::wire::Resources::Reader AgentStatus::Reader::getFree() const {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Resources>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::hawthornpin::wire::Resources::Builder AgentStatus::Builder::getFree() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Resources>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::hawthornpin::wire::Resources::Pipeline AgentStatus::Pipeline::getFree() {
+  return  ::hawthornpin::wire::Resources::Pipeline(_typeless.getPointerField(6));
+}
+#endif  // !CAPNP_LITE
+inline void AgentStatus::Builder::setFree( ::hawthornpin::wire::Resources::Reader value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::Resources>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::hawthornpin::wire::Resources::Builder AgentStatus::Builder::initFree() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Resources>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void AgentStatus::Builder::adoptFree(
+    ::capnp::Orphan< ::hawthornpin::wire::Resources>&& value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::Resources>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::hawthornpin::wire::Resources> AgentStatus::Builder::disownFree() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Resources>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t AgentStatus::Reader::getClock() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t AgentStatus::Builder::getClock() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> ConfigFile::Builder::disownContent() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void AgentStatus::Builder::setClock( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ConfigFile::Reader::getRemoved() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline  ::uint64_t AgentStatus::Reader::getOrdersSeen() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline bool ConfigFile::Builder::getRemoved() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline  ::uint64_t AgentStatus::Builder::getOrdersSeen() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void ConfigFile::Builder::setRemoved(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+inline void AgentStatus::Builder::setOrdersSeen( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t ConfigUpdate::Reader::getVersion() const {
+inline  ::uint64_t AgentStatus::Reader::getSequence() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t ConfigUpdate::Builder::getVersion() {
+inline  ::uint64_t AgentStatus::Builder::getSequence() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void ConfigUpdate::Builder::setVersion( ::uint64_t value) {
+inline void AgentStatus::Builder::setSequence( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ConfigUpdate::Reader::hasFiles() const {
+inline bool RunOutcome::Reader::hasRun() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool ConfigUpdate::Builder::hasFiles() {
+inline bool RunOutcome::Builder::hasRun() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::hawthornpin::wire::ConfigFile,  ::capnp::Kind::STRUCT>::Reader ConfigUpdate::Reader::getFiles() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::ConfigFile,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::hawthornpin::wire::RunRef::Reader RunOutcome::Reader::getRun() const {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::RunRef>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::hawthornpin::wire::ConfigFile,  ::capnp::Kind::STRUCT>::Builder ConfigUpdate::Builder::getFiles() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::ConfigFile,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::hawthornpin::wire::RunRef::Builder RunOutcome::Builder::getRun() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::RunRef>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ConfigUpdate::Builder::setFiles( ::capnp::List< ::hawthornpin::wire::ConfigFile,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::ConfigFile,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::hawthornpin::wire::RunRef::Pipeline RunOutcome::Pipeline::getRun() {
+  return  ::hawthornpin::wire::RunRef::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void RunOutcome::Builder::setRun( ::hawthornpin::wire::RunRef::Reader value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::RunRef>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::hawthornpin::wire::ConfigFile,  ::capnp::Kind::STRUCT>::Builder ConfigUpdate::Builder::initFiles(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::ConfigFile,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::hawthornpin::wire::RunRef::Builder RunOutcome::Builder::initRun() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::RunRef>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ConfigUpdate::Builder::adoptFiles(
-    ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::ConfigFile,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::ConfigFile,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void RunOutcome::Builder::adoptRun(
+    ::capnp::Orphan< ::hawthornpin::wire::RunRef>&& value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::RunRef>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::ConfigFile,  ::capnp::Kind::STRUCT>> ConfigUpdate::Builder::disownFiles() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::ConfigFile,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::hawthornpin::wire::RunRef> RunOutcome::Builder::disownRun() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::RunRef>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint8_t RunOutcome::Reader::getResult() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t RunOutcome::Builder::getResult() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RunOutcome::Builder::setResult( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t RunOutcome::Reader::getDurationMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RunOutcome::Builder::getDurationMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RunOutcome::Builder::setDurationMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Authenticator::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
@@ -6464,891 +9136,1291 @@
   ::capnp::_::PointerHelpers< ::hawthornpin::wire::Grant>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::hawthornpin::wire::Grant::Builder Node::RunParams::Builder::initGrant() {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Grant>::init(_builder.getPointerField(
+inline  ::hawthornpin::wire::Grant::Builder Node::RunParams::Builder::initGrant() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Grant>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Node::RunParams::Builder::adoptGrant(
+    ::capnp::Orphan< ::hawthornpin::wire::Grant>&& value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::Grant>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::hawthornpin::wire::Grant> Node::RunParams::Builder::disownGrant() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Grant>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Node::RunResults::Reader::hasEnd() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Node::RunResults::Builder::hasEnd() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::hawthornpin::wire::TaskEnd::Reader Node::RunResults::Reader::getEnd() const {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::TaskEnd>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::hawthornpin::wire::TaskEnd::Builder Node::RunResults::Builder::getEnd() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::TaskEnd>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::hawthornpin::wire::TaskEnd::Pipeline Node::RunResults::Pipeline::getEnd() {
+  return  ::hawthornpin::wire::TaskEnd::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Node::RunResults::Builder::setEnd( ::hawthornpin::wire::TaskEnd::Reader value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::TaskEnd>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::hawthornpin::wire::TaskEnd::Builder Node::RunResults::Builder::initEnd() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::TaskEnd>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Node::RunResults::Builder::adoptEnd(
+    ::capnp::Orphan< ::hawthornpin::wire::TaskEnd>&& value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::TaskEnd>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::hawthornpin::wire::TaskEnd> Node::RunResults::Builder::disownEnd() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::TaskEnd>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Node::RunResults::Reader::hasLoad() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Node::RunResults::Builder::hasLoad() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::hawthornpin::wire::Load::Reader Node::RunResults::Reader::getLoad() const {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Load>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::hawthornpin::wire::Load::Builder Node::RunResults::Builder::getLoad() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Load>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::hawthornpin::wire::Load::Pipeline Node::RunResults::Pipeline::getLoad() {
+  return  ::hawthornpin::wire::Load::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void Node::RunResults::Builder::setLoad( ::hawthornpin::wire::Load::Reader value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::Load>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::hawthornpin::wire::Load::Builder Node::RunResults::Builder::initLoad() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Load>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Node::RunResults::Builder::adoptLoad(
+    ::capnp::Orphan< ::hawthornpin::wire::Load>&& value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::Load>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::hawthornpin::wire::Load> Node::RunResults::Builder::disownLoad() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Load>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Node::RunResults::Reader::getSeen() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Node::RunResults::Builder::getSeen() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Node::RunResults::Builder::setSeen( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Node::RevokeParams::Reader::hasId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Node::RevokeParams::Builder::hasId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::hawthornpin::wire::GrantId::Reader Node::RevokeParams::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::GrantId>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::hawthornpin::wire::GrantId::Builder Node::RevokeParams::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::GrantId>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::hawthornpin::wire::GrantId::Pipeline Node::RevokeParams::Pipeline::getId() {
+  return  ::hawthornpin::wire::GrantId::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Node::RevokeParams::Builder::setId( ::hawthornpin::wire::GrantId::Reader value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::GrantId>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::hawthornpin::wire::GrantId::Builder Node::RevokeParams::Builder::initId() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::GrantId>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Node::RevokeParams::Builder::adoptId(
+    ::capnp::Orphan< ::hawthornpin::wire::GrantId>&& value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::GrantId>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::hawthornpin::wire::GrantId> Node::RevokeParams::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::GrantId>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t Node::RevokeParams::Reader::getValidForMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Node::RevokeParams::Builder::getValidForMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Node::RevokeParams::Builder::setValidForMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Node::RevokeResults::Reader::hasOutcome() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Node::RevokeResults::Builder::hasOutcome() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::hawthornpin::wire::Outcome::Reader Node::RevokeResults::Reader::getOutcome() const {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Outcome>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::hawthornpin::wire::Outcome::Builder Node::RevokeResults::Builder::getOutcome() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Outcome>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::hawthornpin::wire::Outcome::Pipeline Node::RevokeResults::Pipeline::getOutcome() {
+  return  ::hawthornpin::wire::Outcome::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Node::RevokeResults::Builder::setOutcome( ::hawthornpin::wire::Outcome::Reader value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::Outcome>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::hawthornpin::wire::Outcome::Builder Node::RevokeResults::Builder::initOutcome() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Outcome>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Node::RunParams::Builder::adoptGrant(
-    ::capnp::Orphan< ::hawthornpin::wire::Grant>&& value) {
-  ::capnp::_::PointerHelpers< ::hawthornpin::wire::Grant>::adopt(_builder.getPointerField(
+inline void Node::RevokeResults::Builder::adoptOutcome(
+    ::capnp::Orphan< ::hawthornpin::wire::Outcome>&& value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::Outcome>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::hawthornpin::wire::Grant> Node::RunParams::Builder::disownGrant() {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Grant>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::hawthornpin::wire::Outcome> Node::RevokeResults::Builder::disownOutcome() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Outcome>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Node::RunResults::Reader::hasEnd() const {
+inline bool Node::IdleParams::Reader::hasIdentity() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Node::RunResults::Builder::hasEnd() {
+inline bool Node::IdleParams::Builder::hasIdentity() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::hawthornpin::wire::TaskEnd::Reader Node::RunResults::Reader::getEnd() const {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::TaskEnd>::get(_reader.getPointerField(
+inline  ::hawthornpin::wire::AgentIdentity::Reader Node::IdleParams::Reader::getIdentity() const {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentIdentity>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::hawthornpin::wire::TaskEnd::Builder Node::RunResults::Builder::getEnd() {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::TaskEnd>::get(_builder.getPointerField(
+inline  ::hawthornpin::wire::AgentIdentity::Builder Node::IdleParams::Builder::getIdentity() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentIdentity>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::hawthornpin::wire::TaskEnd::Pipeline Node::RunResults::Pipeline::getEnd() {
-  return  ::hawthornpin::wire::TaskEnd::Pipeline(_typeless.getPointerField(0));
+inline  ::hawthornpin::wire::AgentIdentity::Pipeline Node::IdleParams::Pipeline::getIdentity() {
+  return  ::hawthornpin::wire::AgentIdentity::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Node::RunResults::Builder::setEnd( ::hawthornpin::wire::TaskEnd::Reader value) {
-  ::capnp::_::PointerHelpers< ::hawthornpin::wire::TaskEnd>::set(_builder.getPointerField(
+inline void Node::IdleParams::Builder::setIdentity( ::hawthornpin::wire::AgentIdentity::Reader value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentIdentity>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::hawthornpin::wire::TaskEnd::Builder Node::RunResults::Builder::initEnd() {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::TaskEnd>::init(_builder.getPointerField(
+inline  ::hawthornpin::wire::AgentIdentity::Builder Node::IdleParams::Builder::initIdentity() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentIdentity>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Node::RunResults::Builder::adoptEnd(
-    ::capnp::Orphan< ::hawthornpin::wire::TaskEnd>&& value) {
-  ::capnp::_::PointerHelpers< ::hawthornpin::wire::TaskEnd>::adopt(_builder.getPointerField(
+inline void Node::IdleParams::Builder::adoptIdentity(
+    ::capnp::Orphan< ::hawthornpin::wire::AgentIdentity>&& value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentIdentity>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::hawthornpin::wire::TaskEnd> Node::RunResults::Builder::disownEnd() {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::TaskEnd>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::hawthornpin::wire::AgentIdentity> Node::IdleParams::Builder::disownIdentity() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentIdentity>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Node::RunResults::Reader::hasLoad() const {
+inline bool Node::IdleParams::Reader::hasLoad() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Node::RunResults::Builder::hasLoad() {
+inline bool Node::IdleParams::Builder::hasLoad() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::hawthornpin::wire::Load::Reader Node::RunResults::Reader::getLoad() const {
+inline  ::hawthornpin::wire::Load::Reader Node::IdleParams::Reader::getLoad() const {
   return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Load>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::hawthornpin::wire::Load::Builder Node::RunResults::Builder::getLoad() {
+inline  ::hawthornpin::wire::Load::Builder Node::IdleParams::Builder::getLoad() {
   return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Load>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::hawthornpin::wire::Load::Pipeline Node::RunResults::Pipeline::getLoad() {
+inline  ::hawthornpin::wire::Load::Pipeline Node::IdleParams::Pipeline::getLoad() {
   return  ::hawthornpin::wire::Load::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
-inline void Node::RunResults::Builder::setLoad( ::hawthornpin::wire::Load::Reader value) {
+inline void Node::IdleParams::Builder::setLoad( ::hawthornpin::wire::Load::Reader value) {
   ::capnp::_::PointerHelpers< ::hawthornpin::wire::Load>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::hawthornpin::wire::Load::Builder Node::RunResults::Builder::initLoad() {
+inline  ::hawthornpin::wire::Load::Builder Node::IdleParams::Builder::initLoad() {
   return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Load>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Node::RunResults::Builder::adoptLoad(
+inline void Node::IdleParams::Builder::adoptLoad(
     ::capnp::Orphan< ::hawthornpin::wire::Load>&& value) {
   ::capnp::_::PointerHelpers< ::hawthornpin::wire::Load>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::hawthornpin::wire::Load> Node::RunResults::Builder::disownLoad() {
+inline ::capnp::Orphan< ::hawthornpin::wire::Load> Node::IdleParams::Builder::disownLoad() {
   return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Load>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Node::RunResults::Reader::getSeen() const {
+inline bool Node::AnnounceParams::Reader::hasAnnouncement() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Node::AnnounceParams::Builder::hasAnnouncement() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::hawthornpin::wire::Announcement::Reader Node::AnnounceParams::Reader::getAnnouncement() const {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Announcement>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::hawthornpin::wire::Announcement::Builder Node::AnnounceParams::Builder::getAnnouncement() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Announcement>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::hawthornpin::wire::Announcement::Pipeline Node::AnnounceParams::Pipeline::getAnnouncement() {
+  return  ::hawthornpin::wire::Announcement::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Node::AnnounceParams::Builder::setAnnouncement( ::hawthornpin::wire::Announcement::Reader value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::Announcement>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::hawthornpin::wire::Announcement::Builder Node::AnnounceParams::Builder::initAnnouncement() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Announcement>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Node::AnnounceParams::Builder::adoptAnnouncement(
+    ::capnp::Orphan< ::hawthornpin::wire::Announcement>&& value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::Announcement>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::hawthornpin::wire::Announcement> Node::AnnounceParams::Builder::disownAnnouncement() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Announcement>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Node::AnnounceParams::Reader::getConfigVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Node::RunResults::Builder::getSeen() {
+inline  ::uint64_t Node::AnnounceParams::Builder::getConfigVersion() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Node::RunResults::Builder::setSeen( ::uint64_t value) {
+inline void Node::AnnounceParams::Builder::setConfigVersion( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Node::RevokeParams::Reader::hasId() const {
+inline  ::uint64_t Node::AnnounceParams::Reader::getSeen() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Node::AnnounceParams::Builder::getSeen() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Node::AnnounceParams::Builder::setSeen( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Node::AnnounceParams::Reader::getWantsPeers() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool Node::AnnounceParams::Builder::getWantsPeers() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void Node::AnnounceParams::Builder::setWantsPeers(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Node::AnnounceResults::Reader::getSupersededBy() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Node::AnnounceResults::Builder::getSupersededBy() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Node::AnnounceResults::Builder::setSupersededBy( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Node::AnnounceResults::Reader::hasEntries() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Node::RevokeParams::Builder::hasId() {
+inline bool Node::AnnounceResults::Builder::hasEntries() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::hawthornpin::wire::GrantId::Reader Node::RevokeParams::Reader::getId() const {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::GrantId>::get(_reader.getPointerField(
+inline  ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>::Reader Node::AnnounceResults::Reader::getEntries() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::hawthornpin::wire::GrantId::Builder Node::RevokeParams::Builder::getId() {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::GrantId>::get(_builder.getPointerField(
+inline  ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>::Builder Node::AnnounceResults::Builder::getEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::hawthornpin::wire::GrantId::Pipeline Node::RevokeParams::Pipeline::getId() {
-  return  ::hawthornpin::wire::GrantId::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Node::RevokeParams::Builder::setId( ::hawthornpin::wire::GrantId::Reader value) {
-  ::capnp::_::PointerHelpers< ::hawthornpin::wire::GrantId>::set(_builder.getPointerField(
+inline void Node::AnnounceResults::Builder::setEntries( ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::hawthornpin::wire::GrantId::Builder Node::RevokeParams::Builder::initId() {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::GrantId>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>::Builder Node::AnnounceResults::Builder::initEntries(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Node::RevokeParams::Builder::adoptId(
-    ::capnp::Orphan< ::hawthornpin::wire::GrantId>&& value) {
-  ::capnp::_::PointerHelpers< ::hawthornpin::wire::GrantId>::adopt(_builder.getPointerField(
+inline void Node::AnnounceResults::Builder::adoptEntries(
+    ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::hawthornpin::wire::GrantId> Node::RevokeParams::Builder::disownId() {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::GrantId>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>> Node::AnnounceResults::Builder::disownEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t Node::RevokeParams::Reader::getValidForMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+
+inline  ::uint64_t Node::AnnounceResults::Reader::getChanges() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Node::AnnounceResults::Builder::getChanges() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Node::AnnounceResults::Builder::setChanges( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Node::AnnounceResults::Reader::hasMembers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Node::AnnounceResults::Builder::hasMembers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Reader Node::AnnounceResults::Reader::getMembers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Builder Node::AnnounceResults::Builder::getMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Node::AnnounceResults::Builder::setMembers( ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Builder Node::AnnounceResults::Builder::initMembers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Node::AnnounceResults::Builder::adoptMembers(
+    ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>> Node::AnnounceResults::Builder::disownMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Node::AnnounceResults::Reader::hasPeers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Node::AnnounceResults::Builder::hasPeers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Reader Node::AnnounceResults::Reader::getPeers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Builder Node::AnnounceResults::Builder::getPeers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Node::AnnounceResults::Builder::setPeers( ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint32_t Node::RevokeParams::Builder::getValidForMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Builder Node::AnnounceResults::Builder::initPeers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Node::RevokeParams::Builder::setValidForMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Node::AnnounceResults::Builder::adoptPeers(
+    ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>> Node::AnnounceResults::Builder::disownPeers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool Node::RevokeResults::Reader::hasOutcome() const {
+inline bool Node::AnnounceResults::Reader::hasConfig() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool Node::RevokeResults::Builder::hasOutcome() {
+inline bool Node::AnnounceResults::Builder::hasConfig() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::hawthornpin::wire::Outcome::Reader Node::RevokeResults::Reader::getOutcome() const {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Outcome>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::hawthornpin::wire::ConfigUpdate::Reader Node::AnnounceResults::Reader::getConfig() const {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::ConfigUpdate>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::hawthornpin::wire::Outcome::Builder Node::RevokeResults::Builder::getOutcome() {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Outcome>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::hawthornpin::wire::ConfigUpdate::Builder Node::AnnounceResults::Builder::getConfig() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::ConfigUpdate>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::hawthornpin::wire::Outcome::Pipeline Node::RevokeResults::Pipeline::getOutcome() {
-  return  ::hawthornpin::wire::Outcome::Pipeline(_typeless.getPointerField(0));
+inline  ::hawthornpin::wire::ConfigUpdate::Pipeline Node::AnnounceResults::Pipeline::getConfig() {
+  return  ::hawthornpin::wire::ConfigUpdate::Pipeline(_typeless.getPointerField(3));
 }
 #endif  // !CAPNP_LITE
-inline void Node::RevokeResults::Builder::setOutcome( ::hawthornpin::wire::Outcome::Reader value) {
-  ::capnp::_::PointerHelpers< ::hawthornpin::wire::Outcome>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Node::AnnounceResults::Builder::setConfig( ::hawthornpin::wire::ConfigUpdate::Reader value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::ConfigUpdate>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::hawthornpin::wire::Outcome::Builder Node::RevokeResults::Builder::initOutcome() {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Outcome>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::hawthornpin::wire::ConfigUpdate::Builder Node::AnnounceResults::Builder::initConfig() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::ConfigUpdate>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void Node::RevokeResults::Builder::adoptOutcome(
-    ::capnp::Orphan< ::hawthornpin::wire::Outcome>&& value) {
-  ::capnp::_::PointerHelpers< ::hawthornpin::wire::Outcome>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Node::AnnounceResults::Builder::adoptConfig(
+    ::capnp::Orphan< ::hawthornpin::wire::ConfigUpdate>&& value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::ConfigUpdate>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::hawthornpin::wire::Outcome> Node::RevokeResults::Builder::disownOutcome() {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Outcome>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::hawthornpin::wire::ConfigUpdate> Node::AnnounceResults::Builder::disownConfig() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::ConfigUpdate>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool Node::IdleParams::Reader::hasIdentity() const {
+inline bool Node::ExchangeParams::Reader::hasFrom() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Node::IdleParams::Builder::hasIdentity() {
+inline bool Node::ExchangeParams::Builder::hasFrom() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::hawthornpin::wire::AgentIdentity::Reader Node::IdleParams::Reader::getIdentity() const {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentIdentity>::get(_reader.getPointerField(
+inline  ::hawthornpin::wire::EntryInfo::Reader Node::ExchangeParams::Reader::getFrom() const {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::EntryInfo>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::hawthornpin::wire::AgentIdentity::Builder Node::IdleParams::Builder::getIdentity() {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentIdentity>::get(_builder.getPointerField(
+inline  ::hawthornpin::wire::EntryInfo::Builder Node::ExchangeParams::Builder::getFrom() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::EntryInfo>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::hawthornpin::wire::AgentIdentity::Pipeline Node::IdleParams::Pipeline::getIdentity() {
-  return  ::hawthornpin::wire::AgentIdentity::Pipeline(_typeless.getPointerField(0));
+inline  ::hawthornpin::wire::EntryInfo::Pipeline Node::ExchangeParams::Pipeline::getFrom() {
+  return  ::hawthornpin::wire::EntryInfo::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Node::IdleParams::Builder::setIdentity( ::hawthornpin::wire::AgentIdentity::Reader value) {
-  ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentIdentity>::set(_builder.getPointerField(
+inline void Node::ExchangeParams::Builder::setFrom( ::hawthornpin::wire::EntryInfo::Reader value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::EntryInfo>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::hawthornpin::wire::AgentIdentity::Builder Node::IdleParams::Builder::initIdentity() {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentIdentity>::init(_builder.getPointerField(
+inline  ::hawthornpin::wire::EntryInfo::Builder Node::ExchangeParams::Builder::initFrom() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::EntryInfo>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Node::IdleParams::Builder::adoptIdentity(
-    ::capnp::Orphan< ::hawthornpin::wire::AgentIdentity>&& value) {
-  ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentIdentity>::adopt(_builder.getPointerField(
+inline void Node::ExchangeParams::Builder::adoptFrom(
+    ::capnp::Orphan< ::hawthornpin::wire::EntryInfo>&& value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::EntryInfo>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::hawthornpin::wire::AgentIdentity> Node::IdleParams::Builder::disownIdentity() {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentIdentity>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::hawthornpin::wire::EntryInfo> Node::ExchangeParams::Builder::disownFrom() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::EntryInfo>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Node::IdleParams::Reader::hasLoad() const {
+inline bool Node::ExchangeParams::Reader::hasMembers() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Node::IdleParams::Builder::hasLoad() {
+inline bool Node::ExchangeParams::Builder::hasMembers() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::hawthornpin::wire::Load::Reader Node::IdleParams::Reader::getLoad() const {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Load>::get(_reader.getPointerField(
+inline  ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Reader Node::ExchangeParams::Reader::getMembers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::hawthornpin::wire::Load::Builder Node::IdleParams::Builder::getLoad() {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Load>::get(_builder.getPointerField(
+inline  ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Builder Node::ExchangeParams::Builder::getMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::hawthornpin::wire::Load::Pipeline Node::IdleParams::Pipeline::getLoad() {
-  return  ::hawthornpin::wire::Load::Pipeline(_typeless.getPointerField(1));
-}
-#endif  // !CAPNP_LITE
-inline void Node::IdleParams::Builder::setLoad( ::hawthornpin::wire::Load::Reader value) {
-  ::capnp::_::PointerHelpers< ::hawthornpin::wire::Load>::set(_builder.getPointerField(
+inline void Node::ExchangeParams::Builder::setMembers( ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::hawthornpin::wire::Load::Builder Node::IdleParams::Builder::initLoad() {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Load>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Builder Node::ExchangeParams::Builder::initMembers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Node::IdleParams::Builder::adoptLoad(
-    ::capnp::Orphan< ::hawthornpin::wire::Load>&& value) {
-  ::capnp::_::PointerHelpers< ::hawthornpin::wire::Load>::adopt(_builder.getPointerField(
+inline void Node::ExchangeParams::Builder::adoptMembers(
+    ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::hawthornpin::wire::Load> Node::IdleParams::Builder::disownLoad() {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Load>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>> Node::ExchangeParams::Builder::disownMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Node::AnnounceParams::Reader::hasAnnouncement() const {
+inline bool Node::ExchangeParams::Reader::hasHeartbeats() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Node::AnnounceParams::Builder::hasAnnouncement() {
+inline bool Node::ExchangeParams::Builder::hasHeartbeats() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::hawthornpin::wire::Announcement::Reader Node::AnnounceParams::Reader::getAnnouncement() const {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Announcement>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::hawthornpin::wire::Announcement::Builder Node::AnnounceParams::Builder::getAnnouncement() {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Announcement>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Reader Node::ExchangeParams::Reader::getHeartbeats() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::hawthornpin::wire::Announcement::Pipeline Node::AnnounceParams::Pipeline::getAnnouncement() {
-  return  ::hawthornpin::wire::Announcement::Pipeline(_typeless.getPointerField(0));
+inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Builder Node::ExchangeParams::Builder::getHeartbeats() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-#endif  // !CAPNP_LITE
-inline void Node::AnnounceParams::Builder::setAnnouncement( ::hawthornpin::wire::Announcement::Reader value) {
-  ::capnp::_::PointerHelpers< ::hawthornpin::wire::Announcement>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Node::ExchangeParams::Builder::setHeartbeats( ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::hawthornpin::wire::Announcement::Builder Node::AnnounceParams::Builder::initAnnouncement() {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Announcement>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Builder Node::ExchangeParams::Builder::initHeartbeats(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Node::AnnounceParams::Builder::adoptAnnouncement(
-    ::capnp::Orphan< ::hawthornpin::wire::Announcement>&& value) {
-  ::capnp::_::PointerHelpers< ::hawthornpin::wire::Announcement>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Node::ExchangeParams::Builder::adoptHeartbeats(
+    ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::hawthornpin::wire::Announcement> Node::AnnounceParams::Builder::disownAnnouncement() {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Announcement>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>> Node::ExchangeParams::Builder::disownHeartbeats() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Node::AnnounceParams::Reader::getConfigVersion() const {
+inline  ::uint64_t Node::ExchangeParams::Reader::getSeen() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Node::AnnounceParams::Builder::getConfigVersion() {
+inline  ::uint64_t Node::ExchangeParams::Builder::getSeen() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Node::AnnounceParams::Builder::setConfigVersion( ::uint64_t value) {
+inline void Node::ExchangeParams::Builder::setSeen( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Node::AnnounceParams::Reader::getSeen() const {
+inline  ::uint64_t Node::ExchangeParams::Reader::getConfigVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Node::AnnounceParams::Builder::getSeen() {
+inline  ::uint64_t Node::ExchangeParams::Builder::getConfigVersion() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Node::AnnounceParams::Builder::setSeen( ::uint64_t value) {
+inline void Node::ExchangeParams::Builder::setConfigVersion( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Node::AnnounceParams::Reader::getWantsPeers() const {
+inline bool Node::ExchangeParams::Reader::getWantsCheckpoint() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<128>() * ::capnp::ELEMENTS);
 }
 
-inline bool Node::AnnounceParams::Builder::getWantsPeers() {
+inline bool Node::ExchangeParams::Builder::getWantsCheckpoint() {
   return _builder.getDataField<bool>(
       ::capnp::bounded<128>() * ::capnp::ELEMENTS);
 }
-inline void Node::AnnounceParams::Builder::setWantsPeers(bool value) {
+inline void Node::ExchangeParams::Builder::setWantsCheckpoint(bool value) {
   _builder.setDataField<bool>(
       ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Node::AnnounceResults::Reader::getSupersededBy() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Node::AnnounceResults::Builder::getSupersededBy() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Node::AnnounceResults::Builder::setSupersededBy( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Node::AnnounceResults::Reader::hasEntries() const {
+inline bool Node::ExchangeResults::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Node::AnnounceResults::Builder::hasEntries() {
+inline bool Node::ExchangeResults::Builder::hasId() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>::Reader Node::AnnounceResults::Reader::getEntries() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader Node::ExchangeResults::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>::Builder Node::AnnounceResults::Builder::getEntries() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder Node::ExchangeResults::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Node::AnnounceResults::Builder::setEntries( ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void Node::ExchangeResults::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>::Builder Node::AnnounceResults::Builder::initEntries(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder Node::ExchangeResults::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Node::AnnounceResults::Builder::adoptEntries(
-    ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void Node::ExchangeResults::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>> Node::AnnounceResults::Builder::disownEntries() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> Node::ExchangeResults::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Node::AnnounceResults::Reader::getChanges() const {
+inline  ::uint64_t Node::ExchangeResults::Reader::getChanges() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Node::AnnounceResults::Builder::getChanges() {
+inline  ::uint64_t Node::ExchangeResults::Builder::getChanges() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Node::AnnounceResults::Builder::setChanges( ::uint64_t value) {
+inline void Node::ExchangeResults::Builder::setChanges( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Node::AnnounceResults::Reader::hasMembers() const {
+inline bool Node::ExchangeResults::Reader::hasEntries() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Node::AnnounceResults::Builder::hasMembers() {
+inline bool Node::ExchangeResults::Builder::hasEntries() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Reader Node::AnnounceResults::Reader::getMembers() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>::Reader Node::ExchangeResults::Reader::getEntries() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Builder Node::AnnounceResults::Builder::getMembers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>::Builder Node::ExchangeResults::Builder::getEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Node::AnnounceResults::Builder::setMembers( ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void Node::ExchangeResults::Builder::setEntries( ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Builder Node::AnnounceResults::Builder::initMembers(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>::Builder Node::ExchangeResults::Builder::initEntries(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Node::AnnounceResults::Builder::adoptMembers(
-    ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void Node::ExchangeResults::Builder::adoptEntries(
+    ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>> Node::AnnounceResults::Builder::disownMembers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>> Node::ExchangeResults::Builder::disownEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Node::AnnounceResults::Reader::hasPeers() const {
+inline bool Node::ExchangeResults::Reader::hasMembers() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Node::AnnounceResults::Builder::hasPeers() {
+inline bool Node::ExchangeResults::Builder::hasMembers() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Reader Node::AnnounceResults::Reader::getPeers() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Reader Node::ExchangeResults::Reader::getMembers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Builder Node::AnnounceResults::Builder::getPeers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Builder Node::ExchangeResults::Builder::getMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Node::AnnounceResults::Builder::setPeers( ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void Node::ExchangeResults::Builder::setMembers( ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Builder Node::AnnounceResults::Builder::initPeers(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Builder Node::ExchangeResults::Builder::initMembers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Node::AnnounceResults::Builder::adoptPeers(
-    ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void Node::ExchangeResults::Builder::adoptMembers(
+    ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>> Node::AnnounceResults::Builder::disownPeers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>> Node::ExchangeResults::Builder::disownMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool Node::AnnounceResults::Reader::hasConfig() const {
+inline bool Node::ExchangeResults::Reader::hasHeartbeats() const {
   return !_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool Node::AnnounceResults::Builder::hasConfig() {
+inline bool Node::ExchangeResults::Builder::hasHeartbeats() {
   return !_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::hawthornpin::wire::ConfigUpdate::Reader Node::AnnounceResults::Reader::getConfig() const {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::ConfigUpdate>::get(_reader.getPointerField(
+inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Reader Node::ExchangeResults::Reader::getHeartbeats() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::hawthornpin::wire::ConfigUpdate::Builder Node::AnnounceResults::Builder::getConfig() {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::ConfigUpdate>::get(_builder.getPointerField(
+inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Builder Node::ExchangeResults::Builder::getHeartbeats() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::hawthornpin::wire::ConfigUpdate::Pipeline Node::AnnounceResults::Pipeline::getConfig() {
-  return  ::hawthornpin::wire::ConfigUpdate::Pipeline(_typeless.getPointerField(3));
-}
-#endif  // !CAPNP_LITE
-inline void Node::AnnounceResults::Builder::setConfig( ::hawthornpin::wire::ConfigUpdate::Reader value) {
-  ::capnp::_::PointerHelpers< ::hawthornpin::wire::ConfigUpdate>::set(_builder.getPointerField(
+inline void Node::ExchangeResults::Builder::setHeartbeats( ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::hawthornpin::wire::ConfigUpdate::Builder Node::AnnounceResults::Builder::initConfig() {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::ConfigUpdate>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Builder Node::ExchangeResults::Builder::initHeartbeats(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void Node::AnnounceResults::Builder::adoptConfig(
-    ::capnp::Orphan< ::hawthornpin::wire::ConfigUpdate>&& value) {
-  ::capnp::_::PointerHelpers< ::hawthornpin::wire::ConfigUpdate>::adopt(_builder.getPointerField(
+inline void Node::ExchangeResults::Builder::adoptHeartbeats(
+    ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::hawthornpin::wire::ConfigUpdate> Node::AnnounceResults::Builder::disownConfig() {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::ConfigUpdate>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>> Node::ExchangeResults::Builder::disownHeartbeats() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool Node::ExchangeParams::Reader::hasFrom() const {
+inline bool Node::ExchangeResults::Reader::getIsMissingMembers() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool Node::ExchangeResults::Builder::getIsMissingMembers() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void Node::ExchangeResults::Builder::setIsMissingMembers(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Node::ExchangeResults::Reader::getConfigVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Node::ExchangeResults::Builder::getConfigVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Node::ExchangeResults::Builder::setConfigVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Node::ExchangeResults::Reader::hasCheckpoint() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool Node::ExchangeResults::Builder::hasCheckpoint() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Node::ExchangeResults::Reader::getCheckpoint() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Node::ExchangeResults::Builder::getCheckpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void Node::ExchangeResults::Builder::setCheckpoint( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Node::ExchangeResults::Builder::initCheckpoint(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void Node::ExchangeResults::Builder::adoptCheckpoint(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Node::ExchangeResults::Builder::disownCheckpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool Node::OrderParams::Reader::hasBatch() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Node::ExchangeParams::Builder::hasFrom() {
+inline bool Node::OrderParams::Builder::hasBatch() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::hawthornpin::wire::EntryInfo::Reader Node::ExchangeParams::Reader::getFrom() const {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::EntryInfo>::get(_reader.getPointerField(
+inline  ::hawthornpin::wire::OrderBatch::Reader Node::OrderParams::Reader::getBatch() const {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::OrderBatch>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::hawthornpin::wire::EntryInfo::Builder Node::ExchangeParams::Builder::getFrom() {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::EntryInfo>::get(_builder.getPointerField(
+inline  ::hawthornpin::wire::OrderBatch::Builder Node::OrderParams::Builder::getBatch() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::OrderBatch>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::hawthornpin::wire::EntryInfo::Pipeline Node::ExchangeParams::Pipeline::getFrom() {
-  return  ::hawthornpin::wire::EntryInfo::Pipeline(_typeless.getPointerField(0));
+inline  ::hawthornpin::wire::OrderBatch::Pipeline Node::OrderParams::Pipeline::getBatch() {
+  return  ::hawthornpin::wire::OrderBatch::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Node::ExchangeParams::Builder::setFrom( ::hawthornpin::wire::EntryInfo::Reader value) {
-  ::capnp::_::PointerHelpers< ::hawthornpin::wire::EntryInfo>::set(_builder.getPointerField(
+inline void Node::OrderParams::Builder::setBatch( ::hawthornpin::wire::OrderBatch::Reader value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::OrderBatch>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::hawthornpin::wire::EntryInfo::Builder Node::ExchangeParams::Builder::initFrom() {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::EntryInfo>::init(_builder.getPointerField(
+inline  ::hawthornpin::wire::OrderBatch::Builder Node::OrderParams::Builder::initBatch() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::OrderBatch>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Node::ExchangeParams::Builder::adoptFrom(
-    ::capnp::Orphan< ::hawthornpin::wire::EntryInfo>&& value) {
-  ::capnp::_::PointerHelpers< ::hawthornpin::wire::EntryInfo>::adopt(_builder.getPointerField(
+inline void Node::OrderParams::Builder::adoptBatch(
+    ::capnp::Orphan< ::hawthornpin::wire::OrderBatch>&& value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::OrderBatch>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::hawthornpin::wire::EntryInfo> Node::ExchangeParams::Builder::disownFrom() {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::EntryInfo>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::hawthornpin::wire::OrderBatch> Node::OrderParams::Builder::disownBatch() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::OrderBatch>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Node::ExchangeParams::Reader::hasMembers() const {
+inline bool Node::OrderResults::Reader::hasStatus() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Node::OrderResults::Builder::hasStatus() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::hawthornpin::wire::AgentStatus::Reader Node::OrderResults::Reader::getStatus() const {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentStatus>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::hawthornpin::wire::AgentStatus::Builder Node::OrderResults::Builder::getStatus() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentStatus>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::hawthornpin::wire::AgentStatus::Pipeline Node::OrderResults::Pipeline::getStatus() {
+  return  ::hawthornpin::wire::AgentStatus::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Node::OrderResults::Builder::setStatus( ::hawthornpin::wire::AgentStatus::Reader value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentStatus>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::hawthornpin::wire::AgentStatus::Builder Node::OrderResults::Builder::initStatus() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentStatus>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Node::OrderResults::Builder::adoptStatus(
+    ::capnp::Orphan< ::hawthornpin::wire::AgentStatus>&& value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentStatus>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::hawthornpin::wire::AgentStatus> Node::OrderResults::Builder::disownStatus() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentStatus>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Node::ReportParams::Reader::hasStatus() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Node::ReportParams::Builder::hasStatus() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::hawthornpin::wire::AgentStatus::Reader Node::ReportParams::Reader::getStatus() const {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentStatus>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::hawthornpin::wire::AgentStatus::Builder Node::ReportParams::Builder::getStatus() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentStatus>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::hawthornpin::wire::AgentStatus::Pipeline Node::ReportParams::Pipeline::getStatus() {
+  return  ::hawthornpin::wire::AgentStatus::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Node::ReportParams::Builder::setStatus( ::hawthornpin::wire::AgentStatus::Reader value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentStatus>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::hawthornpin::wire::AgentStatus::Builder Node::ReportParams::Builder::initStatus() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentStatus>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Node::ReportParams::Builder::adoptStatus(
+    ::capnp::Orphan< ::hawthornpin::wire::AgentStatus>&& value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentStatus>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::hawthornpin::wire::AgentStatus> Node::ReportParams::Builder::disownStatus() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentStatus>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Node::ReportParams::Reader::hasOutcomes() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Node::ExchangeParams::Builder::hasMembers() {
+inline bool Node::ReportParams::Builder::hasOutcomes() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Reader Node::ExchangeParams::Reader::getMembers() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::hawthornpin::wire::RunOutcome,  ::capnp::Kind::STRUCT>::Reader Node::ReportParams::Reader::getOutcomes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::RunOutcome,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Builder Node::ExchangeParams::Builder::getMembers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::hawthornpin::wire::RunOutcome,  ::capnp::Kind::STRUCT>::Builder Node::ReportParams::Builder::getOutcomes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::RunOutcome,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Node::ExchangeParams::Builder::setMembers( ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void Node::ReportParams::Builder::setOutcomes( ::capnp::List< ::hawthornpin::wire::RunOutcome,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::RunOutcome,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Builder Node::ExchangeParams::Builder::initMembers(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::hawthornpin::wire::RunOutcome,  ::capnp::Kind::STRUCT>::Builder Node::ReportParams::Builder::initOutcomes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::RunOutcome,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Node::ExchangeParams::Builder::adoptMembers(
-    ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void Node::ReportParams::Builder::adoptOutcomes(
+    ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::RunOutcome,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::RunOutcome,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>> Node::ExchangeParams::Builder::disownMembers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::RunOutcome,  ::capnp::Kind::STRUCT>> Node::ReportParams::Builder::disownOutcomes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::RunOutcome,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Node::ExchangeParams::Reader::hasHeartbeats() const {
+inline bool Node::PresentParams::Reader::hasStatus() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Node::ExchangeParams::Builder::hasHeartbeats() {
+inline bool Node::PresentParams::Builder::hasStatus() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Reader Node::ExchangeParams::Reader::getHeartbeats() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::hawthornpin::wire::AgentStatus::Reader Node::PresentParams::Reader::getStatus() const {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentStatus>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Builder Node::ExchangeParams::Builder::getHeartbeats() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::hawthornpin::wire::AgentStatus::Builder Node::PresentParams::Builder::getStatus() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentStatus>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Node::ExchangeParams::Builder::setHeartbeats( ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+#if !CAPNP_LITE
+inline  ::hawthornpin::wire::AgentStatus::Pipeline Node::PresentParams::Pipeline::getStatus() {
+  return  ::hawthornpin::wire::AgentStatus::Pipeline(_typeless.getPointerField(0));
 }
-inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Builder Node::ExchangeParams::Builder::initHeartbeats(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+#endif  // !CAPNP_LITE
+inline void Node::PresentParams::Builder::setStatus( ::hawthornpin::wire::AgentStatus::Reader value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentStatus>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void Node::ExchangeParams::Builder::adoptHeartbeats(
-    ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::hawthornpin::wire::AgentStatus::Builder Node::PresentParams::Builder::initStatus() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentStatus>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>> Node::ExchangeParams::Builder::disownHeartbeats() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline void Node::PresentParams::Builder::adoptStatus(
+    ::capnp::Orphan< ::hawthornpin::wire::AgentStatus>&& value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentStatus>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-
-inline  ::uint64_t Node::ExchangeParams::Reader::getSeen() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline ::capnp::Orphan< ::hawthornpin::wire::AgentStatus> Node::PresentParams::Builder::disownStatus() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentStatus>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Node::ExchangeParams::Builder::getSeen() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Node::PresentResults::Reader::hasEntries() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void Node::ExchangeParams::Builder::setSeen( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline bool Node::PresentResults::Builder::hasEntries() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t Node::ExchangeParams::Reader::getConfigVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Node::PresentResults::Reader::getEntries() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t Node::ExchangeParams::Builder::getConfigVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Node::PresentResults::Builder::getEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Node::ExchangeParams::Builder::setConfigVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Node::PresentResults::Builder::setEntries( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-inline bool Node::ExchangeParams::Reader::getWantsCheckpoint() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+inline void Node::PresentResults::Builder::setEntries(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-inline bool Node::ExchangeParams::Builder::getWantsCheckpoint() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Node::PresentResults::Builder::initEntries(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Node::ExchangeParams::Builder::setWantsCheckpoint(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+inline void Node::PresentResults::Builder::adoptEntries(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Node::PresentResults::Builder::disownEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Node::ExchangeResults::Reader::hasId() const {
+inline bool Node::ShareParams::Reader::hasAddress() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Node::ExchangeResults::Builder::hasId() {
+inline bool Node::ShareParams::Builder::hasAddress() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Node::ExchangeResults::Reader::getId() const {
+inline  ::capnp::Text::Reader Node::ShareParams::Reader::getAddress() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Node::ExchangeResults::Builder::getId() {
+inline  ::capnp::Text::Builder Node::ShareParams::Builder::getAddress() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Node::ExchangeResults::Builder::setId( ::capnp::Text::Reader value) {
+inline void Node::ShareParams::Builder::setAddress( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Node::ExchangeResults::Builder::initId(unsigned int size) {
+inline  ::capnp::Text::Builder Node::ShareParams::Builder::initAddress(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Node::ExchangeResults::Builder::adoptId(
+inline void Node::ShareParams::Builder::adoptAddress(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Node::ExchangeResults::Builder::disownId() {
+inline ::capnp::Orphan< ::capnp::Text> Node::ShareParams::Builder::disownAddress() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Node::ExchangeResults::Reader::getChanges() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Node::ExchangeResults::Builder::getChanges() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Node::ExchangeResults::Builder::setChanges( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Node::ExchangeResults::Reader::hasEntries() const {
+inline bool Node::ShareParams::Reader::hasEntries() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Node::ExchangeResults::Builder::hasEntries() {
+inline bool Node::ShareParams::Builder::hasEntries() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>::Reader Node::ExchangeResults::Reader::getEntries() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Node::ShareParams::Reader::getEntries() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>::Builder Node::ExchangeResults::Builder::getEntries() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Node::ShareParams::Builder::getEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Node::ExchangeResults::Builder::setEntries( ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void Node::ShareParams::Builder::setEntries( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>::Builder Node::ExchangeResults::Builder::initEntries(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline void Node::ShareParams::Builder::setEntries(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Node::ShareParams::Builder::initEntries(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Node::ExchangeResults::Builder::adoptEntries(
-    ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void Node::ShareParams::Builder::adoptEntries(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>> Node::ExchangeResults::Builder::disownEntries() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Node::ShareParams::Builder::disownEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Node::ExchangeResults::Reader::hasMembers() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool Node::ExchangeResults::Builder::hasMembers() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Reader Node::ExchangeResults::Reader::getMembers() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Builder Node::ExchangeResults::Builder::getMembers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void Node::ExchangeResults::Builder::setMembers( ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Builder Node::ExchangeResults::Builder::initMembers(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline  ::int64_t Node::ShareParams::Reader::getVersion() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Node::ExchangeResults::Builder::adoptMembers(
-    ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::int64_t Node::ShareParams::Builder::getVersion() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>> Node::ExchangeResults::Builder::disownMembers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline void Node::ShareParams::Builder::setVersion( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Node::ExchangeResults::Reader::hasHeartbeats() const {
+inline bool Node::ShareResults::Reader::hasEntries() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Node::ExchangeResults::Builder::hasHeartbeats() {
+inline bool Node::ShareResults::Builder::hasEntries() {
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Reader Node::ExchangeResults::Reader::getHeartbeats() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Builder Node::ExchangeResults::Builder::getHeartbeats() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void Node::ExchangeResults::Builder::setHeartbeats( ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Node::ShareResults::Reader::getEntries() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Builder Node::ExchangeResults::Builder::initHeartbeats(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Node::ShareResults::Builder::getEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Node::ExchangeResults::Builder::adoptHeartbeats(
-    ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+inline void Node::ShareResults::Builder::setEntries( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>> Node::ExchangeResults::Builder::disownHeartbeats() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline void Node::ShareResults::Builder::setEntries(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-inline bool Node::ExchangeResults::Reader::getIsMissingMembers() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Node::ShareResults::Builder::initEntries(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-
-inline bool Node::ExchangeResults::Builder::getIsMissingMembers() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline void Node::ShareResults::Builder::adoptEntries(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Node::ExchangeResults::Builder::setIsMissingMembers(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Node::ShareResults::Builder::disownEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Node::ExchangeResults::Reader::getConfigVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::int64_t Node::ShareResults::Reader::getVersion() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Node::ExchangeResults::Builder::getConfigVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::int64_t Node::ShareResults::Builder::getVersion() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Node::ExchangeResults::Builder::setConfigVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void Node::ShareResults::Builder::setVersion( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Node::ExchangeResults::Reader::hasCheckpoint() const {
+inline bool Node::ShareResults::Reader::hasDirectory() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Node::ExchangeResults::Builder::hasCheckpoint() {
+inline bool Node::ShareResults::Builder::hasDirectory() {
   return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Node::ExchangeResults::Reader::getCheckpoint() const {
+inline  ::capnp::Text::Reader Node::ShareResults::Reader::getDirectory() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Node::ExchangeResults::Builder::getCheckpoint() {
+inline  ::capnp::Text::Builder Node::ShareResults::Builder::getDirectory() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Node::ExchangeResults::Builder::setCheckpoint( ::capnp::Text::Reader value) {
+inline void Node::ShareResults::Builder::setDirectory( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Node::ExchangeResults::Builder::initCheckpoint(unsigned int size) {
+inline  ::capnp::Text::Builder Node::ShareResults::Builder::initDirectory(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Node::ExchangeResults::Builder::adoptCheckpoint(
+inline void Node::ShareResults::Builder::adoptDirectory(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Node::ExchangeResults::Builder::disownCheckpoint() {
+inline ::capnp::Orphan< ::capnp::Text> Node::ShareResults::Builder::disownDirectory() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 }  // namespace
--- /dev/null
+++ b/rpc/run_wire.cpp
@@ -0,0 +1,194 @@
+// Field by field.
+
+#include "rpc/run_wire.h"
+
+#include <algorithm>
+
+namespace hawthornpin {
+
+namespace {
+
+void write_run(wire::RunRef::Builder to, const run_id& from)
+{
+    to.setJob(from.m_task.m_job);
+    to.setOccurrence(from.m_task.m_occurrence);
+    to.setStep(from.m_task.m_step);
+    to.setIndex(from.m_task.m_index);
+    to.setNumber(from.m_number);
+}
+
+run_id read_run(wire::RunRef::Reader from)
+{
+    return {{from.getJob().cStr(), from.getOccurrence(), from.getStep(), from.getIndex()}, from.getNumber()};
+}
+
+void write_resources(wire::Resources::Builder to, const resources& from)
+{
+    to.setCpuMilli(from.m_cpu_milli);
+    to.setMemoryMib(from.m_memory_mib);
+    to.setAccelerators(static_cast<std::int32_t>(from.m_accelerators));
+}
+
+resources read_resources(wire::Resources::Reader from)
+{
+    return {from.getCpuMilli(), from.getMemoryMib(), from.getAccelerators()};
+}
+
+std::uint32_t to_wire_ms(milliseconds value)
+{
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(value.count(), 0, UINT32_MAX));
+}
+
+bool is_same_step(const run_order& left, const run_order& right)
+{
+    const task_id& one = left.m_run.m_task;
+    const task_id& other = right.m_run.m_task;
+    return one.m_job == other.m_job && one.m_occurrence == other.m_occurrence && one.m_step == other.m_step;
+}
+
+// Neighbours of one step share a group; the scheduler places the tasks of a step one after another.
+std::vector<std::vector<const run_order*>> group_by_step(const std::vector<run_order>& orders)
+{
+    std::vector<std::vector<const run_order*>> groups;
+    for (const run_order& order : orders) {
+        if (groups.empty() || !is_same_step(*groups.back().front(), order))
+            groups.emplace_back();
+        groups.back().push_back(&order);
+    }
+    return groups;
+}
+
+void write_group(wire::RunOrders::Builder to, const std::vector<const run_order*>& group)
+{
+    const run_order& first = *group.front();
+    to.setSpecification(first.m_specification);
+    write_resources(to.initNeeds(), first.m_needs);
+    to.setEstimateMs(to_wire_ms(first.m_estimate));
+    to.setStartWithinMs(to_wire_ms(first.m_start_within));
+    to.setSlackMs(first.m_slack.count());
+    auto runs = to.initRuns(static_cast<unsigned>(group.size()));
+    for (unsigned index = 0; index < group.size(); ++index)
+        write_run(runs[index], group[index]->m_run);
+}
+
+void read_group(wire::RunOrders::Reader from, std::vector<run_order>& to)
+{
+    run_order order;
+    order.m_specification = from.getSpecification().cStr();
+    order.m_needs = read_resources(from.getNeeds());
+    order.m_estimate = milliseconds(from.getEstimateMs());
+    order.m_start_within = milliseconds(from.getStartWithinMs());
+    order.m_slack = milliseconds(from.getSlackMs());
+    for (const auto run : from.getRuns()) {
+        order.m_run = read_run(run);
+        to.push_back(order);
+    }
+}
+
+} // namespace
+
+void write_wire(capnp::List<capnp::Text>::Builder to, const std::vector<std::string>& from)
+{
+    for (unsigned index = 0; index < from.size(); ++index)
+        to.set(index, from[index]);
+}
+
+std::vector<std::string> read_wire(capnp::List<capnp::Text>::Reader from)
+{
+    std::vector<std::string> result;
+    for (const auto text : from)
+        result.emplace_back(text.cStr());
+    return result;
+}
+
+void write_wire(wire::OrderBatch::Builder to, const order_batch& from)
+{
+    to.initHome().setId(from.m_home.m_id);
+    to.getHome().setIncarnation(from.m_home.m_incarnation);
+    to.setHomeAddress(from.m_home_address);
+    to.setClockSeen(from.m_clock_seen);
+    to.setNumber(from.m_number);
+    const auto groups = group_by_step(from.m_starts);
+    auto starts = to.initStarts(static_cast<unsigned>(groups.size()));
+    for (unsigned index = 0; index < groups.size(); ++index)
+        write_group(starts[index], groups[index]);
+    auto stops = to.initStops(static_cast<unsigned>(from.m_stops.size()));
+    for (unsigned index = 0; index < from.m_stops.size(); ++index)
+        write_run(stops[index], from.m_stops[index]);
+    write_wire(to.initEntries(static_cast<unsigned>(from.m_entries.size())), from.m_entries);
+}
+
+order_batch read_wire(wire::OrderBatch::Reader from)
+{
+    order_batch batch;
+    batch.m_home = {from.getHome().getId().cStr(), from.getHome().getIncarnation()};
+    batch.m_home_address = from.getHomeAddress().cStr();
+    batch.m_clock_seen = from.getClockSeen();
+    batch.m_number = from.getNumber();
+    for (const auto group : from.getStarts())
+        read_group(group, batch.m_starts);
+    for (const auto run : from.getStops())
+        batch.m_stops.push_back(read_run(run));
+    batch.m_entries = read_wire(from.getEntries());
+    return batch;
+}
+
+void write_wire(wire::AgentStatus::Builder to, const agent_status& from)
+{
+    to.initLife().setId(from.m_life.m_id);
+    to.getLife().setIncarnation(from.m_life.m_incarnation);
+    to.setAddress(from.m_address);
+    to.setZone(from.m_zone);
+    to.setService(from.m_service);
+    write_wire(to.initLabels(static_cast<unsigned>(from.m_labels.size())), from.m_labels);
+    to.setState(static_cast<std::uint8_t>(from.m_state));
+    to.setIsSettled(from.m_is_settled);
+    write_resources(to.initCapacity(), from.m_capacity);
+    write_resources(to.initFree(), from.m_free);
+    to.setClock(from.m_clock);
+    to.setOrdersSeen(from.m_orders_seen);
+    to.setSequence(from.m_sequence);
+}
+
+agent_status read_wire(wire::AgentStatus::Reader from)
+{
+    agent_status status;
+    status.m_life = {from.getLife().getId().cStr(), from.getLife().getIncarnation()};
+    status.m_address = from.getAddress().cStr();
+    status.m_zone = from.getZone().cStr();
+    status.m_service = from.getService().cStr();
+    status.m_labels = read_wire(from.getLabels());
+    // A state of a newer version counts as the one that gets no work.
+    const bool is_known_state = from.getState() < agent_state_count;
+    status.m_state = is_known_state ? static_cast<agent_state>(from.getState()) : agent_state::preparing;
+    status.m_is_settled = from.getIsSettled();
+    status.m_capacity = read_resources(from.getCapacity());
+    status.m_free = read_resources(from.getFree());
+    status.m_clock = from.getClock();
+    status.m_orders_seen = from.getOrdersSeen();
+    status.m_sequence = from.getSequence();
+    return status;
+}
+
+void write_wire(capnp::List<wire::RunOutcome>::Builder to, const std::vector<run_outcome>& from)
+{
+    for (unsigned index = 0; index < from.size(); ++index) {
+        write_run(to[index].initRun(), from[index].m_run);
+        to[index].setResult(static_cast<std::uint8_t>(from[index].m_result));
+        to[index].setDurationMs(to_wire_ms(from[index].m_duration));
+    }
+}
+
+std::vector<run_outcome> read_wire(capnp::List<wire::RunOutcome>::Reader from)
+{
+    std::vector<run_outcome> outcomes;
+    for (const auto outcome : from) {
+        if (outcome.getResult() >= run_result_count)
+            continue;
+        outcomes.push_back({read_run(outcome.getRun()), static_cast<run_result>(outcome.getResult()),
+                            milliseconds(outcome.getDurationMs())});
+    }
+    return outcomes;
+}
+
+} // namespace hawthornpin
