Jobs are not called failed without failed runs; a stopped run holds its capacity until its end is listed

Change: end 'abandoned' answered 504 may_have_run; infeasible only after a census of 3 s; settlement of twice the stop bound.

--- a/dispatch/job_admission.cpp
+++ b/dispatch/job_admission.cpp
@@ -20,21 +20,22 @@
     });
 }
 
-bool has_feasible_steps(const job_scheduler& scheduler, const live_job& job)
+// The least feasible of the job's steps decides.
+feasibility check_steps(const job_scheduler& scheduler, const live_job& job, instant now)
 {
-    return std::all_of(job.m_request.m_steps.begin(), job.m_request.m_steps.end(), [&](const job_step& step) {
+    feasibility result = feasibility::feasible;
+    for (const job_step& step : job.m_request.m_steps) {
         placement_request request;
         request.m_service = job.m_queue.m_service;
         request.m_needs = step.m_per_task;
         request.m_required_label = step.m_required_label;
-        return is_feasible(scheduler.m_agents, request);
-    });
-}
-
-bool knows_service(const job_scheduler& scheduler, const std::string& service)
-{
-    return std::any_of(scheduler.m_agents.m_agents.begin(), scheduler.m_agents.m_agents.end(),
-                       [&](const auto& item) { return item.second.m_status.m_service == service; });
+        const feasibility checked = check_feasibility(scheduler.m_agents, request, now);
+        if (checked == feasibility::infeasible)
+            return checked;
+        if (checked == feasibility::unknown)
+            result = checked;
+    }
+    return result;
 }
 
 // Processor demand of the tasks that can start at once.
@@ -121,10 +122,11 @@
     const std::string& service = job.m_queue.m_service;
     if (!is_supported(job.m_request))
         return admission_verdict{job_end::refused, job_end_reason::unsupported, unknown_wait};
-    if (!knows_service(scheduler, service))
-        return admission_verdict{job_end::refused, job_end_reason::no_worker, unknown_wait};
-    if (!has_feasible_steps(scheduler, job))
+    const feasibility checked = check_steps(scheduler, job, now);
+    if (checked == feasibility::infeasible)
         return admission_verdict{job_end::failed, job_end_reason::never_fits, milliseconds(0)};
+    if (checked == feasibility::unknown)
+        return admission_verdict{job_end::refused, job_end_reason::no_worker, unknown_wait};
     const service_load load = measure_service(scheduler.m_agents, service, now);
     const auto slack =
         std::chrono::duration_cast<milliseconds>(job.m_objective - now - job.m_steps.front().m_chain);
--- a/dispatch/job_scheduler.cpp
+++ b/dispatch/job_scheduler.cpp
@@ -243,7 +243,7 @@
     }
     for (const std::string& id : abandoned) {
         const bool is_ordered = scheduler.m_jobs.at(id).m_is_ordered;
-        answer_job(scheduler, id, is_ordered ? job_end::failed : job_end::refused,
+        answer_job(scheduler, id, is_ordered ? job_end::abandoned : job_end::refused,
                    job_end_reason::caller_deadline, milliseconds(0));
     }
     for (const std::string& id : late) {
--- a/dispatch/job_scheduler.h
+++ b/dispatch/job_scheduler.h
@@ -73,6 +73,8 @@
     failed,
     // Not run and never will be by this request; the caller may come back after m_retry_after.
     refused,
+    // Given up; some of it may have run.
+    abandoned,
 };
 
 // Why; the name of a counter and of a log field.
--- a/dispatch/run_guard.cpp
+++ b/dispatch/run_guard.cpp
@@ -90,12 +90,11 @@
 
 void note_listed_running(run_guard& guard, const run_listing& listing, instant now)
 {
-    guard.m_foreign.clear();
     guard.m_foreign_to_stop.clear();
     for (const listed_run& listed : listing.m_running) {
         const auto found = guard.m_runs.find(listed.m_run);
         if (found == guard.m_runs.end() || found->second.m_phase == run_phase::waiting) {
-            guard.m_foreign.insert(listed.m_run);
+            guard.m_foreign[listed.m_run] = now;
             guard.m_foreign_to_stop.insert(listed.m_run);
             continue;
         }
@@ -133,6 +132,7 @@
 {
     for (const listed_end& end : listing.m_ended) {
         guard.m_last_seen = std::max(guard.m_last_seen, end.m_number);
+        guard.m_foreign.erase(end.m_run);
         const auto found = guard.m_runs.find(end.m_run);
         if (found == guard.m_runs.end() || found->second.m_phase == run_phase::waiting)
             continue;
@@ -146,13 +146,16 @@
     constexpr std::size_t ends_per_page = 500;
     if (listing.m_ended.size() >= ends_per_page)
         return;
+    const milliseconds settlement = guard.m_limits.m_stop_settlement;
+    std::erase_if(guard.m_foreign,
+                  [&](const auto& item) { return item.second + settlement < asked_at; });
     std::set<run_id> running;
     for (const listed_run& listed : listing.m_running)
         running.insert(listed.m_run);
     for (auto position = guard.m_runs.begin(); position != guard.m_runs.end();) {
         const guarded_run& run = position->second;
-        const bool is_stop_settled = run.m_stop_answered_at && *run.m_stop_answered_at < asked_at;
-        const bool was_started = run.m_phase == run_phase::running && run.m_started < asked_at;
+        const bool is_stop_settled = run.m_stop_answered_at && *run.m_stop_answered_at + settlement < asked_at;
+        const bool was_started = run.m_phase == run_phase::running && run.m_started + settlement < asked_at;
         if (running.contains(position->first) || !(is_stop_settled || was_started))
             ++position;
         else
@@ -318,6 +321,7 @@
     const milliseconds rest = resubmit_after - limits.m_home_lease - stop_time;
     const auto without_drift = static_cast<long long>(static_cast<double>(rest.count()) * (1 - limits.m_clock_drift));
     limits.m_worker_lease = std::min(max_lease, milliseconds(without_drift));
+    limits.m_stop_settlement = 2 * stop_time;
     return limits;
 }
 
--- a/main/platform_entry.cpp
+++ b/main/platform_entry.cpp
@@ -134,6 +134,7 @@
     m_scheduler.m_self = {place.m_node, draw_unpredictable()};
     m_scheduler.m_self_address = place.m_peer_address;
     m_scheduler.m_agents.m_zone = place.m_zone;
+    m_scheduler.m_agents.m_started = boot_now();
     m_entries.m_self = place.m_peer_address;
     add_seeds(m_entries, place.m_seed_addresses);
 }
@@ -332,6 +333,7 @@
 {
     constexpr unsigned too_many_requests = 429;
     constexpr unsigned unavailable = 503;
+    constexpr unsigned gateway_timeout = 504;
     log_event(log_level::info, "job_answered", {{"job", answer.m_job}, {"reason", to_text(answer.m_reason)}});
     api_response response;
     if (answer.m_end == job_end::refused) {
@@ -340,6 +342,10 @@
         response = make_refusal(is_load ? too_many_requests : unavailable, to_text(answer.m_reason),
                                 answer.m_retry_after);
     }
+    else if (answer.m_end == job_end::abandoned) {
+        response = make_response(gateway_timeout);
+        response.m_verdict = "may_have_run";
+    }
     else {
         const bool is_completed = answer.m_end == job_end::completed;
         m_metrics.count(is_completed ? counter::jobs_completed : counter::jobs_failed);
--- a/routing/agent_table.cpp
+++ b/routing/agent_table.cpp
@@ -166,14 +166,21 @@
     return best;
 }
 
-bool is_feasible(const agent_table& table, const placement_request& request)
+feasibility check_feasibility(const agent_table& table, const placement_request& request, instant now)
 {
-    return std::any_of(table.m_agents.begin(), table.m_agents.end(), [&](const auto& item) {
-        const agent_view& agent = item.second;
-        return agent.m_status.m_service == request.m_service &&
-               has_label(agent, request.m_required_label) &&
-               fits(request.m_needs, agent.m_status.m_capacity);
-    });
+    bool is_census_complete = now > table.m_started + table.m_limits.m_census_time;
+    bool is_any_known = false;
+    for (const auto& [id, agent] : table.m_agents) {
+        if (agent.m_status.m_service != request.m_service)
+            continue;
+        is_any_known = true;
+        if (has_label(agent, request.m_required_label) && fits(request.m_needs, agent.m_status.m_capacity))
+            return feasibility::feasible;
+        // A worker that has not reported yet has no capacity.
+        if (agent.m_status.m_capacity == resources{})
+            is_census_complete = false;
+    }
+    return is_any_known && is_census_complete ? feasibility::infeasible : feasibility::unknown;
 }
 
 service_load measure_service(const agent_table& table, const std::string& service, instant now)
--- a/routing/agent_table.h
+++ b/routing/agent_table.h
@@ -20,6 +20,8 @@
     milliseconds m_lost_after{1'400};
     // An agent that has not answered for this long is forgotten.
     milliseconds m_forget_after{10'000};
+    // Agents of a service that starts with its entry are all heard within this time: two reports of a worker.
+    milliseconds m_census_time{3'000};
     // First and longest time that a failing worker gets no orders; it doubles with each failed probe.
     milliseconds m_first_quarantine{500};
     milliseconds m_longest_quarantine{4'000};
@@ -59,6 +61,8 @@
 struct agent_table {
     agent_table_limits m_limits;
     std::string m_zone;
+    // When this process began to listen.
+    instant m_started;
     std::map<std::string, agent_view> m_agents;
     // Lives that a newer one has replaced; a message of them that arrives late changes nothing.
     std::set<agent_life> m_retired;
@@ -92,8 +96,11 @@
 // The agent where the task is expected to end first; null if none has room.
 agent_view* choose_agent(agent_table& table, const placement_request& request, instant now);
 
-// Whether any known worker of the service could run the task when empty.
-bool is_feasible(const agent_table& table, const placement_request& request);
+// Whether any worker of the service could run the task when empty.
+enum class feasibility { feasible, infeasible, unknown };
+// Infeasible only if all agents of the service have been known for long enough that no other is to be
+// expected, and none of their workers could.
+feasibility check_feasibility(const agent_table& table, const placement_request& request, instant now);
 
 // Whether the agent may get orders now.
 bool is_usable(const agent_table& table, const agent_view& agent, instant now);
