Foreign runs block a restarted agent until they end; a leaving entry lets its last response go out

Change: silence needs an outdated listing and does not clear foreign runs; 300 ms of quiet before the end, and 'Connection: close' on responses while leaving.

--- a/dispatch/duration_estimator.cpp
+++ b/dispatch/duration_estimator.cpp
@@ -27,8 +27,7 @@
                                std::uint32_t step, milliseconds declared)
 {
     const auto found = estimator.m_steps.find({queue, step});
-    const bool has_history =
-        found != estimator.m_steps.end() && found->second.m_count >= enough_observations;
+    const bool has_history = found != estimator.m_steps.end() && found->second.m_count >= enough_observations;
     if (!has_history)
         return declared.count() > 0 ? declared : unknown_duration;
     const observed_durations& observed = found->second;
--- a/dispatch/run_guard.cpp
+++ b/dispatch/run_guard.cpp
@@ -61,15 +61,14 @@
         const bool has_begun = position->second.m_phase != run_phase::waiting;
         position = end_run(guard, position, has_begun ? run_result::lost : run_result::not_started, now);
     }
-    guard.m_foreign.clear();
-    guard.m_foreign_to_stop.clear();
 }
 
 // Counts a lease that ends `lease` after now on a worker whose clock may be slow.
 void extend_lease_end(run_guard& guard, instant now)
 {
     const auto lease = static_cast<double>(guard.m_limits.m_worker_lease.count());
-    const auto longest = milliseconds(static_cast<std::int64_t>(lease * (1 + 2 * guard.m_limits.m_clock_drift)));
+    const auto longest =
+        milliseconds(static_cast<std::int64_t>(lease * (1 + 2 * guard.m_limits.m_clock_drift)));
     guard.m_lease_end = std::max(guard.m_lease_end, now + longest);
 }
 
@@ -82,6 +81,8 @@
 void begin_worker_life(run_guard& guard, instant now)
 {
     lose_worker_runs(guard, now);
+    guard.m_foreign.clear();
+    guard.m_foreign_to_stop.clear();
     ++guard.m_fence;
     guard.m_last_seen = 0;
     guard.m_has_listing = false;
@@ -147,14 +148,14 @@
     if (listing.m_ended.size() >= ends_per_page)
         return;
     const milliseconds settlement = guard.m_limits.m_stop_settlement;
-    std::erase_if(guard.m_foreign,
-                  [&](const auto& item) { return item.second + settlement < asked_at; });
+    std::erase_if(guard.m_foreign, [&](const auto& item) { return item.second + settlement < asked_at; });
     std::set<run_id> running;
     for (const listed_run& listed : listing.m_running)
         running.insert(listed.m_run);
     for (auto position = guard.m_runs.begin(); position != guard.m_runs.end();) {
         const guarded_run& run = position->second;
-        const bool is_stop_settled = run.m_stop_answered_at && *run.m_stop_answered_at + settlement < asked_at;
+        const bool is_stop_settled =
+            run.m_stop_answered_at && *run.m_stop_answered_at + settlement < asked_at;
         const bool was_started = run.m_phase == run_phase::running && run.m_started + settlement < asked_at;
         if (running.contains(position->first) || !(is_stop_settled || was_started))
             ++position;
@@ -249,7 +250,7 @@
 
 void detect_silent_worker(run_guard& guard, instant now)
 {
-    if (guard.m_is_worker_silent || now <= guard.m_lease_end)
+    if (guard.m_is_worker_silent || now <= guard.m_lease_end || has_recent_listing(guard, now))
         return;
     guard.m_is_worker_silent = true;
     lose_worker_runs(guard, now);
@@ -319,7 +320,8 @@
     // home lease + worker lease + stop time stays below the time after which a caller resubmits.
     limits.m_home_lease = std::min(longest_home_lease, resubmit_after / 3);
     const milliseconds rest = resubmit_after - limits.m_home_lease - stop_time;
-    const auto without_drift = static_cast<long long>(static_cast<double>(rest.count()) * (1 - limits.m_clock_drift));
+    const auto without_drift =
+        static_cast<long long>(static_cast<double>(rest.count()) * (1 - limits.m_clock_drift));
     limits.m_worker_lease = std::min(max_lease, milliseconds(without_drift));
     limits.m_stop_settlement = 2 * stop_time;
     return limits;
@@ -518,9 +520,8 @@
 
 bool is_idle(const run_guard& guard)
 {
-    const bool owes_outcomes = std::any_of(guard.m_homes.begin(), guard.m_homes.end(), [](const auto& item) {
-        return !item.second.m_outcomes.empty();
-    });
+    const bool owes_outcomes = std::any_of(guard.m_homes.begin(), guard.m_homes.end(),
+                                           [](const auto& item) { return !item.second.m_outcomes.empty(); });
     return guard.m_runs.empty() && !owes_outcomes;
 }
 
--- a/dispatch/run_guard.h
+++ b/dispatch/run_guard.h
@@ -29,8 +29,8 @@
     // A run without progress for this long is stopped. A worker ten times slower than usual still shows a
     // hundredth of the longest tasks within it.
     milliseconds m_stall_limit{600};
-    // A stopped run may take this long to be listed as ended, and is not listed as running meanwhile. Twice the
-    // platform's bound for a stop.
+    // A stopped run may take this long to be listed as ended, and is not listed as running meanwhile. Twice
+    // the platform's bound for a stop.
     milliseconds m_stop_settlement{100};
     // How long an ended run is remembered, so that a repeated order does not start it again. Longer than a
     // start order stays valid.
@@ -105,8 +105,8 @@
     std::map<home_identity, guarded_home> m_homes;
     // Ended runs and when to forget them.
     std::map<run_id, instant> m_ended;
-    // Runs of earlier agents or late orders, and when they were last listed as running. They hold capacity until
-    // their end is listed, so nothing starts while there are any.
+    // Runs of earlier agents or late orders, and when they were last listed as running. They hold capacity
+    // until their end is listed, so nothing starts while there are any.
     std::map<run_id, instant> m_foreign;
     // Those of them whose stop has not been asked for since that listing.
     std::set<run_id> m_foreign_to_stop;
--- a/http/api_server.cpp
+++ b/http/api_server.cpp
@@ -186,7 +186,8 @@
         GSocket* socket = soup_server_message_get_socket(m_message);
         if (socket == nullptr)
             return;
-        m_watch = g_socket_create_source(socket, static_cast<GIOCondition>(G_IO_IN | G_IO_HUP | G_IO_ERR), nullptr);
+        m_watch =
+            g_socket_create_source(socket, static_cast<GIOCondition>(G_IO_IN | G_IO_HUP | G_IO_ERR), nullptr);
         g_source_set_callback(m_watch, G_SOURCE_FUNC(on_socket_event), this, nullptr);
         g_source_attach(m_watch, nullptr);
     }
@@ -261,6 +262,8 @@
     SoupMessageHeaders* headers = soup_server_message_get_response_headers(message);
     if (!response.m_verdict.empty())
         soup_message_headers_replace(headers, "Hawthornpin-Verdict", response.m_verdict.c_str());
+    if (response.m_is_last_on_connection)
+        soup_message_headers_replace(headers, "Connection", "close");
     if (!response.m_retry_after.empty())
         soup_message_headers_replace(headers, "Retry-After", response.m_retry_after.c_str());
     soup_server_message_set_response(message, response.m_content_type.c_str(), SOUP_MEMORY_COPY,
--- a/http/api_server.h
+++ b/http/api_server.h
@@ -41,6 +41,8 @@
     std::string m_retry_after;
     // Closes the connection without an answer; for stand-ins that break on purpose.
     bool m_is_dropped = false;
+    // Asks the client to send further requests over another connection.
+    bool m_is_last_on_connection = false;
 };
 
 struct api_limits {
@@ -70,7 +72,7 @@
 
     // The IP:port listened on.
     std::string address() const;
-    // Requests whose response is not written yet.
+    // Requests whose response has not been handed to the connection yet; the last bytes may follow later.
     int in_progress() const { return m_in_progress; }
 
 private:
--- a/main/platform_agent.cpp
+++ b/main/platform_agent.cpp
@@ -151,16 +151,21 @@
     m_metrics.count(counter::tasks_started);
     const run_id run = order.m_run;
     const std::int64_t deadline = next_deadline_ms(m_guard, boot_now());
-    m_tasks.add(m_worker.start(order, m_guard.m_fence, deadline, worker_id()).then([this, run](start_answer answer) {
-        const instant now = boot_now();
-        if (answer == start_answer::fenced)
-            note_fenced(m_guard);
-        if (answer == start_answer::other_life)
-            note_other_life(m_guard, now);
-        log_event(log_level::info, "start_answered", {{"task", to_text(run.m_task)}, {"run", std::to_string(run.m_number)}, {"answer", std::to_string(int(answer))},{"free", std::to_string(free_capacity(m_guard).m_cpu_milli)}});
-        note_start_answer(m_guard, run, answer, now);
-        schedule_step();
-    }));
+    m_tasks.add(
+        m_worker.start(order, m_guard.m_fence, deadline, worker_id()).then([this, run](start_answer answer) {
+            const instant now = boot_now();
+            if (answer == start_answer::fenced)
+                note_fenced(m_guard);
+            if (answer == start_answer::other_life)
+                note_other_life(m_guard, now);
+            log_event(log_level::info, "start_answered",
+                      {{"task", to_text(run.m_task)},
+                       {"run", std::to_string(run.m_number)},
+                       {"answer", std::to_string(int(answer))},
+                       {"free", std::to_string(free_capacity(m_guard).m_cpu_milli)}});
+            note_start_answer(m_guard, run, answer, now);
+            schedule_step();
+        }));
 }
 
 void platform_agent::call_stop(const run_id& run)
@@ -213,7 +218,12 @@
     case renewal_fate::listed:
         m_metrics.count(counter::leases_renewed);
         note_listing(m_guard, answer.m_listing, asked, now);
-        log_event(log_level::info, "listed", {{"running", std::to_string(answer.m_listing.m_running.size())}, {"ended", std::to_string(answer.m_listing.m_ended.size())}, {"foreign", std::to_string(m_guard.m_foreign.size())},{"free", std::to_string(free_capacity(m_guard).m_cpu_milli)},{"born", std::to_string(answer.m_listing.m_started_unix_ms.value_or(-1))}});
+        log_event(log_level::info, "listed",
+                  {{"running", std::to_string(answer.m_listing.m_running.size())},
+                   {"ended", std::to_string(answer.m_listing.m_ended.size())},
+                   {"foreign", std::to_string(m_guard.m_foreign.size())},
+                   {"free", std::to_string(free_capacity(m_guard).m_cpu_milli)},
+                   {"born", std::to_string(answer.m_listing.m_started_unix_ms.value_or(-1))}});
         break;
     case renewal_fate::fenced:
         note_fenced(m_guard);
--- a/main/platform_entry.cpp
+++ b/main/platform_entry.cpp
@@ -32,6 +32,8 @@
 // The balancer needs two missed probes, a second apart, to stop sending connections; a connection that is
 // open then may still bring requests.
 constexpr milliseconds serve_while_leaving{3'500};
+// Time in which the last response reaches its client.
+constexpr milliseconds linger_when_quiet{300};
 constexpr milliseconds exit_before_grace{400};
 constexpr std::size_t max_links = 512;
 constexpr std::size_t max_peer_connections = 1'024;
@@ -152,7 +154,15 @@
     limits.m_kept_headers = {patience_header};
     limits.m_is_abandoned_on_close = true;
     m_caller_server = std::make_unique<api_server>(
-        [this](const api_request& request) { return on_caller_request(request); }, limits);
+        [this](const api_request& request) {
+            m_last_request_at = boot_now();
+            return on_caller_request(request).then([this](api_response response) {
+                m_last_request_at = boot_now();
+                response.m_is_last_on_connection = m_leaving_since.has_value();
+                return response;
+            });
+        },
+        limits);
     if (!m_caller_server->listen(m_place.m_caller_address, why))
         return false;
     auto socket = listen_on(m_place.m_peer_address, why);
@@ -448,7 +458,8 @@
     if (!m_leaving_since)
         return;
     const instant now = boot_now();
-    const bool is_done = *m_leaving_since + serve_while_leaving < now && m_caller_server->in_progress() == 0;
+    const bool is_quiet = m_caller_server->in_progress() == 0 && m_last_request_at + linger_when_quiet < now;
+    const bool is_done = *m_leaving_since + serve_while_leaving < now && is_quiet;
     const bool is_over = *m_leaving_since + m_place.m_shutdown_grace - exit_before_grace < now;
     if (is_done || is_over)
         m_loop.stop();
--- a/main/platform_entry.h
+++ b/main/platform_entry.h
@@ -90,6 +90,8 @@
     std::set<std::string> m_shares_in_flight;
     bool m_is_step_scheduled = false;
     std::optional<instant> m_leaving_since;
+    // When a caller's request last arrived or was answered.
+    instant m_last_request_at;
     background_tasks m_tasks;
 };
 
--- a/main/platform_link.h
+++ b/main/platform_link.h
@@ -32,9 +32,8 @@
                                                    milliseconds timeout);
     kj::Promise<bool> report(const std::string& address, const agent_status& status,
                              const std::vector<run_outcome>& outcomes, milliseconds timeout);
-    kj::Promise<std::optional<std::vector<std::string>>> present(const std::string& address,
-                                                                 const agent_status& status,
-                                                                 milliseconds timeout);
+    kj::Promise<std::optional<std::vector<std::string>>>
+    present(const std::string& address, const agent_status& status, milliseconds timeout);
     kj::Promise<std::optional<shared_knowledge>> share(const std::string& address,
                                                        const std::string& own_address,
                                                        const shared_knowledge& known, milliseconds timeout);
