Orders come back unstarted in time to refuse their job; one task may wait at each worker; renewals wait less

A lost answer of a renewal (answer_lost) kept a worker idle for 350 ms. Change: an order's start_within ends when its job is too late; overcommit of one task; renewals wait 60 ms while busy. Conclusion: jobs that have begun still starve; order is next.

--- a/dispatch/job_admission.cpp
+++ b/dispatch/job_admission.cpp
@@ -63,9 +63,10 @@
     return demand;
 }
 
-// Thousandths of a core that this entry's runs release per millisecond.
-double release_rate(const job_scheduler& scheduler, const std::string& service)
+// Share of its processors that a busy service releases per millisecond, from this entry's own runs.
+double release_share(const job_scheduler& scheduler, const std::string& service)
 {
+    double busy = 0;
     double rate = 0;
     for (const auto& [id, job] : scheduler.m_jobs) {
         if (job.m_queue.m_service != service)
@@ -75,20 +76,26 @@
             const auto ordered =
                 std::count_if(step.m_tasks.begin(), step.m_tasks.end(),
                               [](const live_task& task) { return task.m_phase == task_phase::ordered; });
-            const auto cpu = static_cast<double>(job.m_request.m_steps[index].m_per_task.m_cpu_milli);
-            const auto duration = static_cast<double>(std::max<std::int64_t>(1, step.m_estimate.count()));
-            rate += static_cast<double>(ordered) * cpu / duration;
+            const auto cpu =
+                static_cast<double>(ordered * job.m_request.m_steps[index].m_per_task.m_cpu_milli);
+            busy += cpu;
+            rate += cpu / static_cast<double>(std::max<std::int64_t>(1, step.m_estimate.count()));
         }
     }
-    return rate;
+    return busy > 0 ? rate / busy : 0;
 }
 
-milliseconds time_to_release(const job_scheduler& scheduler, const std::string& service,
-                             std::int64_t shortage)
+// Expected time until `demand` has room that comes after `ahead`, a demand that waits at this entry. The
+// other entries are taken to have as much waiting: callers are spread over them evenly.
+milliseconds wait_for_room(const job_scheduler& scheduler, const std::string& service, std::int64_t ahead,
+                           std::int64_t demand, instant now)
 {
+    const service_load load = measure_service(scheduler.m_agents, service, now);
+    const auto entries = static_cast<std::int64_t>(scheduler.m_entries.size() + 1);
+    const std::int64_t shortage = entries * ahead + demand - load.m_free_milli;
     if (shortage <= 0)
         return milliseconds(0);
-    const double rate = release_rate(scheduler, service);
+    const double rate = release_share(scheduler, service) * static_cast<double>(load.m_busy_milli);
     if (rate <= 0)
         return unknown_wait;
     const double wait = static_cast<double>(shortage) / rate;
@@ -127,12 +134,10 @@
         return admission_verdict{job_end::failed, job_end_reason::never_fits, milliseconds(0)};
     if (checked == feasibility::unknown)
         return admission_verdict{job_end::refused, job_end_reason::no_worker, unknown_wait};
-    const service_load load = measure_service(scheduler.m_agents, service, now);
     const auto slack =
         std::chrono::duration_cast<milliseconds>(job.m_objective - now - job.m_steps.front().m_chain);
     const std::int64_t ahead = demand_ahead(scheduler, service, now + slack);
-    const std::int64_t shortage = ahead + opening_demand(job) - load.m_free_milli;
-    const milliseconds wait = time_to_release(scheduler, service, shortage);
+    const milliseconds wait = wait_for_room(scheduler, service, ahead, opening_demand(job), now);
     const auto bound = milliseconds(
         static_cast<std::int64_t>(static_cast<double>(slack.count()) * scheduler.m_limits.m_admitted_slack));
     if (wait <= bound)
@@ -140,16 +145,19 @@
     return admission_verdict{job_end::refused, job_end_reason::overload, wait};
 }
 
-bool is_too_late_to_start(const live_job& job, instant now)
+instant latest_useful_start(const live_job& job)
 {
-    return job.m_objective - job.m_steps.front().m_chain < now;
+    // An estimate that is off by this share of the chain still leaves the job on time.
+    constexpr double estimate_tolerance = 0.25;
+    const auto chain = job.m_steps.front().m_chain;
+    const auto tolerance =
+        milliseconds(static_cast<std::int64_t>(static_cast<double>(chain.count()) * estimate_tolerance));
+    return job.m_objective - chain + tolerance;
 }
 
 milliseconds expected_wait(const job_scheduler& scheduler, const std::string& service, instant now)
 {
-    const service_load load = measure_service(scheduler.m_agents, service, now);
-    const std::int64_t waiting = demand_ahead(scheduler, service, instant::max());
-    return time_to_release(scheduler, service, waiting - load.m_free_milli);
+    return wait_for_room(scheduler, service, demand_ahead(scheduler, service, instant::max()), 0, now);
 }
 
 } // namespace hawthornpin
--- a/dispatch/job_admission.h
+++ b/dispatch/job_admission.h
@@ -22,8 +22,8 @@
 std::optional<admission_verdict> check_admission(const job_scheduler& scheduler, const live_job& job,
                                                  instant now);
 
-// Whether a job of which nothing is ordered yet can't be on time any more.
-bool is_too_late_to_start(const live_job& job, instant now);
+// A job of which nothing has begun by then can't be on time any more.
+instant latest_useful_start(const live_job& job);
 
 // Expected time until a new job of the service would find room.
 milliseconds expected_wait(const job_scheduler& scheduler, const std::string& service, instant now);
--- a/dispatch/job_scheduler.cpp
+++ b/dispatch/job_scheduler.cpp
@@ -51,20 +51,32 @@
     return std::erase_if(channel.m_starts, [&](const run_order& order) { return order.m_run == run; }) > 0;
 }
 
-void stop_running_tasks(job_scheduler& scheduler, const live_job& job)
+struct ordered_run {
+    run_id m_run;
+    std::string m_agent;
+};
+
+std::vector<ordered_run> list_ordered_runs(const live_job& job)
 {
+    std::vector<ordered_run> ordered;
     for (std::uint32_t step = 0; step < job.m_steps.size(); ++step) {
         for (std::uint32_t index = 0; index < job.m_steps[step].m_tasks.size(); ++index) {
             const live_task& task = job.m_steps[step].m_tasks[index];
-            if (task.m_phase != task_phase::ordered)
-                continue;
-            release_run(scheduler, task.m_agent);
-            agent_channel& channel = scheduler.m_channels[task.m_agent];
-            const run_id run = make_run_id(job, step, index);
-            if (!withdraw_order(channel, run))
-                channel.m_stops.push_back(run);
+            if (task.m_phase == task_phase::ordered)
+                ordered.push_back({make_run_id(job, step, index), task.m_agent});
         }
     }
+    return ordered;
+}
+
+void stop_running_tasks(job_scheduler& scheduler, const live_job& job)
+{
+    for (const ordered_run& ordered : list_ordered_runs(job)) {
+        release_run(scheduler, ordered.m_agent);
+        agent_channel& channel = scheduler.m_channels[ordered.m_agent];
+        if (!withdraw_order(channel, ordered.m_run))
+            channel.m_stops.push_back(ordered.m_run);
+    }
 }
 
 void remove_job(job_scheduler& scheduler, std::map<std::string, live_job>::iterator position)
@@ -141,6 +153,7 @@
                                   outcome.m_result == run_result::refused;
     if (is_agent_suspect)
         blame_agent(scheduler, task, now);
+    task.m_phase = task_phase::blocked;
     if (task.m_failed_runs >= job.m_queue.m_max_attempts) {
         answer_job(scheduler, outcome.m_run.m_task.m_job, job_end::failed,
                    job_end_reason::attempts_exhausted);
@@ -176,6 +189,10 @@
         return;
     release_run(scheduler, agent);
     withdraw_order(scheduler.m_channels[agent], outcome.m_run);
+    --found->second.m_open_runs;
+    const bool is_unstarted =
+        outcome.m_result == run_result::not_started || outcome.m_result == run_result::refused;
+    found->second.m_has_begun = found->second.m_has_begun || !is_unstarted;
     if (outcome.m_result == run_result::done)
         finish_task(scheduler, found->second, outcome, now);
     else
@@ -187,12 +204,9 @@
 {
     std::vector<run_outcome> lost;
     for (const auto& [id, job] : scheduler.m_jobs) {
-        for (std::uint32_t step = 0; step < job.m_steps.size(); ++step) {
-            for (std::uint32_t index = 0; index < job.m_steps[step].m_tasks.size(); ++index) {
-                const live_task& task = job.m_steps[step].m_tasks[index];
-                if (task.m_phase == task_phase::ordered && task.m_agent == agent)
-                    lost.push_back({make_run_id(job, step, index), run_result::lost, milliseconds(0)});
-            }
+        for (const ordered_run& ordered : list_ordered_runs(job)) {
+            if (ordered.m_agent == agent)
+                lost.push_back({ordered.m_run, run_result::lost, milliseconds(0)});
         }
     }
     for (const run_outcome& outcome : lost)
@@ -233,18 +247,17 @@
 
 void end_overdue_jobs(job_scheduler& scheduler, instant now)
 {
-    std::vector<std::string> abandoned;
+    std::vector<std::string> over;
     std::vector<std::string> late;
     for (const auto& [id, job] : scheduler.m_jobs) {
         if (job.m_give_up <= now)
-            abandoned.push_back(id);
-        else if (!job.m_is_ordered && is_too_late_to_start(job, now))
+            over.push_back(id);
+        else if (is_untouched(job) && latest_useful_start(job) < now)
             late.push_back(id);
     }
-    for (const std::string& id : abandoned) {
-        const bool is_ordered = scheduler.m_jobs.at(id).m_is_ordered;
-        answer_job(scheduler, id, is_ordered ? job_end::abandoned : job_end::refused,
-                   job_end_reason::caller_deadline, milliseconds(0));
+    for (const std::string& id : over) {
+        const job_end end = is_untouched(scheduler.m_jobs.at(id)) ? job_end::refused : job_end::abandoned;
+        answer_job(scheduler, id, end, job_end_reason::caller_deadline);
     }
     for (const std::string& id : late) {
         const milliseconds retry_after =
@@ -280,7 +293,7 @@
     task.m_phase = task_phase::ordered;
     ++task.m_run;
     task.m_agent = agent.m_status.m_life.m_id;
-    job.m_is_ordered = true;
+    ++job.m_open_runs;
     ++agent.m_runs;
     agent_channel& channel = scheduler.m_channels[task.m_agent];
     run_order order;
@@ -289,6 +302,10 @@
     order.m_needs = job.m_request.m_steps[key.m_step].m_per_task;
     order.m_estimate = job.m_steps[key.m_step].m_estimate;
     order.m_start_within = scheduler.m_limits.m_start_within;
+    if (!job.m_has_begun) {
+        const auto left = std::chrono::duration_cast<milliseconds>(latest_useful_start(job) - now);
+        order.m_start_within = std::min(order.m_start_within, left);
+    }
     order.m_slack = std::chrono::duration_cast<milliseconds>(key.m_latest_start - now);
     agent.m_unseen.push_back({channel.m_number + 1, order.m_needs});
     channel.m_starts.push_back(std::move(order));
@@ -301,6 +318,11 @@
          position != scheduler.m_ready.end() && misses < scheduler.m_limits.m_placement_misses;) {
         const ready_key key = *position;
         live_job& job = scheduler.m_jobs.at(key.m_job);
+        // Refused as soon as no order for it is open, or placed again once one turns out to have begun.
+        if (!job.m_has_begun && latest_useful_start(job) < now) {
+            ++position;
+            continue;
+        }
         const auto request =
             make_placement_request(job, key.m_step, job.m_steps[key.m_step].m_tasks[key.m_index]);
         agent_view* agent = choose_agent(scheduler.m_agents, request, now);
@@ -384,6 +406,11 @@
     return "shutting_down";
 }
 
+bool is_untouched(const live_job& job)
+{
+    return !job.m_has_begun && job.m_open_runs == 0;
+}
+
 void submit_job(job_scheduler& scheduler, const work_request& request, const queue_contract& queue,
                 milliseconds caller_patience, instant now)
 {
@@ -494,7 +521,7 @@
 {
     return static_cast<std::size_t>(
         std::count_if(scheduler.m_jobs.begin(), scheduler.m_jobs.end(), [&](const auto& item) {
-            return item.second.m_queue.m_name == queue && !item.second.m_is_ordered;
+            return item.second.m_queue.m_name == queue && is_untouched(item.second);
         }));
 }
 
--- a/dispatch/job_scheduler.h
+++ b/dispatch/job_scheduler.h
@@ -52,10 +52,15 @@
     // The caller leaves then.
     instant m_give_up;
     std::vector<live_step> m_steps;
-    // Whether an order for any of its tasks may have left this process.
-    bool m_is_ordered = false;
+    // Whether a run of any of its tasks is known to have begun, or may have.
+    bool m_has_begun = false;
+    // Runs whose order is not settled yet.
+    std::uint32_t m_open_runs = 0;
 };
 
+// Whether nothing of the job has run and no order for it is under way, so that it may be refused as not run.
+bool is_untouched(const live_job& job);
+
 // Ready tasks in the order in which they are placed: those that can be on time first, the least slack first.
 struct ready_key {
     bool m_is_late = false;
@@ -117,7 +122,7 @@
     // Pause before a message that was not answered is repeated.
     milliseconds m_retry_pause{25};
     // How long an order may wait at an agent whose room was taken by another entry.
-    milliseconds m_start_within{40};
+    milliseconds m_start_within{60};
     // Tasks looked at, without finding room, before the rest of the ready tasks waits for the next round.
     std::size_t m_placement_misses = 16;
     // Share of a job's slack that may be spent on waiting when it is admitted.
--- a/dispatch/run_guard.cpp
+++ b/dispatch/run_guard.cpp
@@ -376,7 +376,9 @@
         asked.m_deadline_ms = next_deadline_ms(guard, now);
         extend_lease_end(guard, now);
     }
-    asked.m_wait = guard.m_has_listing ? guard.m_limits.m_listing_wait : milliseconds(0);
+    const bool is_busy = !guard.m_runs.empty();
+    if (guard.m_has_listing)
+        asked.m_wait = is_busy ? guard.m_limits.m_busy_listing_wait : guard.m_limits.m_idle_listing_wait;
     if (!guard.m_foreign.empty())
         asked.m_wait = foreign_run_pause;
     return asked;
--- a/dispatch/run_guard.h
+++ b/dispatch/run_guard.h
@@ -24,8 +24,10 @@
     // Without a listing for this long, nothing is started or renewed: the worker counts as silent once
     // everything that it was granted before has lapsed. Two renewals fit in.
     milliseconds m_listing_validity{400};
-    // How long a renewal waits at the worker for an end.
-    milliseconds m_listing_wait{200};
+    // How long a renewal waits at the worker for an end: while something runs, and while nothing does. An
+    // answer that is lost costs the wait and a time-out, of which three fit into the listing's validity.
+    milliseconds m_busy_listing_wait{60};
+    milliseconds m_idle_listing_wait{200};
     // A run without progress for this long is stopped. A worker ten times slower than usual still shows a
     // hundredth of the longest tasks within it.
     milliseconds m_stall_limit{600};
--- a/main/platform_entry.cpp
+++ b/main/platform_entry.cpp
@@ -137,6 +137,7 @@
     m_scheduler.m_self_address = place.m_peer_address;
     m_scheduler.m_agents.m_zone = place.m_zone;
     m_scheduler.m_agents.m_started = boot_now();
+    m_scheduler.m_agents.m_random.seed(draw_unpredictable());
     m_entries.m_self = place.m_peer_address;
     add_seeds(m_entries, place.m_seed_addresses);
 }
@@ -279,7 +280,7 @@
     const auto job = m_scheduler.m_jobs.find(id);
     if (job == m_scheduler.m_jobs.end())
         return make_response(410);
-    return make_state_response(job->second.m_is_ordered ? "running" : "queued");
+    return make_state_response(is_untouched(job->second) ? "queued" : "running");
 }
 
 api_response platform_entry::cancel(const std::string& id)
--- a/routing/agent_table.cpp
+++ b/routing/agent_table.cpp
@@ -20,6 +20,12 @@
 // At most this share of a service is quarantined, so that a fault of the tasks does not take all workers.
 constexpr double quarantined_share = 1.0 / 3;
 
+// In [0, 1).
+double draw_share(random_source& source)
+{
+    return std::uniform_real_distribution<double>(0, 1)(source);
+}
+
 bool has_label(const agent_view& agent, const std::string& label)
 {
     const auto& labels = agent.m_status.m_labels;
@@ -34,7 +40,8 @@
 double placement_cost(const agent_table& table, const agent_view& agent, const placement_request& request)
 {
     const resources free = free_for_orders(agent);
-    const double capacity = static_cast<double>(std::max<std::int64_t>(1, agent.m_status.m_capacity.m_cpu_milli));
+    const double capacity =
+        static_cast<double>(std::max<std::int64_t>(1, agent.m_status.m_capacity.m_cpu_milli));
     const double load = 1 - static_cast<double>(free.m_cpu_milli) / capacity;
     double cost = agent.m_slowness * (1 + table.m_limits.m_load_cost * load);
     if (agent.m_status.m_zone != table.m_zone)
@@ -44,6 +51,32 @@
     return cost;
 }
 
+// The cheapest agent whose free capacity, and `overcommit` beyond it, holds the task.
+agent_view* choose_with_room(agent_table& table, const placement_request& request,
+                             const resources& overcommit, instant now)
+{
+    constexpr double avoidance_cost = 1'000;
+    agent_view* best = nullptr;
+    double best_cost = std::numeric_limits<double>::infinity();
+    for (auto& [id, agent] : table.m_agents) {
+        if (agent.m_status.m_service != request.m_service || !is_usable(table, agent, now))
+            continue;
+        if (!has_label(agent, request.m_required_label) || contains(request.m_excluded, id))
+            continue;
+        const bool has_capacity = fits(request.m_needs, agent.m_status.m_capacity);
+        if (!has_capacity || !fits(request.m_needs, free_for_orders(agent) + overcommit))
+            continue;
+        const double avoidance = contains(request.m_avoided, id) ? avoidance_cost : 0;
+        const double jitter = table.m_limits.m_random_cost * draw_share(table.m_random);
+        const double cost = placement_cost(table, agent, request) * (1 + jitter) + avoidance;
+        if (cost < best_cost) {
+            best = &agent;
+            best_cost = cost;
+        }
+    }
+    return best;
+}
+
 bool is_quarantine_allowed(const agent_table& table, const agent_view& candidate, instant now)
 {
     double agents = 0;
@@ -83,9 +116,8 @@
         return;
     agent.m_status = status;
     agent.m_heard_at = now;
-    std::erase_if(agent.m_unseen, [&](const unseen_order& order) {
-        return order.m_batch <= status.m_orders_seen;
-    });
+    std::erase_if(agent.m_unseen,
+                  [&](const unseen_order& order) { return order.m_batch <= status.m_orders_seen; });
 }
 
 void note_clock(agent_view& agent, const agent_status& status, instant now)
@@ -146,24 +178,11 @@
 
 agent_view* choose_agent(agent_table& table, const placement_request& request, instant now)
 {
-    constexpr double avoidance_cost = 1'000;
-    agent_view* best = nullptr;
-    double best_cost = std::numeric_limits<double>::infinity();
-    for (auto& [id, agent] : table.m_agents) {
-        if (agent.m_status.m_service != request.m_service || !is_usable(table, agent, now))
-            continue;
-        if (!has_label(agent, request.m_required_label) || contains(request.m_excluded, id))
-            continue;
-        if (!fits(request.m_needs, free_for_orders(agent)))
-            continue;
-        const double avoidance = contains(request.m_avoided, id) ? avoidance_cost : 0;
-        const double cost = placement_cost(table, agent, request) + avoidance;
-        if (cost < best_cost) {
-            best = &agent;
-            best_cost = cost;
-        }
-    }
-    return best;
+    agent_view* best = choose_with_room(table, request, {}, now);
+    if (best != nullptr)
+        return best;
+    const resources overcommit{table.m_limits.m_overcommit_milli, 0, 0};
+    return choose_with_room(table, request, overcommit, now);
 }
 
 feasibility check_feasibility(const agent_table& table, const placement_request& request, instant now)
@@ -192,7 +211,9 @@
             continue;
         const std::int64_t capacity = agent.m_status.m_capacity.m_cpu_milli;
         load.m_capacity_milli += capacity;
-        load.m_free_milli += std::max<std::int64_t>(0, free_for_orders(agent).m_cpu_milli);
+        const std::int64_t free = free_for_orders(agent).m_cpu_milli;
+        load.m_free_milli += free;
+        load.m_busy_milli += capacity - std::max<std::int64_t>(0, free);
         weighted += agent.m_slowness * static_cast<double>(capacity);
         ++load.m_usable_agents;
     }
--- a/routing/agent_table.h
+++ b/routing/agent_table.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "core/random.h"
 #include "world/run_messages.h"
 
 #include <map>
@@ -27,6 +28,11 @@
     milliseconds m_longest_quarantine{4'000};
     // Cost of placing a task in another availability zone, as a share of its duration.
     double m_other_zone_cost = 0.02;
+    // Random part of the cost: entries that see the same load do not all choose the same worker.
+    double m_random_cost = 0.05;
+    // Processors, in thousandths of a core, that may be ordered beyond an agent's free ones when no worker
+    // has room: about one task waits at each worker, so that the next starts as soon as one ends.
+    std::int64_t m_overcommit_milli = 2'000;
     // Cost of a full worker over an empty one, as a share of the duration: spreads load among equals.
     double m_load_cost = 0.1;
     // How much longer a task takes away from the rack of its data.
@@ -61,6 +67,7 @@
 struct agent_table {
     agent_table_limits m_limits;
     std::string m_zone;
+    random_source m_random;
     // When this process began to listen.
     instant m_started;
     std::map<std::string, agent_view> m_agents;
@@ -111,7 +118,9 @@
 // Totals over the usable workers of a service, in thousandths of a core.
 struct service_load {
     std::int64_t m_capacity_milli = 0;
+    // Less what waits at the agents: negative when more waits than is free.
     std::int64_t m_free_milli = 0;
+    std::int64_t m_busy_milli = 0;
     std::size_t m_usable_agents = 0;
     // Mean slowness of the usable agents, by capacity.
     double m_slowness = 1;
