No caller is refused while a worker is free and nothing waits; otherwise a fifth of the slack admits

Change: m_admitted_slack 0.2, but a job is admitted when a task of it has room at once and the queue is empty.

--- a/dispatch/job_admission.cpp
+++ b/dispatch/job_admission.cpp
@@ -102,6 +102,15 @@
     return std::min(unknown_wait, milliseconds(static_cast<std::int64_t>(wait)));
 }
 
+// Whether a task of the job could start now with nothing waiting before it: no caller is turned away while a
+// worker is free.
+bool is_room_at_once(const job_scheduler& scheduler, const live_job& job, instant now)
+{
+    const bool is_queue_empty = demand_ahead(scheduler, job.m_queue.m_service, instant::max()) == 0;
+    return is_queue_empty && has_room(scheduler.m_agents, job.m_queue.m_service,
+                                      job.m_request.m_steps.front().m_per_task, now);
+}
+
 } // namespace
 
 void measure_chains(live_job& job)
@@ -140,7 +149,7 @@
     const milliseconds wait = wait_for_room(scheduler, service, ahead, opening_demand(job), now);
     const auto bound = milliseconds(
         static_cast<std::int64_t>(static_cast<double>(slack.count()) * scheduler.m_limits.m_admitted_slack));
-    if (wait <= bound)
+    if (wait <= bound || is_room_at_once(scheduler, job, now))
         return std::nullopt;
     return admission_verdict{job_end::refused, job_end_reason::overload, wait};
 }
--- a/dispatch/job_scheduler.h
+++ b/dispatch/job_scheduler.h
@@ -126,7 +126,7 @@
     // Tasks looked at, without finding room, before the rest of the ready tasks waits for the next round.
     std::size_t m_placement_misses = 16;
     // Share of a job's slack that may be spent on waiting when it is admitted.
-    double m_admitted_slack = 0.5;
+    double m_admitted_slack = 0.2;
 };
 
 // Messages between this entry and one agent.
--- a/routing/agent_table.cpp
+++ b/routing/agent_table.cpp
@@ -202,6 +202,15 @@
     return is_any_known && is_census_complete ? feasibility::infeasible : feasibility::unknown;
 }
 
+bool has_room(const agent_table& table, const std::string& service, const resources& needs, instant now)
+{
+    return std::any_of(table.m_agents.begin(), table.m_agents.end(), [&](const auto& item) {
+        const agent_view& agent = item.second;
+        return agent.m_status.m_service == service && is_usable(table, agent, now) &&
+               fits(needs, free_for_orders(agent));
+    });
+}
+
 service_load measure_service(const agent_table& table, const std::string& service, instant now)
 {
     service_load load;
--- a/routing/agent_table.h
+++ b/routing/agent_table.h
@@ -109,6 +109,9 @@
 // expected, and none of their workers could.
 feasibility check_feasibility(const agent_table& table, const placement_request& request, instant now);
 
+// Whether a usable worker of the service has room for the task now.
+bool has_room(const agent_table& table, const std::string& service, const resources& needs, instant now);
+
 // Whether the agent may get orders now.
 bool is_usable(const agent_table& table, const agent_view& agent, instant now);
 
