--- /dev/null
+++ b/tests/dispatch/run_guard_test.cpp
@@ -0,0 +1,300 @@
+// The agent's guard over its worker: capacity, leases, and the settling of every start.
+
+#include "dispatch/run_guard.h"
+
+#include <doctest/doctest.h>
+
+namespace hawthornpin {
+
+namespace {
+
+constexpr long long boot_ms = 1'000'000;
+const home_identity entry{"entry-1", 1};
+const home_identity other_entry{"entry-2", 2};
+
+instant at_ms(long long value)
+{
+    return instant(milliseconds(boot_ms + value));
+}
+
+std::uint64_t clock_at_ms(long long value)
+{
+    return static_cast<std::uint64_t>(at_ms(value).time_since_epoch().count());
+}
+
+worker_report make_report(std::int64_t sequence = 1, std::int64_t started = 77)
+{
+    worker_report report;
+    report.m_life = {"i-1", started};
+    report.m_service = "svc";
+    report.m_capacity = {16'000, 32'768, 0};
+    report.m_sequence = sequence;
+    return report;
+}
+
+run_id make_run(std::uint32_t index, std::uint32_t number = 1)
+{
+    return {{"5c0e7a21d94b36f8", 0, 0, index}, number};
+}
+
+run_order make_order(std::uint32_t index, std::uint32_t number = 1)
+{
+    run_order order;
+    order.m_run = make_run(index, number);
+    order.m_needs = {4'000, 64, 0};
+    order.m_start_within = milliseconds(60);
+    return order;
+}
+
+// A guard whose worker has reported and listed nothing, with the clock of the test.
+class guard_fixture {
+public:
+    guard_fixture()
+    {
+        m_guard.m_limits = make_run_guard_limits(milliseconds(1'000), milliseconds(50), milliseconds(1'300));
+        m_guard.m_fence = 10;
+        note_worker_report(m_guard, make_report(), at_ms(0));
+        list({}, {}, 0);
+    }
+
+    void list(std::vector<listed_run> running, std::vector<listed_end> ended, long long now)
+    {
+        run_listing listing;
+        listing.m_worker_clock_ms = now + 500;
+        listing.m_started_unix_ms = 77;
+        listing.m_running = std::move(running);
+        listing.m_ended = std::move(ended);
+        const renewal asked = begin_renewal(m_guard, at_ms(now));
+        note_listing(m_guard, listing, asked, at_ms(now));
+    }
+
+    void order(std::vector<run_order> starts, long long now, long long clock_seen, std::uint64_t number = 1,
+               const home_identity& home = entry)
+    {
+        order_batch batch;
+        batch.m_home = home;
+        batch.m_clock_seen = clock_at_ms(clock_seen);
+        batch.m_number = number;
+        batch.m_starts = std::move(starts);
+        accept_orders(m_guard, batch, at_ms(now));
+    }
+
+    // Starts a run and acknowledges it.
+    void run(std::uint32_t index, long long now)
+    {
+        order({make_order(index)}, now, now);
+        REQUIRE(advance(m_guard, at_ms(now)).m_starts.size() == 1);
+        note_start_answer(m_guard, make_run(index), start_answer::started, at_ms(now));
+    }
+
+    std::vector<run_result> results(const home_identity& home = entry)
+    {
+        std::vector<run_result> results;
+        for (const run_outcome& outcome : m_guard.m_homes[home].m_outcomes)
+            results.push_back(outcome.m_result);
+        return results;
+    }
+
+    run_guard m_guard;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(guard_fixture, "starts never exceed the worker's capacity, and a stopping run still counts")
+{
+    order({make_order(0), make_order(1), make_order(2), make_order(3), make_order(4)}, 1, 1);
+    CHECK(advance(m_guard, at_ms(1)).m_starts.size() == 4);
+    for (std::uint32_t index = 0; index < 4; ++index)
+        note_start_answer(m_guard, make_run(index), start_answer::started, at_ms(2));
+    order_batch stop;
+    stop.m_home = entry;
+    stop.m_clock_seen = clock_at_ms(3);
+    stop.m_stops = {make_run(0)};
+    accept_orders(m_guard, stop, at_ms(3));
+    CHECK(advance(m_guard, at_ms(3)).m_stops.size() == 1);
+    note_stop_answer(m_guard, make_run(0), true, at_ms(4));
+    CHECK(advance(m_guard, at_ms(4)).m_starts.empty());
+    // Listed neither as running nor as ended: it is still being stopped.
+    list({{make_run(1), 1}, {make_run(2), 1}, {make_run(3), 1}}, {}, 10);
+    CHECK(advance(m_guard, at_ms(10)).m_starts.empty());
+    list({{make_run(1), 1}, {make_run(2), 1}, {make_run(3), 1}}, {{1, make_run(0), run_end::stopped}}, 12);
+    CHECK(advance(m_guard, at_ms(12)).m_starts.size() == 1);
+}
+
+TEST_CASE_FIXTURE(guard_fixture, "runs of an earlier agent block the worker until they end, and are stopped")
+{
+    run_guard fresh;
+    fresh.m_limits = m_guard.m_limits;
+    note_worker_report(fresh, make_report(), at_ms(0));
+    m_guard = fresh;
+    list({{make_run(9), 50}}, {}, 0);
+    CHECK(state_of(m_guard, at_ms(0)) == agent_state::preparing);
+    // This agent has never held a lease, which does not make the worker silent.
+    CHECK(advance(m_guard, at_ms(20)).m_stops == std::vector<run_id>{make_run(9)});
+    CHECK(state_of(m_guard, at_ms(20)) == agent_state::preparing);
+    order({make_order(0)}, 21, 21);
+    CHECK(advance(m_guard, at_ms(21)).m_starts.empty());
+    CHECK(results() == std::vector<run_result>{run_result::not_started});
+    list({}, {{1, make_run(9), run_end::stopped}}, 40);
+    CHECK(state_of(m_guard, at_ms(40)) == agent_state::serving);
+}
+
+TEST_CASE_FIXTURE(guard_fixture,
+                  "a start order whose knowledge of the agent is older than the home lease is refused")
+{
+    list({}, {}, 600);
+    order({make_order(0)}, 600, 600 - m_guard.m_limits.m_home_lease.count() - 1);
+    CHECK(advance(m_guard, at_ms(600)).m_starts.empty());
+    order({make_order(1)}, 600, 600 - m_guard.m_limits.m_home_lease.count() + 1);
+    CHECK(advance(m_guard, at_ms(600)).m_starts.size() == 1);
+}
+
+TEST_CASE_FIXTURE(guard_fixture, "the runs of a silent home are stopped, those of another go on")
+{
+    run(0, 1);
+    order({make_order(1)}, 1, 1, 1, other_entry);
+    REQUIRE(advance(m_guard, at_ms(1)).m_starts.size() == 1);
+    note_start_answer(m_guard, make_run(1), start_answer::started, at_ms(1));
+    list({{make_run(0), 1}, {make_run(1), 1}}, {}, 300);
+    order({}, 300, 300, 2, other_entry);
+    list({{make_run(0), 2}, {make_run(1), 2}}, {}, 500);
+    CHECK(advance(m_guard, at_ms(500)).m_stops == std::vector<run_id>{make_run(0)});
+}
+
+TEST_CASE_FIXTURE(
+    guard_fixture,
+    "a worker that can't be heard gets no renewal, and its runs count as lost only when all leases are over")
+{
+    run(0, 1);
+    CHECK(begin_renewal(m_guard, at_ms(399)).m_deadline_ms.has_value());
+    CHECK_FALSE(begin_renewal(m_guard, at_ms(401)).m_deadline_ms.has_value());
+    order({}, 400, 400, 2);
+    order({}, 800, 800, 3);
+    const auto lease = m_guard.m_limits.m_worker_lease.count();
+    advance(m_guard, at_ms(399 + lease));
+    CHECK(results().empty());
+    order({}, 1'200, 1'200, 4);
+    const std::int64_t fence = m_guard.m_fence;
+    advance(m_guard, at_ms(399 + lease * 105 / 100));
+    CHECK(results() == std::vector<run_result>{run_result::lost});
+    // Orders that the worker has not answered are void when it is heard again.
+    CHECK(m_guard.m_fence > fence);
+}
+
+TEST_CASE_FIXTURE(guard_fixture, "a start without an answer is repeated until it is settled")
+{
+    order({make_order(0)}, 1, 1);
+    REQUIRE(advance(m_guard, at_ms(1)).m_starts.size() == 1);
+    note_start_answer(m_guard, make_run(0), start_answer::unanswered, at_ms(80));
+    CHECK(advance(m_guard, at_ms(110)).m_starts.size() == 1);
+    SUBCASE("by an acknowledgement")
+    {
+        note_start_answer(m_guard, make_run(0), start_answer::started, at_ms(111));
+        CHECK(m_guard.m_runs.at(make_run(0)).m_phase == run_phase::running);
+    }
+    SUBCASE("by a listing that overtakes the answer")
+    {
+        list({{make_run(0), 3}}, {}, 112);
+        CHECK(m_guard.m_runs.at(make_run(0)).m_phase == run_phase::running);
+    }
+    SUBCASE("by a refusal only after a stop, as the first call may have been carried out")
+    {
+        note_start_answer(m_guard, make_run(0), start_answer::unhealthy, at_ms(111));
+        CHECK(results().empty());
+        CHECK(advance(m_guard, at_ms(112)).m_stops.size() == 1);
+        note_stop_answer(m_guard, make_run(0), true, at_ms(113));
+        list({}, {}, 150);
+        CHECK(results().empty());
+        list({}, {}, 250);
+        CHECK(results() == std::vector<run_result>{run_result::refused});
+    }
+}
+
+TEST_CASE_FIXTURE(guard_fixture, "a repeated order has no further effect, during the run and after it")
+{
+    run(0, 1);
+    order({make_order(0)}, 5, 5, 2);
+    CHECK(advance(m_guard, at_ms(5)).m_starts.empty());
+    list({}, {{1, make_run(0), run_end::done}}, 60);
+    order({make_order(0)}, 61, 61, 3);
+    CHECK(advance(m_guard, at_ms(61)).m_starts.empty());
+    CHECK(results() == std::vector<run_result>{run_result::done, run_result::not_started});
+}
+
+TEST_CASE_FIXTURE(guard_fixture, "a new life of the worker ends all runs and raises the fence")
+{
+    run(0, 1);
+    const std::int64_t fence = m_guard.m_fence;
+    m_guard.m_last_seen = 12;
+    SUBCASE("seen in its report")
+    {
+        note_worker_report(m_guard, make_report(1, 99), at_ms(20));
+    }
+    SUBCASE("seen in a listing")
+    {
+        run_listing listing;
+        listing.m_started_unix_ms = 99;
+        note_listing(m_guard, listing, begin_renewal(m_guard, at_ms(20)), at_ms(20));
+    }
+    CHECK(results() == std::vector<run_result>{run_result::lost});
+    CHECK(m_guard.m_fence > fence);
+    CHECK(m_guard.m_last_seen == 0);
+}
+
+TEST_CASE_FIXTURE(guard_fixture, "a delayed report of an earlier life or an earlier state changes nothing")
+{
+    worker_report draining = make_report(5);
+    draining.m_is_draining = true;
+    note_worker_report(m_guard, draining, at_ms(1));
+    note_worker_report(m_guard, make_report(4), at_ms(2));
+    CHECK(state_of(m_guard, at_ms(2)) == agent_state::leaving);
+    note_worker_report(m_guard, make_report(9, 50), at_ms(3));
+    CHECK(m_guard.m_report->m_life.m_started_unix_ms == 77);
+}
+
+TEST_CASE_FIXTURE(guard_fixture, "nothing starts on a draining worker, and what waits is handed back")
+{
+    order({make_order(0), make_order(1), make_order(2), make_order(3), make_order(4)}, 1, 1);
+    advance(m_guard, at_ms(1));
+    worker_report draining = make_report(2);
+    draining.m_is_draining = true;
+    note_worker_report(m_guard, draining, at_ms(2));
+    CHECK(advance(m_guard, at_ms(3)).m_starts.empty());
+    CHECK(results() == std::vector<run_result>{run_result::not_started});
+    order({make_order(7)}, 4, 4, 2);
+    CHECK(results().size() == 2);
+}
+
+TEST_CASE_FIXTURE(guard_fixture, "a run without progress is stopped and reported as stalled")
+{
+    run(0, 1);
+    for (long long now = 100; now <= 700; now += 100) {
+        list({{make_run(0), 7}}, {}, now);
+        order({}, now, now, static_cast<std::uint64_t>(now));
+    }
+    CHECK(advance(m_guard, at_ms(701)).m_stops == std::vector<run_id>{make_run(0)});
+    list({}, {{1, make_run(0), run_end::stopped}}, 720);
+    CHECK(results() == std::vector<run_result>{run_result::stalled});
+}
+
+TEST_CASE_FIXTURE(guard_fixture, "an order that finds no room in time is handed back unstarted")
+{
+    order({make_order(0), make_order(1), make_order(2), make_order(3), make_order(4)}, 1, 1);
+    advance(m_guard, at_ms(1));
+    advance(m_guard, at_ms(60));
+    CHECK(results().empty());
+    advance(m_guard, at_ms(62));
+    CHECK(results() == std::vector<run_result>{run_result::not_started});
+}
+
+TEST_CASE("the leases of home and worker and a stop fit before the caller hands the job in again")
+{
+    for (const long long resubmit_after : {600, 1'300, 5'000}) {
+        const auto limits =
+            make_run_guard_limits(milliseconds(1'000), milliseconds(50), milliseconds(resubmit_after));
+        const auto slow_lease = limits.m_worker_lease * 102 / 100;
+        CHECK(limits.m_home_lease + slow_lease + milliseconds(50) <= milliseconds(resubmit_after));
+    }
+}
+
+} // namespace hawthornpin
--- /dev/null
+++ b/tests/platform/process_place_test.cpp
@@ -0,0 +1,109 @@
+// The platform's settings file.
+
+#include "platform/process_place.h"
+
+#include <doctest/doctest.h>
+
+#include <glib/gstdio.h>
+
+#include <cstdio>
+
+namespace hawthornpin {
+
+namespace {
+
+constexpr const char* good_settings = R"(
+node = "side-1"
+ip = "10.1.0.14"
+zone = "z"
+region = "r"
+port_range = [7720,7735]
+seeds = ["10.1.0.13:8166","10.2.0.30:8166"]
+app = "10.1.0.14:8165"
+service = "svc"
+a_new_field = { x = 1 }
+[listen_addrs]
+control = "10.1.0.14:8166"
+[platform]
+address = "10.200.1.7:8169"
+[bounds]
+max_hold_ms = 1000
+stop_ms = 50.0
+grace_s = 6
+retransmit_ms = 1300
+config_apply_ms = 2000
+)";
+
+// Writes the text to a file for the time of a check.
+class temporary_file {
+public:
+    explicit temporary_file(const std::string& text)
+    {
+        const int descriptor = g_file_open_tmp("hawthornpin-XXXXXX", &m_path, nullptr);
+        REQUIRE(descriptor >= 0);
+        g_close(descriptor, nullptr);
+        g_file_set_contents(m_path, text.data(), static_cast<gssize>(text.size()), nullptr);
+    }
+    ~temporary_file()
+    {
+        std::remove(m_path);
+        g_free(m_path);
+    }
+    temporary_file(const temporary_file&) = delete;
+    temporary_file& operator=(const temporary_file&) = delete;
+
+    std::string path() const { return m_path; }
+
+private:
+    char* m_path = nullptr;
+};
+
+} // namespace
+
+TEST_CASE("the settings are read; unknown fields are ignored")
+{
+    const temporary_file file(good_settings);
+    last_reason why;
+    const auto place = read_process_place(file.path(), why);
+    INFO(why.text());
+    REQUIRE(place);
+    CHECK(place->m_peer_address == "10.1.0.14:7720");
+    CHECK(place->m_seed_addresses == std::vector<std::string>{"10.1.0.13:7720", "10.2.0.30:7720"});
+    CHECK(place->m_worker_address == "10.1.0.14:8165");
+    CHECK(place->m_shutdown_grace == milliseconds(6'000));
+    CHECK(place->m_stop_time == milliseconds(50));
+    CHECK(place->m_caller_address.empty());
+}
+
+TEST_CASE("a missing, wrong-typed or unreadable setting is named")
+{
+    struct fault_case {
+        const char* m_remove;
+        const char* m_insert;
+        const char* m_named;
+    };
+    constexpr fault_case cases[] = {
+        {"node = \"side-1\"", "", "node"},
+        {"ip = \"10.1.0.14\"", "ip = 7", "ip"},
+        {"port_range = [7720,7735]", "port_range = []", "port_range"},
+        {"grace_s = 6", "grace_s = \"6\"", "bounds.grace_s"},
+        {"address = \"10.200.1.7:8169\"", "", "platform.address"},
+        {"zone = \"z\"", "zone = ", "zone"},
+    };
+    for (const fault_case& row : cases) {
+        CAPTURE(row.m_remove);
+        std::string text = good_settings;
+        const std::string removed = row.m_remove;
+        text.replace(text.find(removed), removed.size(), row.m_insert);
+        const temporary_file file(text);
+        last_reason why;
+        CHECK_FALSE(read_process_place(file.path(), why));
+        CHECK(why.text().find(file.path()) != std::string::npos);
+        if (std::string(row.m_insert) != "zone = ")
+            CHECK(why.text().find(row.m_named) != std::string::npos);
+    }
+    last_reason why;
+    CHECK_FALSE(read_process_place("no such file", why));
+}
+
+} // namespace hawthornpin
--- /dev/null
+++ b/tests/routing/agent_table_test.cpp
@@ -0,0 +1,134 @@
+// Choice of an agent, quarantine, and what an entry knows of its agents.
+
+#include "routing/agent_table.h"
+
+#include <doctest/doctest.h>
+
+namespace hawthornpin {
+
+namespace {
+
+instant at_ms(long long value)
+{
+    return instant(milliseconds(1'000'000 + value));
+}
+
+class table_fixture {
+public:
+    agent_view& add(const std::string& id, std::int64_t free_milli = 16'000, const std::string& zone = "z")
+    {
+        agent_status status;
+        status.m_life = {id, 1};
+        status.m_service = "svc";
+        status.m_zone = zone;
+        status.m_state = agent_state::serving;
+        status.m_is_settled = true;
+        status.m_capacity = {16'000, 32'768, 0};
+        status.m_free = {free_milli, 32'768, 0};
+        status.m_clock = 1;
+        status.m_sequence = 1;
+        note_status(m_table, status, at_ms(0));
+        agent_view& agent = m_table.m_agents.at(id);
+        agent.m_is_settled = true;
+        note_clock(agent, status, at_ms(0));
+        return agent;
+    }
+
+    std::string choose(std::int64_t cpu_milli, long long now = 1)
+    {
+        placement_request request;
+        request.m_service = "svc";
+        request.m_needs = {cpu_milli, 64, 0};
+        const agent_view* agent = choose_agent(m_table, request, at_ms(now));
+        return agent == nullptr ? "" : agent->m_status.m_life.m_id;
+    }
+
+    agent_table m_table;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(table_fixture, "a worker with room goes before one where the task would wait")
+{
+    m_table.m_zone = "z";
+    add("full", 0);
+    add("free", 4'000, "y");
+    CHECK(choose(2'000) == "free");
+    CHECK(choose(5'000) == "free");
+    CHECK(choose(7'000).empty());
+}
+
+TEST_CASE_FIXTURE(table_fixture, "a slow worker is passed over for a faster one")
+{
+    m_table.m_zone = "z";
+    agent_view& slow = add("slow");
+    add("fast", 8'000);
+    for (int run = 0; run < 10; ++run)
+        note_duration(slow, milliseconds(400), milliseconds(100));
+    CHECK(choose(1'000) == "fast");
+}
+
+TEST_CASE_FIXTURE(table_fixture, "an agent that has not answered lately gets no orders")
+{
+    add("a");
+    CHECK(choose(1'000, m_table.m_limits.m_suspect_after.count()) == "a");
+    CHECK(choose(1'000, m_table.m_limits.m_suspect_after.count() + 1).empty());
+}
+
+TEST_CASE_FIXTURE(table_fixture,
+                  "a worker that fails what it starts is quarantined, then probed with one run")
+{
+    agent_view& bad = add("bad");
+    add("good");
+    note_failure(m_table, bad, at_ms(1));
+    note_failure(m_table, bad, at_ms(2));
+    CHECK_FALSE(is_usable(m_table, bad, at_ms(3)));
+    bad.m_clock_seen_at = at_ms(600);
+    CHECK(is_usable(m_table, bad, at_ms(600)));
+    bad.m_runs = 1;
+    CHECK_FALSE(is_usable(m_table, bad, at_ms(600)));
+    SUBCASE("a success ends the probation")
+    {
+        note_success(bad);
+        CHECK(is_usable(m_table, bad, at_ms(601)));
+    }
+    SUBCASE("a failure doubles the quarantine")
+    {
+        note_failure(m_table, bad, at_ms(601));
+        CHECK(bad.m_quarantine == 2 * m_table.m_limits.m_first_quarantine);
+    }
+}
+
+TEST_CASE_FIXTURE(table_fixture, "no more than a third of a service is quarantined")
+{
+    for (const char* id : {"a", "b", "c", "d", "e", "f"})
+        add(id);
+    for (auto& [id, agent] : m_table.m_agents) {
+        for (int run = 0; run < 5; ++run)
+            note_failure(m_table, agent, at_ms(1));
+    }
+    int usable = 0;
+    for (const auto& [id, agent] : m_table.m_agents)
+        usable += is_usable(m_table, agent, at_ms(2)) ? 1 : 0;
+    CHECK(usable == 4);
+}
+
+TEST_CASE_FIXTURE(table_fixture, "a late status and one of an earlier life change nothing")
+{
+    agent_view& agent = add("a");
+    agent_status late = agent.m_status;
+    late.m_sequence = 0;
+    late.m_free = {};
+    note_status(m_table, late, at_ms(5));
+    CHECK(m_table.m_agents.at("a").m_status.m_free.m_cpu_milli == 16'000);
+    agent_status next = agent.m_status;
+    next.m_life.m_incarnation = 2;
+    note_status(m_table, next, at_ms(6));
+    agent_status earlier = next;
+    earlier.m_life.m_incarnation = 1;
+    earlier.m_sequence = 99;
+    note_status(m_table, earlier, at_ms(7));
+    CHECK(m_table.m_agents.at("a").m_status.m_life.m_incarnation == 2);
+}
+
+} // namespace hawthornpin
