--- /dev/null
+++ b/core/line_sink.h
@@ -0,0 +1,37 @@
+// Writes lines to a descriptor without ever blocking: what the reader does not take in time is dropped and
+// counted.
+
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <string>
+
+namespace hawthornpin {
+
+class line_sink {
+public:
+    // `descriptor` stays the caller's. Keeps at most `max_bytes` of lines that the reader has not taken.
+    line_sink(int descriptor, std::size_t max_bytes) : m_descriptor(descriptor), m_max_bytes(max_bytes) {}
+
+    // Takes a line with its line feed. Longer lines than a pipe takes at once are cut to that length.
+    void offer(std::string line);
+
+    // Writes what the reader takes now.
+    void flush();
+
+    bool has_backlog() const { return !m_lines.empty(); }
+    std::uint64_t dropped() const { return m_dropped; }
+
+private:
+    bool is_writable() const;
+
+    int m_descriptor;
+    std::size_t m_max_bytes;
+    // Invariant: the sum of the lines' sizes, at most m_max_bytes.
+    std::size_t m_bytes = 0;
+    std::deque<std::string> m_lines;
+    std::uint64_t m_dropped = 0;
+};
+
+} // namespace hawthornpin
--- a/core/logging.h
+++ b/core/logging.h
@@ -1,9 +1,11 @@
-// Structured logs: one JSON object a line on standard error, by log4cxx.
+// Structured logs: one JSON object a line on standard output, by log4cxx. Logging never blocks: lines
+// that the reader does not take in time are dropped and counted.
 //
 // Events carry the program, its id and availability zone. Caller keys and payloads are never logged.
 
 #pragma once
 
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -25,4 +27,10 @@
 // Writes one event. `event` is a short fixed name such as "job_failed".
 void log_event(log_level level, const char* event, std::initializer_list<log_field> fields = {});
 
+// Writes lines that the reader had no room for before. Call now and then.
+void flush_logs();
+
+// Lines dropped since the process started.
+std::uint64_t dropped_log_lines();
+
 } // namespace hawthornpin
--- a/core/metrics.cpp
+++ b/core/metrics.cpp
@@ -77,6 +77,11 @@
     m_retries.at(static_cast<std::size_t>(why)) += amount;
 }
 
+void metrics::count_labelled(const std::string& family, const std::string& label, std::uint64_t amount)
+{
+    m_labelled[family][label] += amount;
+}
+
 void metrics::observe(distribution which, double seconds)
 {
     m_distributions.at(static_cast<std::size_t>(which))(seconds);
@@ -107,6 +112,11 @@
     }
     write_by_reason(out, "refusals", m_refusals);
     write_by_reason(out, "retries", m_retries);
+    for (const auto& [family, values] : m_labelled) {
+        out << "# TYPE hawthornpin_" << family << "_total counter\n";
+        for (const auto& [label, value] : values)
+            out << "hawthornpin_" << family << "_total{kind=\"" << label << "\"} " << value << '\n';
+    }
     for (const auto& [name, value] : m_gauges) {
         out << "# TYPE hawthornpin_" << name << " gauge\n";
         out << "hawthornpin_" << name << ' ' << value << '\n';
--- a/core/metrics.h
+++ b/core/metrics.h
@@ -65,6 +65,8 @@
     void count(counter which, std::uint64_t amount = 1);
     void count_refusal(reason why, std::uint64_t amount = 1);
     void count_retry(reason why, std::uint64_t amount = 1);
+    // Events of a family that is told apart by one label, such as the reason of an end.
+    void count_labelled(const std::string& family, const std::string& label, std::uint64_t amount = 1);
     void observe(distribution which, double seconds);
     void set_gauge(const std::string& name, double value);
 
@@ -82,6 +84,8 @@
     std::array<std::uint64_t, counter_count> m_counters{};
     std::array<std::uint64_t, reason_count> m_refusals{};
     std::array<std::uint64_t, reason_count> m_retries{};
+    // By family, then by label.
+    std::map<std::string, std::map<std::string, std::uint64_t>> m_labelled;
     std::map<std::string, double> m_gauges;
     std::vector<accumulator> m_distributions;
 };
--- a/dispatch/job_admission.cpp
+++ b/dispatch/job_admission.cpp
@@ -75,7 +75,7 @@
             const live_step& step = job.m_steps[index];
             const auto ordered =
                 std::count_if(step.m_tasks.begin(), step.m_tasks.end(),
-                              [](const live_task& task) { return task.m_phase == task_phase::ordered; });
+                              [](const live_task& task) { return task.m_phase == live_task_phase::ordered; });
             const auto cpu =
                 static_cast<double>(ordered * job.m_request.m_steps[index].m_per_task.m_cpu_milli);
             busy += cpu;
--- a/dispatch/job_scheduler.cpp
+++ b/dispatch/job_scheduler.cpp
@@ -18,7 +18,7 @@
 
 void make_ready(job_scheduler& scheduler, live_job& job, std::uint32_t step, std::uint32_t index, instant now)
 {
-    job.m_steps[step].m_tasks[index].m_phase = task_phase::ready;
+    job.m_steps[step].m_tasks[index].m_phase = live_task_phase::ready;
     scheduler.m_ready.insert(make_ready_key(job, step, index, now));
 }
 
@@ -62,7 +62,7 @@
     for (std::uint32_t step = 0; step < job.m_steps.size(); ++step) {
         for (std::uint32_t index = 0; index < job.m_steps[step].m_tasks.size(); ++index) {
             const live_task& task = job.m_steps[step].m_tasks[index];
-            if (task.m_phase == task_phase::ordered)
+            if (task.m_phase == live_task_phase::ordered)
                 ordered.push_back({make_run_id(job, step, index), task.m_agent});
         }
     }
@@ -117,7 +117,7 @@
 {
     const std::uint32_t step = outcome.m_run.m_task.m_step;
     live_task& task = job.m_steps[step].m_tasks[outcome.m_run.m_task.m_index];
-    task.m_phase = task_phase::done;
+    task.m_phase = live_task_phase::done;
     const auto agent = scheduler.m_agents.m_agents.find(task.m_agent);
     if (agent != scheduler.m_agents.m_agents.end()) {
         note_success(agent->second);
@@ -153,7 +153,7 @@
                                   outcome.m_result == run_result::refused;
     if (is_agent_suspect)
         blame_agent(scheduler, task, now);
-    task.m_phase = task_phase::blocked;
+    task.m_phase = live_task_phase::blocked;
     if (task.m_failed_runs >= job.m_queue.m_max_attempts) {
         answer_job(scheduler, outcome.m_run.m_task.m_job, job_end::failed,
                    job_end_reason::attempts_exhausted);
@@ -170,7 +170,7 @@
         return nullptr;
     live_task& task = job.m_steps[id.m_step].m_tasks[id.m_index];
     const bool is_newest =
-        task.m_phase == task_phase::ordered && task.m_run == run.m_number && task.m_agent == agent;
+        task.m_phase == live_task_phase::ordered && task.m_run == run.m_number && task.m_agent == agent;
     return is_newest ? &task : nullptr;
 }
 
@@ -280,7 +280,7 @@
         return request;
     std::map<std::string, std::uint32_t> tasks_by_agent;
     for (const live_task& sibling : job.m_steps[step].m_tasks) {
-        if (sibling.m_phase == task_phase::ordered &&
+        if (sibling.m_phase == live_task_phase::ordered &&
             ++tasks_by_agent[sibling.m_agent] >= wanted.m_max_per_worker)
             request.m_excluded.push_back(sibling.m_agent);
     }
@@ -290,7 +290,7 @@
 void order_run(job_scheduler& scheduler, live_job& job, const ready_key& key, agent_view& agent, instant now)
 {
     live_task& task = job.m_steps[key.m_step].m_tasks[key.m_index];
-    task.m_phase = task_phase::ordered;
+    task.m_phase = live_task_phase::ordered;
     ++task.m_run;
     task.m_agent = agent.m_status.m_life.m_id;
     ++job.m_open_runs;
--- a/dispatch/job_scheduler.h
+++ b/dispatch/job_scheduler.h
@@ -20,10 +20,10 @@
 namespace hawthornpin {
 
 // The state of a task as its entry knows it.
-enum class task_phase { blocked, ready, ordered, done };
+enum class live_task_phase { blocked, ready, ordered, done };
 
 struct live_task {
-    task_phase m_phase = task_phase::blocked;
+    live_task_phase m_phase = live_task_phase::blocked;
     // Number of the newest run; 0 before the first.
     std::uint32_t m_run = 0;
     // Where the newest run was ordered.
--- a/main/agent_main.cpp
+++ b/main/agent_main.cpp
@@ -34,5 +34,6 @@
 
 int main(int argument_count, char** arguments)
 {
-    return run_daemon(argument_count, arguments, "hawthornpin-agent", agent_settings_table(), run_agent, run_platform_agent);
+    return run_daemon(argument_count, arguments, "hawthornpin-agent", agent_settings_table(), run_agent,
+                      run_platform_agent);
 }
--- a/main/daemon.cpp
+++ b/main/daemon.cpp
@@ -21,6 +21,8 @@
     add("version", "show the version");
     add("settings", options::value<std::string>(), "the settings file (INI)");
     add("platform", "run with the settings that the users' platform hands over");
+    add("metrics-port", options::value<unsigned>()->default_value(0),
+        "with --platform: serve the metrics on this port of the node's address");
     add("check-settings", "check the settings file and exit; 0 if it is good, 2 if not");
     add("settings-reference", "print a table of all settings");
     return description;
@@ -74,7 +76,7 @@
         return to_status(exit_code::success);
     }
     if (values.count("platform") != 0)
-        return to_status(on_platform());
+        return to_status(on_platform(values["metrics-port"].as<unsigned>()));
     return run_with_settings(values, table, body);
 }
 
--- a/main/daemon.h
+++ b/main/daemon.h
@@ -21,7 +21,8 @@
 using daemon_body = std::function<exit_code(const settings&)>;
 
 // The same, with settings that the platform hands over.
-using platform_body = std::function<exit_code()>;
+// `metrics_port` is the port of the metrics on the process's own address, 0 for none.
+using platform_body = std::function<exit_code(unsigned metrics_port)>;
 
 // Parses the options of a daemon, checks its settings and runs it. Handles --help, --version,
 // --check-settings, --settings-reference and --platform.
--- a/main/entry_main.cpp
+++ b/main/entry_main.cpp
@@ -34,5 +34,6 @@
 
 int main(int argument_count, char** arguments)
 {
-    return run_daemon(argument_count, arguments, "hawthornpin-entry", entry_settings_table(), run_entry, run_platform_entry);
+    return run_daemon(argument_count, arguments, "hawthornpin-entry", entry_settings_table(), run_entry,
+                      run_platform_entry);
 }
--- a/main/platform_agent.cpp
+++ b/main/platform_agent.cpp
@@ -143,6 +143,7 @@
         call_start(order);
     for (const run_id& run : actions.m_stops)
         call_stop(run);
+    log_state_change();
     send_reports();
 }
 
@@ -158,11 +159,13 @@
                 note_fenced(m_guard);
             if (answer == start_answer::other_life)
                 note_other_life(m_guard, now);
-            log_event(log_level::info, "start_answered",
-                      {{"task", to_text(run.m_task)},
-                       {"run", std::to_string(run.m_number)},
-                       {"answer", std::to_string(int(answer))},
-                       {"free", std::to_string(free_capacity(m_guard).m_cpu_milli)}});
+            m_metrics.count_labelled("start_answers", to_text(answer));
+            if (answer != start_answer::started) {
+                log_event(log_level::warning, "start_refused",
+                          {{"run", to_text(run)},
+                           {"answer", to_text(answer)},
+                           {"fence", std::to_string(m_guard.m_fence)}});
+            }
             note_start_answer(m_guard, run, answer, now);
             schedule_step();
         }));
@@ -187,6 +190,7 @@
 void platform_agent::send_report(const home_identity& home, const guarded_home& owed)
 {
     m_reports_in_flight.insert(home);
+    log_outcomes(home, owed);
     const std::size_t count = owed.m_outcomes.size();
     m_tasks.add(m_links.report(owed.m_address, make_status(&home), owed.m_outcomes, call_timeout)
                     .then([this, home, count](bool is_answered) {
@@ -199,6 +203,36 @@
                     }));
 }
 
+void platform_agent::log_outcomes(const home_identity& home, const guarded_home& owed)
+{
+    for (const run_outcome& outcome : owed.m_outcomes) {
+        m_metrics.count_labelled("run_ends", to_text(outcome.m_result));
+        if (outcome.m_duration.count() > 0)
+            m_metrics.observe(distribution::task_run,
+                              std::chrono::duration<double>(outcome.m_duration).count());
+        log_event(log_level::info, "run_ended",
+                  {{"run", to_text(outcome.m_run)},
+                   {"result", to_text(outcome.m_result)},
+                   {"ran_ms", std::to_string(outcome.m_duration.count())},
+                   {"entry", home.m_id},
+                   {"worker", worker_id()}});
+    }
+}
+
+void platform_agent::log_state_change()
+{
+    const agent_state state = state_of(m_guard, boot_now());
+    if (state == m_logged_state)
+        return;
+    log_event(log_level::info, "agent_state_changed",
+              {{"from", to_text(m_logged_state)},
+               {"to", to_text(state)},
+               {"worker", worker_id()},
+               {"fence", std::to_string(m_guard.m_fence)},
+               {"foreign_runs", std::to_string(m_guard.m_foreign.size())}});
+    m_logged_state = state;
+}
+
 kj::Promise<void> platform_agent::renew_forever()
 {
     const renewal asked = begin_renewal(m_guard, boot_now());
@@ -218,27 +252,24 @@
     case renewal_fate::listed:
         m_metrics.count(counter::leases_renewed);
         note_listing(m_guard, answer.m_listing, asked, now);
-        log_event(log_level::info, "listed",
-                  {{"running", std::to_string(answer.m_listing.m_running.size())},
-                   {"ended", std::to_string(answer.m_listing.m_ended.size())},
-                   {"foreign", std::to_string(m_guard.m_foreign.size())},
-                   {"free", std::to_string(free_capacity(m_guard).m_cpu_milli)},
-                   {"born", std::to_string(answer.m_listing.m_started_unix_ms.value_or(-1))}});
         break;
     case renewal_fate::fenced:
         note_fenced(m_guard);
+        log_event(log_level::warning, "fence_raised", {{"fence", std::to_string(m_guard.m_fence)}});
         break;
     case renewal_fate::other_life:
         log_event(log_level::warning, "worker_replaced", {{"worker", worker_id()}});
         note_other_life(m_guard, now);
         break;
     case renewal_fate::unanswered:
+        m_metrics.count_labelled("renewals", "unanswered");
         break;
     }
 }
 
 bool platform_agent::on_tick()
 {
+    flush_logs();
     forget_silent(m_entries, boot_now());
     present_to_entries();
     step();
--- a/main/platform_agent.h
+++ b/main/platform_agent.h
@@ -32,6 +32,8 @@
     // Takes no more orders, lets runs end and stops the loop within the platform's grace.
     void begin_leaving();
 
+    metrics& counts() { return m_metrics; }
+
 private:
     class node_server;
 
@@ -46,6 +48,9 @@
     void send_reports();
     void send_report(const home_identity& home, const guarded_home& owed);
 
+    void log_outcomes(const home_identity& home, const guarded_home& owed);
+    void log_state_change();
+
     kj::Promise<void> renew_forever();
     void note_renewal(const renewal& asked, const renewal_answer& answer);
 
@@ -73,6 +78,7 @@
     std::unique_ptr<timer> m_tick;
     std::set<home_identity> m_reports_in_flight;
     std::set<std::string> m_presents_in_flight;
+    agent_state m_logged_state = agent_state::preparing;
     bool m_is_step_scheduled = false;
     bool m_is_reading_store = false;
     instant m_store_read_at;
--- a/main/platform_entry.cpp
+++ b/main/platform_entry.cpp
@@ -5,6 +5,7 @@
 #include "core/json.h"
 #include "core/logging.h"
 #include "core/random.h"
+#include "dispatch/job_admission.h"
 #include "platform/call_paths.h"
 #include "platform/message_decoding.h"
 
@@ -80,17 +81,14 @@
     kj::Promise<void> report(ReportContext context) override
     {
         const auto params = context.getParams();
-        note_agent_report(m_entry.m_scheduler, read_wire(params.getStatus()), read_wire(params.getOutcomes()),
-                          boot_now());
-        m_entry.schedule_step();
+        m_entry.on_report(read_wire(params.getStatus()), read_wire(params.getOutcomes()));
         return kj::READY_NOW;
     }
 
     kj::Promise<void> present(PresentContext context) override
     {
         const instant now = boot_now();
-        note_agent_report(m_entry.m_scheduler, read_wire(context.getParams().getStatus()), {}, now);
-        m_entry.schedule_step();
+        m_entry.on_report(read_wire(context.getParams().getStatus()), {});
         const auto entries = list_live(m_entry.m_entries, now);
         write_wire(context.getResults().initEntries(static_cast<unsigned>(entries.size())), entries);
         return kj::READY_NOW;
@@ -246,6 +244,8 @@
     m_metrics.count(counter::jobs_submitted);
     auto answer = wait_for_answer(id);
     submit_job(m_scheduler, *job, queue, read_patience(request), boot_now());
+    m_arrivals[id] = boot_now();
+    log_admission(*job, queue);
     schedule_step();
     return answer;
 }
@@ -268,6 +268,7 @@
     m_waiters.erase(waiting);
     log_event(log_level::info, "caller_left", {{"job", id}});
     m_metrics.count(counter::jobs_cancelled);
+    m_arrivals.erase(id);
     cancel_job(m_scheduler, id);
     schedule_step();
 }
@@ -310,6 +311,32 @@
     }));
 }
 
+void platform_entry::on_report(const agent_status& status, const std::vector<run_outcome>& outcomes)
+{
+    const auto known = m_scheduler.m_agents.m_agents.find(status.m_life.m_id);
+    const bool is_known = known != m_scheduler.m_agents.m_agents.end();
+    const bool is_change = !is_known || known->second.m_status.m_life != status.m_life ||
+                           known->second.m_status.m_state != status.m_state;
+    if (is_change) {
+        log_event(log_level::info, "agent_seen",
+                  {{"agent", status.m_life.m_id},
+                   {"life", std::to_string(status.m_life.m_incarnation)},
+                   {"state", to_text(status.m_state)},
+                   {"address", status.m_address}});
+    }
+    for (const run_outcome& outcome : outcomes) {
+        m_metrics.count_labelled("run_outcomes", to_text(outcome.m_result));
+        if (outcome.m_result != run_result::done) {
+            log_event(log_level::info, "run_returned",
+                      {{"run", to_text(outcome.m_run)},
+                       {"result", to_text(outcome.m_result)},
+                       {"agent", status.m_life.m_id}});
+        }
+    }
+    note_agent_report(m_scheduler, status, outcomes, boot_now());
+    schedule_step();
+}
+
 void platform_entry::step()
 {
     advance(m_scheduler, boot_now());
@@ -320,19 +347,59 @@
 void platform_entry::send_batches()
 {
     for (const outgoing_batch& out : take_batches(m_scheduler, boot_now())) {
-        m_metrics.count(counter::grants_sent, out.m_batch.m_starts.size());
+        log_orders(out);
         const std::string agent = out.m_agent;
         m_tasks.add(m_links.order(out.m_address, out.m_batch, m_scheduler.m_limits.m_answer_timeout)
                         .then([this, agent](std::optional<agent_status> status) {
-                            if (status)
-                                note_batch_answered(m_scheduler, agent, *status, boot_now());
-                            else
-                                note_batch_lost(m_scheduler, agent, boot_now());
+                            on_batch_end(agent, status);
                             schedule_step();
                         }));
     }
 }
 
+void platform_entry::on_batch_end(const std::string& agent, const std::optional<agent_status>& status)
+{
+    if (status) {
+        note_batch_answered(m_scheduler, agent, *status, boot_now());
+        return;
+    }
+    m_metrics.count_labelled("batches", "unanswered");
+    log_event(log_level::warning, "agent_unanswered", {{"agent", agent}});
+    note_batch_lost(m_scheduler, agent, boot_now());
+}
+
+void platform_entry::log_orders(const outgoing_batch& out)
+{
+    if (out.m_batch.m_starts.empty())
+        return;
+    m_metrics.count(counter::grants_sent, out.m_batch.m_starts.size());
+    std::string runs;
+    for (const run_order& order : out.m_batch.m_starts)
+        runs += (runs.empty() ? "" : " ") + to_text(order.m_run);
+    const agent_view& agent = m_scheduler.m_agents.m_agents.at(out.m_agent);
+    const auto age = std::chrono::duration_cast<milliseconds>(boot_now() - agent.m_heard_at);
+    log_event(log_level::info, "runs_ordered",
+              {{"runs", runs},
+               {"agent", out.m_agent},
+               {"batch", std::to_string(out.m_batch.m_number)},
+               {"free_milli", std::to_string(free_for_orders(agent).m_cpu_milli)},
+               {"status_age_ms", std::to_string(age.count())}});
+}
+
+void platform_entry::log_admission(const work_request& request, const queue_contract& queue)
+{
+    const auto job = m_scheduler.m_jobs.find(request.m_id);
+    if (job == m_scheduler.m_jobs.end())
+        return;
+    const auto slack =
+        std::chrono::duration_cast<milliseconds>(latest_useful_start(job->second) - boot_now());
+    log_event(log_level::info, "job_admitted",
+              {{"job", request.m_id},
+               {"queue", queue.m_name},
+               {"slack_ms", std::to_string(slack.count())},
+               {"configuration", std::to_string(m_directory->m_version)}});
+}
+
 void platform_entry::deliver_answers()
 {
     const auto answers = std::exchange(m_scheduler.m_answers, {});
@@ -388,6 +455,11 @@
 bool platform_entry::on_tick()
 {
     const instant now = boot_now();
+    flush_logs();
+    if (m_follower->is_connected() != m_was_store_connected) {
+        m_was_store_connected = m_follower->is_connected();
+        log_event(log_level::info, m_was_store_connected ? "store_regained" : "store_lost");
+    }
     forget_silent(m_entries, now);
     m_scheduler.m_entries = list_live(m_entries, now);
     std::erase_if(m_kept_answers, [now](const auto& item) { return item.second.m_forget_at < now; });
--- a/main/platform_entry.h
+++ b/main/platform_entry.h
@@ -36,6 +36,8 @@
     // Takes no new connections, answers what is under way and stops the loop within the platform's grace.
     void begin_leaving();
 
+    metrics& counts() { return m_metrics; }
+
 private:
     class node_server;
     class caller_wait;
@@ -56,6 +58,11 @@
     kj::Promise<api_response> wait_for_answer(const std::string& id);
     void abandon(const std::string& id);
 
+    void on_report(const agent_status& status, const std::vector<run_outcome>& outcomes);
+    void on_batch_end(const std::string& agent, const std::optional<agent_status>& status);
+    void log_orders(const outgoing_batch& out);
+    void log_admission(const work_request& request, const queue_contract& queue);
+
     void step();
     void schedule_step();
     void send_batches();
@@ -87,6 +94,9 @@
     std::unique_ptr<timer> m_tick;
     std::map<std::string, std::vector<fulfiller>> m_waiters;
     std::map<std::string, kept_answer> m_kept_answers;
+    // When the jobs that are not answered yet came in.
+    std::map<std::string, instant> m_arrivals;
+    bool m_was_store_connected = false;
     std::set<std::string> m_shares_in_flight;
     bool m_is_step_scheduled = false;
     std::optional<instant> m_leaving_since;
--- a/main/platform_process.cpp
+++ b/main/platform_process.cpp
@@ -3,6 +3,7 @@
 #include "main/platform_process.h"
 
 #include "core/logging.h"
+#include "http/api_server.h"
 #include "main/platform_agent.h"
 #include "main/platform_entry.h"
 
@@ -19,8 +20,34 @@
     return path ? read_process_place(*path, why) : std::nullopt;
 }
 
+// GET /metrics on an address of its own.
+class metrics_server {
+public:
+    explicit metrics_server(metrics& counts)
+        : m_server(
+              [&counts](const api_request& request) -> kj::Promise<api_response> {
+                  api_response response;
+                  if (request.m_path != "/metrics") {
+                      response.m_status = 404;
+                      return response;
+                  }
+                  counts.set_gauge("log_lines_dropped", static_cast<double>(dropped_log_lines()));
+                  response.m_content_type = "text/plain; version=0.0.4";
+                  response.m_body = counts.to_exposition();
+                  return response;
+              },
+              api_limits())
+    {
+    }
+
+    bool listen(const std::string& address, last_reason& why) { return m_server.listen(address, why); }
+
+private:
+    api_server m_server;
+};
+
 template <typename Process>
-exit_code run_process(const std::string& program)
+exit_code run_process(const std::string& program, unsigned metrics_port)
 {
     last_reason why;
     const auto place = read_place(why);
@@ -36,6 +63,9 @@
         log_event(log_level::error, "start_failed", {{"reason", why.text()}});
         return exit_code::failure;
     }
+    metrics_server metrics_server(process.counts());
+    if (metrics_port != 0 && !metrics_server.listen(place->m_ip + ":" + std::to_string(metrics_port), why))
+        log_event(log_level::warning, "metrics_unavailable", {{"reason", why.text()}});
     const signal_watch on_terminate(SIGTERM, [&process] { process.begin_leaving(); });
     const signal_watch on_reload(SIGHUP, [] { log_event(log_level::info, "reload_requested"); });
     loop.run();
@@ -45,14 +75,14 @@
 
 } // namespace
 
-exit_code run_platform_entry()
+exit_code run_platform_entry(unsigned metrics_port)
 {
-    return run_process<platform_entry>("hawthornpin-entry");
+    return run_process<platform_entry>("hawthornpin-entry", metrics_port);
 }
 
-exit_code run_platform_agent()
+exit_code run_platform_agent(unsigned metrics_port)
 {
-    return run_process<platform_agent>("hawthornpin-agent");
+    return run_process<platform_agent>("hawthornpin-agent", metrics_port);
 }
 
 } // namespace hawthornpin
--- a/main/platform_process.h
+++ b/main/platform_process.h
@@ -7,7 +7,8 @@
 namespace hawthornpin {
 
 // Run until SIGTERM. Settings that are missing or malformed end the process with exit_code::bad_input.
-exit_code run_platform_entry();
-exit_code run_platform_agent();
+// Serve the metrics on `metrics_port` of the node's address, or nowhere if it is 0.
+exit_code run_platform_entry(unsigned metrics_port);
+exit_code run_platform_agent(unsigned metrics_port);
 
 } // namespace hawthornpin
--- a/tests/main/docs_test.cpp
+++ b/tests/main/docs_test.cpp
@@ -3,10 +3,13 @@
 #include "bench/capacity.h"
 #include "config/published_files.h"
 #include "core/verdict.h"
+#include "dispatch/job_scheduler.h"
 #include "main/process_settings.h"
 
 #include <doctest/doctest.h>
 
+#include <regex>
+
 namespace hawthornpin {
 
 namespace {
@@ -43,6 +46,33 @@
     }
 }
 
+TEST_CASE("every event and reason of the operations page exists, and every reason is on it")
+{
+    const std::string page = read_page("docs/OPERATIONS.md");
+    std::string sources;
+    for (const char* file : {"platform_agent", "platform_entry", "platform_process"})
+        sources += read_page(std::string("main/") + file + ".cpp");
+    sources += read_page("platform/directory_follower.cpp");
+    const std::size_t begin = page.find("| event |");
+    const std::string events = page.substr(begin, page.find("**Refused", begin) - begin);
+    const std::regex name("`([a-z]+_[a-z_]+|started|leaving|stopped)`");
+    std::size_t found = 0;
+    for (std::sregex_iterator match(events.begin(), events.end(), name), end; match != end; ++match) {
+        const std::string event = (*match)[1];
+        CAPTURE(event);
+        // States and fields stand in the same table; they are named by functions or as fields.
+        const bool is_state = event == "worker_silent";
+        CHECK((is_state || sources.find('"' + event + '"') != std::string::npos));
+        ++found;
+    }
+    CHECK(found > 20);
+    for (std::size_t index = 0; index < job_end_reason_count; ++index) {
+        const std::string reason_name = to_text(static_cast<job_end_reason>(index));
+        CAPTURE(reason_name);
+        CHECK(page.find("\n| `" + reason_name + "` |") != std::string::npos);
+    }
+}
+
 TEST_CASE("the capacity page is what its slopes give")
 {
     last_reason why;
--- a/world/run_messages.h
+++ b/world/run_messages.h
@@ -59,6 +59,8 @@
 };
 inline constexpr std::uint8_t run_result_count = static_cast<std::uint8_t>(run_result::refused) + 1;
 
+const char* to_text(run_result result);
+
 struct run_outcome {
     run_id m_run;
     run_result m_result = run_result::done;
@@ -80,6 +82,8 @@
 };
 inline constexpr std::uint8_t agent_state_count = static_cast<std::uint8_t>(agent_state::worker_silent) + 1;
 
+const char* to_text(agent_state state);
+
 // An agent's state, sent with every message of it.
 struct agent_status {
     agent_life m_life;
--- /dev/null
+++ b/world/worker_report.cpp
@@ -0,0 +1,32 @@
+// Names of a worker's answers, as logs and counters have them.
+
+#include "world/worker_report.h"
+
+namespace hawthornpin {
+
+const char* to_text(start_answer answer)
+{
+    switch (answer) {
+    case start_answer::started:
+        return "started";
+    case start_answer::fenced:
+        return "fenced";
+    case start_answer::run_too_old:
+        return "run_too_old";
+    case start_answer::deadline_passed:
+        return "deadline_passed";
+    case start_answer::no_room:
+        return "no_room";
+    case start_answer::other_life:
+        return "other_life";
+    case start_answer::unhealthy:
+        return "unhealthy";
+    case start_answer::malformed:
+        return "malformed";
+    case start_answer::unanswered:
+        break;
+    }
+    return "unanswered";
+}
+
+} // namespace hawthornpin
--- a/world/worker_report.h
+++ b/world/worker_report.h
@@ -87,6 +87,8 @@
     unanswered,
 };
 
+const char* to_text(start_answer answer);
+
 // What to ask the worker next: ends since m_last_seen, and a longer lease if there is a deadline.
 struct renewal {
     std::int64_t m_fence = 0;
