A model of entries, agents and workers in virtual time; orders name the life of the agent that is meant

Change: a batch carries the agent's incarnation; batch numbers go on over lives; after a new life of the worker each run is stopped under the higher fence before it counts as lost.

--- a/dispatch/job_admission.cpp
+++ b/dispatch/job_admission.cpp
@@ -107,8 +107,8 @@
 bool is_room_at_once(const job_scheduler& scheduler, const live_job& job, instant now)
 {
     const bool is_queue_empty = demand_ahead(scheduler, job.m_queue.m_service, instant::max()) == 0;
-    return is_queue_empty && has_room(scheduler.m_agents, job.m_queue.m_service,
-                                      job.m_request.m_steps.front().m_per_task, now);
+    return is_queue_empty &&
+           has_room(scheduler.m_agents, job.m_queue.m_service, job.m_request.m_steps.front().m_per_task, now);
 }
 
 } // namespace
--- a/dispatch/job_scheduler.cpp
+++ b/dispatch/job_scheduler.cpp
@@ -174,6 +174,19 @@
     return is_newest ? &task : nullptr;
 }
 
+// Forgets what was to be told to an earlier life of an agent; the numbers go on.
+void clear_channel(agent_channel& channel)
+{
+    channel.m_starts.clear();
+    channel.m_stops.clear();
+    channel.m_in_flight.reset();
+}
+
+bool is_in_flight(const agent_channel& channel, std::uint64_t number)
+{
+    return channel.m_in_flight && channel.m_in_flight->m_number == number;
+}
+
 bool is_still_ordered(job_scheduler& scheduler, const run_id& run, const std::string& agent)
 {
     const auto found = scheduler.m_jobs.find(run.m_task.m_job);
@@ -445,7 +458,7 @@
     if (!scheduler.m_agents.m_retired.contains(status.m_life)) {
         const auto known = scheduler.m_agents.m_agents.find(agent);
         if (known != scheduler.m_agents.m_agents.end() && known->second.m_status.m_life != status.m_life)
-            scheduler.m_channels.erase(agent);
+            clear_channel(scheduler.m_channels[agent]);
         note_status(scheduler.m_agents, status, now);
         settle_agent(scheduler, agent, now);
     }
@@ -453,22 +466,22 @@
         note_outcome(scheduler, agent, outcome, now);
 }
 
-void note_batch_answered(job_scheduler& scheduler, const std::string& agent, const agent_status& status,
-                         instant now)
+void note_batch_answered(job_scheduler& scheduler, const std::string& agent, std::uint64_t number,
+                         const agent_status& status, instant now)
 {
     note_agent_report(scheduler, status, {}, now);
     const auto found = scheduler.m_agents.m_agents.find(agent);
     if (found != scheduler.m_agents.m_agents.end())
         note_clock(found->second, status, now);
-    const auto channel = scheduler.m_channels.find(agent);
-    if (channel != scheduler.m_channels.end())
-        channel->second.m_in_flight.reset();
+    agent_channel& channel = scheduler.m_channels[agent];
+    if (is_in_flight(channel, number))
+        channel.m_in_flight.reset();
 }
 
-void note_batch_lost(job_scheduler& scheduler, const std::string& agent, instant now)
+void note_batch_lost(job_scheduler& scheduler, const std::string& agent, std::uint64_t number, instant now)
 {
     const auto found = scheduler.m_channels.find(agent);
-    if (found == scheduler.m_channels.end() || !found->second.m_in_flight)
+    if (found == scheduler.m_channels.end() || !is_in_flight(found->second, number))
         return;
     // Repeated under the next number; an agent that received it the first time ignores the repetition.
     agent_channel& channel = found->second;
@@ -505,6 +518,7 @@
         order_batch batch;
         batch.m_home = scheduler.m_self;
         batch.m_home_address = scheduler.m_self_address;
+        batch.m_agent_incarnation = agent.m_status.m_life.m_incarnation;
         batch.m_clock_seen = agent.m_clock_seen;
         batch.m_number = ++channel.m_number;
         batch.m_starts = std::exchange(channel.m_starts, {});
--- a/dispatch/job_scheduler.h
+++ b/dispatch/job_scheduler.h
@@ -135,6 +135,7 @@
     std::vector<run_id> m_stops;
     // The batch that waits for its answer.
     std::optional<order_batch> m_in_flight;
+    // Of the last batch; rises over all lives of the agent.
     std::uint64_t m_number = 0;
     instant m_sent_at;
     // After a message that was not answered.
@@ -167,10 +168,10 @@
 void note_agent_report(job_scheduler& scheduler, const agent_status& status,
                        const std::vector<run_outcome>& outcomes, instant now);
 
-// The end of a message to an agent.
-void note_batch_answered(job_scheduler& scheduler, const std::string& agent, const agent_status& status,
-                         instant now);
-void note_batch_lost(job_scheduler& scheduler, const std::string& agent, instant now);
+// The end of the message with this number to an agent.
+void note_batch_answered(job_scheduler& scheduler, const std::string& agent, std::uint64_t number,
+                         const agent_status& status, instant now);
+void note_batch_lost(job_scheduler& scheduler, const std::string& agent, std::uint64_t number, instant now);
 
 // Moves everything that is due: lost agents, late jobs, placement. Answers collect in m_answers.
 void advance(job_scheduler& scheduler, instant now);
--- a/dispatch/run_guard.cpp
+++ b/dispatch/run_guard.cpp
@@ -80,7 +80,16 @@
 // A new life knows nothing of the old one: its fence and its ends start anew.
 void begin_worker_life(run_guard& guard, instant now)
 {
-    lose_worker_runs(guard, now);
+    // A start that was under way may have reached the new life: a stop under the higher fence settles each
+    // run.
+    for (auto position = guard.m_runs.begin(); position != guard.m_runs.end();) {
+        if (position->second.m_phase == run_phase::waiting) {
+            position = end_run(guard, position, run_result::not_started, now);
+            continue;
+        }
+        request_stop(position->second, run_result::lost, now);
+        ++position;
+    }
     guard.m_foreign.clear();
     guard.m_foreign_to_stop.clear();
     ++guard.m_fence;
@@ -329,6 +338,8 @@
 
 void accept_orders(run_guard& guard, const order_batch& batch, instant now)
 {
+    if (batch.m_agent_incarnation != guard.m_incarnation)
+        return;
     guarded_home& home = guard.m_homes[batch.m_home];
     home.m_address = batch.m_home_address;
     home.m_orders_seen = std::max(home.m_orders_seen, batch.m_number);
--- a/dispatch/run_guard.h
+++ b/dispatch/run_guard.h
@@ -87,6 +87,8 @@
 // every run has a home in m_homes.
 struct run_guard {
     run_guard_limits m_limits;
+    // The agent's own life.
+    std::uint64_t m_incarnation = 0;
     std::optional<worker_report> m_report;
     // Rises over the lives of agents and workers; the worker does nothing for a lower one.
     std::int64_t m_fence = 0;
@@ -114,7 +116,7 @@
     std::set<run_id> m_foreign_to_stop;
 };
 
-// A message with orders arrived.
+// A message with orders arrived. One that is meant for another life of the agent changes nothing.
 void accept_orders(run_guard& guard, const order_batch& batch, instant now);
 
 // The worker reported itself. Late or foreign reports are ignored.
--- a/main/platform_agent.cpp
+++ b/main/platform_agent.cpp
@@ -54,6 +54,7 @@
       m_worker(place.m_worker_address), m_store(place.m_store_address), m_links(max_links)
 {
     m_guard.m_limits = make_run_guard_limits(place.m_max_lease, place.m_stop_time, place.m_resubmit_after);
+    m_guard.m_incarnation = m_life.m_incarnation;
     // Rises from life to life; an agent whose clock was set back finds out from the worker.
     m_guard.m_fence = to_unix_ms(process_clock().now());
     m_entries.m_self = place.m_peer_address;
--- a/main/platform_entry.cpp
+++ b/main/platform_entry.cpp
@@ -349,23 +349,25 @@
     for (const outgoing_batch& out : take_batches(m_scheduler, boot_now())) {
         log_orders(out);
         const std::string agent = out.m_agent;
+        const std::uint64_t number = out.m_batch.m_number;
         m_tasks.add(m_links.order(out.m_address, out.m_batch, m_scheduler.m_limits.m_answer_timeout)
-                        .then([this, agent](std::optional<agent_status> status) {
-                            on_batch_end(agent, status);
+                        .then([this, agent, number](std::optional<agent_status> status) {
+                            on_batch_end(agent, number, status);
                             schedule_step();
                         }));
     }
 }
 
-void platform_entry::on_batch_end(const std::string& agent, const std::optional<agent_status>& status)
+void platform_entry::on_batch_end(const std::string& agent, std::uint64_t number,
+                                  const std::optional<agent_status>& status)
 {
     if (status) {
-        note_batch_answered(m_scheduler, agent, *status, boot_now());
+        note_batch_answered(m_scheduler, agent, number, *status, boot_now());
         return;
     }
     m_metrics.count_labelled("batches", "unanswered");
     log_event(log_level::warning, "agent_unanswered", {{"agent", agent}});
-    note_batch_lost(m_scheduler, agent, boot_now());
+    note_batch_lost(m_scheduler, agent, number, boot_now());
 }
 
 void platform_entry::log_orders(const outgoing_batch& out)
--- a/main/platform_entry.h
+++ b/main/platform_entry.h
@@ -59,7 +59,8 @@
     void abandon(const std::string& id);
 
     void on_report(const agent_status& status, const std::vector<run_outcome>& outcomes);
-    void on_batch_end(const std::string& agent, const std::optional<agent_status>& status);
+    void on_batch_end(const std::string& agent, std::uint64_t number,
+                      const std::optional<agent_status>& status);
     void log_orders(const outgoing_batch& out);
     void log_admission(const work_request& request, const queue_contract& queue);
 
--- a/rpc/hawthornpin.capnp
+++ b/rpc/hawthornpin.capnp
@@ -160,6 +160,7 @@
   starts @4 :List(RunOrders);
   stops @5 :List(RunRef);
   entries @6 :List(Text);
+  agentIncarnation @7 :UInt64;
 }
 
 struct AgentStatus {
--- a/rpc/hawthornpin.capnp.h
+++ b/rpc/hawthornpin.capnp.h
@@ -371,7 +371,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c827ce08d5626e51, 2, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(c827ce08d5626e51, 3, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2905,6 +2905,8 @@
   inline bool hasEntries() const;
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getEntries() const;
 
+  inline  ::uint64_t getAgentIncarnation() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2975,6 +2977,9 @@
   inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownEntries();
 
+  inline  ::uint64_t getAgentIncarnation();
+  inline void setAgentIncarnation( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -8174,6 +8179,20 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t OrderBatch::Reader::getAgentIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t OrderBatch::Builder::getAgentIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void OrderBatch::Builder::setAgentIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool AgentStatus::Reader::hasLife() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/rpc/run_wire.cpp
+++ b/rpc/run_wire.cpp
@@ -106,6 +106,7 @@
     to.initHome().setId(from.m_home.m_id);
     to.getHome().setIncarnation(from.m_home.m_incarnation);
     to.setHomeAddress(from.m_home_address);
+    to.setAgentIncarnation(from.m_agent_incarnation);
     to.setClockSeen(from.m_clock_seen);
     to.setNumber(from.m_number);
     const auto groups = group_by_step(from.m_starts);
@@ -123,6 +124,7 @@
     order_batch batch;
     batch.m_home = {from.getHome().getId().cStr(), from.getHome().getIncarnation()};
     batch.m_home_address = from.getHomeAddress().cStr();
+    batch.m_agent_incarnation = from.getAgentIncarnation();
     batch.m_clock_seen = from.getClockSeen();
     batch.m_number = from.getNumber();
     for (const auto group : from.getStarts())
--- a/tests/dispatch/job_scheduler_test.cpp
+++ b/tests/dispatch/job_scheduler_test.cpp
@@ -55,7 +55,8 @@
     // An answered message, which makes the agent usable.
     void answer(const std::string& agent, std::uint64_t life, long long now)
     {
-        note_batch_answered(m_scheduler, agent, make_status(agent, life, true), at_ms(now));
+        note_batch_answered(m_scheduler, agent, m_last_batch[agent], make_status(agent, life, true),
+                            at_ms(now));
     }
 
     void add_agent(const std::string& agent, long long now)
@@ -239,13 +240,31 @@
     REQUIRE(take_orders(1).size() == 2);
     const std::uint64_t first = m_last_batch["a"];
     cancel_job(m_scheduler, "j");
-    note_batch_lost(m_scheduler, "a", at_ms(200));
+    note_batch_lost(m_scheduler, "a", first, at_ms(200));
     const auto orders = take_orders(260);
     REQUIRE(orders.size() == 1);
     CHECK(orders[0].second.m_task.m_job == "k");
     CHECK(m_last_batch["a"] > first);
 }
 
+TEST_CASE_FIXTURE(scheduler_fixture,
+                  "what was under way to an earlier life of an agent is not told to the new one")
+{
+    add_agent("a", 0);
+    submit(make_request("j", 1), 1, 5'000);
+    REQUIRE(take_orders(1).size() == 1);
+    const std::uint64_t earlier = m_last_batch["a"];
+    report("a", 2, {}, 50);
+    take_orders(60);
+    CHECK(m_last_batch["a"] > earlier);
+    note_batch_lost(m_scheduler, "a", earlier, at_ms(100));
+    answer("a", 2, 110);
+    advance(m_scheduler, at_ms(111));
+    const auto orders = take_orders(111);
+    REQUIRE(orders.size() == 1);
+    CHECK(orders[0].second.m_number == 2);
+}
+
 TEST_CASE_FIXTURE(scheduler_fixture, "a step starts when all steps that it depends on are done")
 {
     add_agent("a", 0);
@@ -331,7 +350,7 @@
         }
         agent_status status = make_status("a", 1, true);
         status.m_free.m_cpu_milli -= 4'000 * static_cast<long long>(running.size() + waiting.size());
-        note_batch_answered(m_scheduler, "a", status, at_ms(now));
+        note_batch_answered(m_scheduler, "a", m_last_batch["a"], status, at_ms(now));
         note_agent_report(m_scheduler, status, ended, at_ms(now));
         advance(m_scheduler, at_ms(now));
         for (const job_answer_event& answer : take_answers()) {
--- a/tests/dispatch/run_guard_test.cpp
+++ b/tests/dispatch/run_guard_test.cpp
@@ -236,9 +236,16 @@
         listing.m_started_unix_ms = 99;
         note_listing(m_guard, listing, begin_renewal(m_guard, at_ms(20)), at_ms(20));
     }
-    CHECK(results() == std::vector<run_result>{run_result::lost});
     CHECK(m_guard.m_fence > fence);
     CHECK(m_guard.m_last_seen == 0);
+    // A start that was under way may have reached the new life; a stop settles it.
+    CHECK(results().empty());
+    CHECK(advance(m_guard, at_ms(21)).m_stops == std::vector<run_id>{make_run(0)});
+    note_stop_answer(m_guard, make_run(0), true, at_ms(22));
+    run_listing listing;
+    listing.m_started_unix_ms = 99;
+    note_listing(m_guard, listing, begin_renewal(m_guard, at_ms(130)), at_ms(130));
+    CHECK(results() == std::vector<run_result>{run_result::lost});
 }
 
 TEST_CASE_FIXTURE(guard_fixture, "a delayed report of an earlier life or an earlier state changes nothing")
--- /dev/null
+++ b/tests/model/model_worker.h
@@ -0,0 +1,70 @@
+// A worker of the platform in virtual time: runs, leases, fences, ends, and orders that are carried out late.
+
+#pragma once
+
+#include "world/run_messages.h"
+#include "world/worker_report.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace hawthornpin::model {
+
+// Times are milliseconds of the model.
+class model_worker {
+public:
+    model_worker(std::string id, long long now) : m_id(std::move(id)) { begin_life(now); }
+
+    // A new life under the same id knows nothing of the old one.
+    void begin_life(long long now);
+    void crash() { m_is_up = false; }
+
+    // Moves time on: ends, lapses and stops that are due.
+    void advance(long long now);
+
+    start_answer start(const run_order& order, std::int64_t fence, std::int64_t deadline_ms,
+                       long long duration, long long now);
+    void stop(const run_id& run, std::int64_t fence, long long now);
+    // Nothing if the fence is too low.
+    std::optional<run_listing> list(const renewal& asked, long long now);
+    bool has_news(std::int64_t last_seen) const;
+
+    worker_report make_report(long long now);
+    std::int64_t clock_ms(long long now) const;
+
+    bool is_up() const { return m_is_up; }
+    // Everything that works or is being stopped.
+    std::vector<run_id> busy_runs() const;
+    resources used() const;
+
+    static constexpr resources capacity{8'000, 8'192, 0};
+
+private:
+    struct live_run {
+        resources m_needs;
+        long long m_started = 0;
+        long long m_ends = 0;
+        // Set while it is being stopped.
+        std::optional<long long> m_stopped_at;
+    };
+
+    bool admit_fence(std::int64_t fence);
+    void end_run(const run_id& run, run_end how);
+
+    std::string m_id;
+    bool m_is_up = true;
+    long long m_born = 0;
+    std::int64_t m_report_sequence = 0;
+    std::int64_t m_fence = 0;
+    std::int64_t m_deadline_ms = 0;
+    std::map<run_id, live_run> m_runs;
+    std::vector<listed_end> m_ends;
+    std::int64_t m_end_count = 0;
+    // Highest run number that ended or was stopped here, by task.
+    std::map<task_id, std::uint32_t> m_closed;
+};
+
+} // namespace hawthornpin::model
--- /dev/null
+++ b/tests/model/platform_model.h
@@ -0,0 +1,119 @@
+// Entries, agents and workers in virtual time, under the code that the programs run, with faults drawn from a
+// seed and a checker for each rule.
+
+#pragma once
+
+#include "core/random.h"
+#include "dispatch/job_scheduler.h"
+#include "dispatch/run_guard.h"
+#include "tests/model/model_worker.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace hawthornpin::model {
+
+// Chances are in thousandths: of each message or call, or of each process in each 100 ms.
+struct model_faults {
+    int m_lose_message = 0;
+    int m_delay_message = 0;
+    int m_lose_worker_answer = 0;
+    int m_late_worker_order = 0;
+    int m_kill_agent = 0;
+    int m_kill_entry = 0;
+    int m_freeze_agent = 0;
+    int m_freeze_entry = 0;
+    int m_cut_link = 0;
+    int m_worker_life = 0;
+};
+
+// Defects that the checkers must notice.
+enum class model_mutant {
+    none,
+    // An agent does not look at the age of an order.
+    accepts_old_orders,
+    // An entry repeats the runs of a silent agent before their leases are over.
+    repeats_too_early,
+    // An agent frees the capacity of a stopped run at once.
+    stop_frees_at_once,
+    // A restarted agent does not look for runs of its earlier life.
+    ignores_foreign_runs,
+    // An agent does not stop the runs of a silent home.
+    keeps_runs_of_silent_homes,
+};
+
+struct model_settings {
+    std::uint64_t m_seed = 1;
+    long long m_length_ms = 6'000;
+    // One job arrives this often on average; at 50 ms, a good half of the workers is busy.
+    long long m_arrival_ms = 50;
+    model_faults m_faults;
+    model_mutant m_mutant = model_mutant::none;
+};
+
+struct model_result {
+    int m_jobs = 0;
+    int m_completed = 0;
+    int m_refused = 0;
+    // The first broken rule; empty if there is none.
+    std::string m_broken;
+};
+
+class platform_model {
+public:
+    explicit platform_model(const model_settings& settings);
+    ~platform_model();
+    platform_model(const platform_model&) = delete;
+    platform_model& operator=(const platform_model&) = delete;
+
+    model_result run();
+
+private:
+    struct process;
+    struct entry_process;
+    struct agent_process;
+    struct job_fate;
+
+    bool draw(int thousandths);
+    void at(long long when, std::function<void()> action);
+    // Runs the action at the process when it is next awake, unless it has been replaced by then.
+    void deliver(process& to, long long delay, std::function<void()> action);
+    // Calls `action` at the peer and `on_end(true)` back, or `on_end(false)` after the time-out.
+    void call(process& from, process& to, long long timeout, std::function<void()> action,
+              std::function<void(bool)> on_end);
+
+    void strike();
+    void kill(process& victim, long long down_ms);
+    void start_agent(agent_process& agent);
+    void start_entry(entry_process& entry);
+    void step_agent(agent_process& agent);
+    void step_entry(entry_process& entry);
+    void send_reports(agent_process& agent);
+    void call_start(agent_process& agent, const run_order& order);
+    void call_stop(agent_process& agent, const run_id& run);
+    void renew(agent_process& agent);
+    void present(agent_process& agent);
+    void submit(entry_process& entry, const std::string& job, int attempt);
+    void take_answers(entry_process& entry);
+    agent_status make_status(agent_process& agent, const home_identity* home);
+
+    void check();
+    void fail(const std::string& rule);
+    instant now() const { return instant(milliseconds(m_now)); }
+
+    model_settings m_settings;
+    random_source m_random;
+    long long m_now = 0;
+    std::multimap<long long, std::function<void()>> m_events;
+    std::vector<std::unique_ptr<entry_process>> m_entries;
+    std::vector<std::unique_ptr<agent_process>> m_agents;
+    std::map<std::string, job_fate> m_fates;
+    std::set<std::pair<process*, process*>> m_cuts;
+    model_result m_result;
+};
+
+} // namespace hawthornpin::model
--- a/world/run_messages.h
+++ b/world/run_messages.h
@@ -111,6 +111,8 @@
 struct order_batch {
     home_identity m_home;
     std::string m_home_address;
+    // The life of the agent that is meant; another one does not take the orders.
+    std::uint64_t m_agent_incarnation = 0;
     // The agent's clock as last seen by the home; proves how old the home's knowledge is at most.
     std::uint64_t m_clock_seen = 0;
     std::uint64_t m_number = 0;
