--- a/tests/dispatch/job_scheduler_test.cpp
+++ b/tests/dispatch/job_scheduler_test.cpp
@@ -255,12 +255,12 @@
     REQUIRE(take_orders(1).size() == 1);
     const std::uint64_t earlier = m_last_batch["a"];
     report("a", 2, {}, 50);
-    take_orders(60);
+    take_orders(110);
     CHECK(m_last_batch["a"] > earlier);
-    note_batch_lost(m_scheduler, "a", earlier, at_ms(100));
-    answer("a", 2, 110);
-    advance(m_scheduler, at_ms(111));
-    const auto orders = take_orders(111);
+    note_batch_lost(m_scheduler, "a", earlier, at_ms(120));
+    answer("a", 2, 130);
+    advance(m_scheduler, at_ms(131));
+    const auto orders = take_orders(131);
     REQUIRE(orders.size() == 1);
     CHECK(orders[0].second.m_number == 2);
 }
--- a/tests/model/platform_model.cpp
+++ b/tests/model/platform_model.cpp
@@ -31,6 +31,8 @@
 struct platform_model::entry_process : process {
     std::string m_id;
     job_scheduler m_scheduler;
+    // Jobs whose callers wait here, with the number of their attempt.
+    std::map<std::string, int> m_callers;
 };
 
 struct platform_model::agent_process : process {
@@ -207,7 +209,9 @@
     constexpr std::size_t late_spread_ms = 10'000;
     const std::int64_t fence = agent.m_guard.m_fence;
     const std::int64_t deadline = next_deadline_ms(agent.m_guard, now());
-    const auto duration = static_cast<long long>(30 + draw_below(m_random, 300));
+    // A long run lasts longer than its caller waits.
+    const bool is_long = draw(m_settings.m_faults.m_long_run);
+    const auto duration = static_cast<long long>(is_long ? 2'500 : 30 + draw_below(m_random, 300));
     const auto answer = std::make_shared<start_answer>(start_answer::unanswered);
     const auto carry_out = [this, &agent, order, fence, deadline, duration, answer] {
         model_worker& worker = *agent.m_worker;
@@ -331,6 +335,7 @@
 {
     for (const job_answer_event& answer : std::exchange(entry.m_scheduler.m_answers, {})) {
         job_fate& fate = m_fates.at(answer.m_job);
+        entry.m_callers.erase(answer.m_job);
         if (answer.m_end == job_end::refused) {
             fate.m_is_refused = true;
             --fate.m_open_attempts;
@@ -346,9 +351,7 @@
 
 void platform_model::submit(entry_process& entry, const std::string& job, int attempt)
 {
-    constexpr int most_attempts = 3;
     job_fate& fate = m_fates.at(job);
-    const std::uint64_t life = entry.m_life;
     const bool is_received = entry.m_is_up && entry.m_frozen_until <= m_now;
     if (is_received) {
         ++fate.m_open_attempts;
@@ -360,15 +363,20 @@
         queue.m_latency_target = milliseconds(60);
         submit_job(entry.m_scheduler, fate.m_request, queue, milliseconds(caller_patience_ms), now());
     }
-    // A caller whose entry died before the answer hands the job in again, at another one.
-    const long long check_at = is_received ? m_now + caller_patience_ms : m_now;
-    at(check_at, [this, &entry, life, job, attempt, is_received] {
-        const bool is_broken = !is_received || entry.m_life != life || !entry.m_is_up;
-        if (!is_broken || attempt >= most_attempts || m_fates.at(job).m_answers > 0)
-            return;
-        at(m_now, [this, job, attempt] {
-            submit(*m_entries.at(draw_below(m_random, m_entries.size())), job, attempt + 1);
-        });
+    if (is_received)
+        entry.m_callers[job] = attempt;
+    else
+        resubmit(job, attempt);
+}
+
+// A caller whose connection broke before the answer hands the job in again later, at any entry.
+void platform_model::resubmit(const std::string& job, int attempt)
+{
+    constexpr int most_attempts = 3;
+    if (attempt >= most_attempts || m_fates.at(job).m_answers > 0)
+        return;
+    at(m_now + resubmit_after_ms, [this, job, attempt] {
+        submit(*m_entries.at(draw_below(m_random, m_entries.size())), job, attempt + 1);
     });
 }
 
@@ -377,6 +385,12 @@
     if (!victim.m_is_up)
         return;
     victim.m_is_up = false;
+    for (const auto& entry : m_entries) {
+        if (entry.get() != &victim)
+            continue;
+        for (const auto& [job, attempt] : std::exchange(entry->m_callers, {}))
+            resubmit(job, attempt);
+    }
     at(m_now + down_ms, [this, &victim] {
         for (const auto& agent : m_agents) {
             if (agent.get() == &victim)
--- a/tests/model/platform_model.h
+++ b/tests/model/platform_model.h
@@ -29,6 +29,7 @@
     int m_freeze_entry = 0;
     int m_cut_link = 0;
     int m_worker_life = 0;
+    int m_long_run = 0;
 };
 
 // Defects that the checkers must notice.
@@ -98,6 +99,7 @@
     void renew(agent_process& agent);
     void present(agent_process& agent);
     void submit(entry_process& entry, const std::string& job, int attempt);
+    void resubmit(const std::string& job, int attempt);
     void take_answers(entry_process& entry);
     agent_status make_status(agent_process& agent, const home_identity* home);
 
--- a/tests/model/platform_model_test.cpp
+++ b/tests/model/platform_model_test.cpp
@@ -25,6 +25,7 @@
     faults.m_freeze_entry = 8;
     faults.m_cut_link = 8;
     faults.m_worker_life = 3;
+    faults.m_long_run = 50;
     return faults;
 }
 
@@ -81,6 +82,7 @@
         const std::string name = row.m_name;
         CAPTURE(name);
         model_faults faults;
+        faults.m_long_run = 50;
         faults.*row.m_chance = row.m_thousandths;
         play_all(faults);
     }
@@ -102,7 +104,8 @@
     };
     model_faults faults = all_faults();
     faults.m_delay_message = 50;
-    for (const auto& [mutant, name] : cases) {
+    for (const auto& [mutant, text] : cases) {
+        const std::string name = text;
         CAPTURE(name);
         bool is_noticed = false;
         for (std::uint64_t seed = 1; seed <= schedule_count && !is_noticed; ++seed)
