--- a/tests/model/platform_model.cpp
+++ b/tests/model/platform_model.cpp
@@ -102,11 +102,10 @@
 {
     constexpr long long longest_delay_ms = 3'000;
     const auto is_over = std::make_shared<bool>(false);
-    const auto finish = [this, &from, is_over, on_end](bool is_answered) {
+    const auto finish = [is_over, on_end](bool is_answered) {
         if (std::exchange(*is_over, true))
             return;
         on_end(is_answered);
-        static_cast<void>(from);
     };
     deliver(from, timeout, [finish] { finish(false); });
     if (m_cuts.contains({&from, &to}) || draw(m_settings.m_faults.m_lose_message))
@@ -211,7 +210,7 @@
     const std::int64_t deadline = next_deadline_ms(agent.m_guard, now());
     // A long run lasts longer than its caller waits.
     const bool is_long = draw(m_settings.m_faults.m_long_run);
-    const auto duration = static_cast<long long>(is_long ? 2'500 : 30 + draw_below(m_random, 300));
+    const auto duration = is_long ? 2'500LL : 30 + static_cast<long long>(draw_below(m_random, 300));
     const auto answer = std::make_shared<start_answer>(start_answer::unanswered);
     const auto carry_out = [this, &agent, order, fence, deadline, duration, answer] {
         model_worker& worker = *agent.m_worker;
@@ -406,7 +405,7 @@
 void platform_model::strike()
 {
     const model_faults& faults = m_settings.m_faults;
-    const auto some_time = [this] { return static_cast<long long>(20 + draw_below(m_random, 2'000)); };
+    const auto some_time = [this] { return 20 + static_cast<long long>(draw_below(m_random, 2'000)); };
     for (const auto& agent : m_agents) {
         if (draw(faults.m_kill_agent))
             kill(*agent, some_time());
