A worker's 421 is seen; contract tests of the store's and the worker's clients

Cause, found by the contract table: libsoup sends a request that was answered 421 again by itself, and our guard against resending turned that into 'no answer'; a new worker at the address was noticed only by its report or listing.

--- /dev/null
+++ b/tests/platform/client_contract_test.cpp
@@ -0,0 +1,229 @@
+// The adapters against scripted peers on loopback: every answer code, malformed bodies, lost and silent
+// answers.
+
+#include "platform/directory_follower.h"
+#include "platform/store_client.h"
+#include "platform/worker_client.h"
+
+#include "http/api_server.h"
+
+#include <doctest/doctest.h>
+
+#include <deque>
+
+namespace hawthornpin {
+
+namespace {
+
+// Answers requests from a script, the last entry again and again, and keeps them.
+class scripted_peer {
+public:
+    scripted_peer() : m_server([this](const api_request& request) { return answer(request); }, make_limits())
+    {
+        last_reason why;
+        REQUIRE(m_server.listen("127.0.0.1:0", why));
+    }
+
+    void add(unsigned status, std::string body)
+    {
+        api_response response;
+        response.m_status = status;
+        response.m_body = std::move(body);
+        m_script.push_back(response);
+    }
+    void add_broken()
+    {
+        api_response response;
+        response.m_is_dropped = true;
+        m_script.push_back(response);
+    }
+    void be_silent() { m_is_silent = true; }
+
+    std::string address() const { return m_server.address(); }
+
+    event_loop m_loop;
+    std::vector<api_request> m_requests;
+
+private:
+    static api_limits make_limits()
+    {
+        api_limits limits;
+        limits.m_kept_headers = {"Expected-Instance"};
+        return limits;
+    }
+
+    kj::Promise<api_response> answer(const api_request& request)
+    {
+        m_requests.push_back(request);
+        if (m_is_silent || m_script.empty())
+            return kj::NEVER_DONE;
+        const api_response response = m_script.front();
+        if (m_script.size() > 1)
+            m_script.pop_front();
+        return response;
+    }
+
+    api_server m_server;
+    std::deque<api_response> m_script;
+    bool m_is_silent = false;
+};
+
+run_order make_order()
+{
+    run_order order;
+    order.m_run = {{"5c0e7a21d94b36f8", 0, 1, 17}, 2};
+    order.m_specification = "text";
+    return order;
+}
+
+std::string log_head(std::uint8_t end)
+{
+    return std::string(7, '\0') + static_cast<char>(end) + std::string(8, '\0');
+}
+
+} // namespace
+
+TEST_CASE("a worker's answers to a start")
+{
+    struct answer_case {
+        unsigned m_status;
+        const char* m_body;
+        start_answer m_answer;
+    };
+    constexpr answer_case cases[] = {
+        {200, R"({"clock_ms":1})", start_answer::started},
+        {409, R"({"clock_ms":1,"reason":"fence"})", start_answer::fenced},
+        {409, R"({"clock_ms":1,"reason":"old"})", start_answer::run_too_old},
+        {409, R"({"clock_ms":1,"reason":"room"})", start_answer::no_room},
+        {409, R"({"clock_ms":1,"reason":"late"})", start_answer::deadline_passed},
+        {409, "broken", start_answer::deadline_passed},
+        {421, "", start_answer::other_life},
+        {400, "", start_answer::malformed},
+        {429, "", start_answer::unhealthy},
+        {503, "", start_answer::unhealthy},
+    };
+    for (const answer_case& row : cases) {
+        CAPTURE(row.m_status);
+        const std::string body = row.m_body;
+        CAPTURE(body);
+        scripted_peer worker;
+        worker.add(row.m_status, body);
+        worker_client client(worker.address());
+        CHECK(run_to_end(worker.m_loop, client.start(make_order(), 7, 900, "i-1")) == row.m_answer);
+        REQUIRE(worker.m_requests.size() == 1);
+        CHECK(worker.m_requests[0].m_path == "/hawthornpin/run-start");
+        CHECK(worker.m_requests[0].m_kept_headers[0] == "i-1");
+        CHECK(worker.m_requests[0].m_body ==
+              R"({"task":"5c0e7a21d94b36f8.0.1.17","run":2,"spec":"text","deadline_ms":900,"fence":7})");
+    }
+}
+
+TEST_CASE("a start whose answer is lost, late or refused at connecting is unanswered")
+{
+    scripted_peer worker;
+    worker_client client(worker.address());
+    SUBCASE("the connection breaks")
+    {
+        worker.add_broken();
+    }
+    SUBCASE("the connection goes silent")
+    {
+        worker.be_silent();
+    }
+    CHECK(run_to_end(worker.m_loop, client.start(make_order(), 7, 900, "")) == start_answer::unanswered);
+    worker_client nobody("127.0.0.1:1");
+    CHECK(run_to_end(worker.m_loop, nobody.start(make_order(), 7, 900, "")) == start_answer::unanswered);
+    CHECK_FALSE(run_to_end(worker.m_loop, nobody.stop(make_order().m_run, 7, "")));
+}
+
+TEST_CASE("a worker's answers to a renewal")
+{
+    struct answer_case {
+        unsigned m_status;
+        const char* m_body;
+        renewal_fate m_fate;
+    };
+    constexpr answer_case cases[] = {
+        {200, R"({"clock_ms":1,"running":[],"finished":[]})", renewal_fate::listed},
+        {200, R"({"running":[]})", renewal_fate::unanswered},
+        {200, "truncated{", renewal_fate::unanswered},
+        {409, R"({"reason":"fence"})", renewal_fate::fenced},
+        {421, "", renewal_fate::other_life},
+        {503, "", renewal_fate::unanswered},
+    };
+    for (const answer_case& row : cases) {
+        CAPTURE(row.m_status);
+        scripted_peer worker;
+        worker.add(row.m_status, row.m_body);
+        worker_client client(worker.address());
+        renewal asked;
+        asked.m_fence = 3;
+        asked.m_last_seen = 57;
+        CHECK(run_to_end(worker.m_loop, client.renew(asked, "")).m_fate == row.m_fate);
+        CHECK(worker.m_requests.at(0).m_body == R"({"fence":3,"last_seen":57,"wait_ms":0})");
+    }
+}
+
+TEST_CASE("the store's answers to a read of the log")
+{
+    struct answer_case {
+        unsigned m_status;
+        std::string m_body;
+        store_fate m_fate;
+    };
+    const answer_case cases[] = {
+        {200, log_head(1) + encode_keyed_record("k", "v"), store_fate::answered},
+        {200, log_head(1), store_fate::answered},
+        {200, "short", store_fate::unavailable},
+        {410, R"({"first_offset":9})", store_fate::expired},
+        {429, "", store_fate::unavailable},
+        {503, "", store_fate::unavailable},
+    };
+    for (const answer_case& row : cases) {
+        CAPTURE(row.m_status);
+        scripted_peer peer;
+        peer.add(row.m_status, row.m_body);
+        store_client store(peer.address());
+        CHECK(run_to_end(peer.m_loop, store.read_log("keyed.t", 0, 0)).m_fate == row.m_fate);
+        CHECK(peer.m_requests.at(0).m_query == "topic=keyed.t&part=0&from=0&wait_ms=0");
+    }
+}
+
+TEST_CASE("pages of newest records are followed to the end")
+{
+    scripted_peer peer;
+    peer.add(200, R"({"items":[{"key":"a","value":"MQ==","offset":1}],"has_more":true,"end_offset":5})");
+    peer.add(200, R"({"items":[{"key":"b","value":"Mg==","offset":2}],"has_more":false,"end_offset":9})");
+    store_client store(peer.address());
+    const auto page = run_to_end(peer.m_loop, store.read_newest("keyed.t"));
+    REQUIRE(page);
+    CHECK(page->m_records.size() == 2);
+    // What was written between the pages is read from the log.
+    CHECK(page->m_end_offset == 5);
+    CHECK(peer.m_requests.at(1).m_query == "topic=keyed.t&part=0&depends_on=a");
+}
+
+TEST_CASE("the configuration is followed over expiry, outages and unreadable records")
+{
+    scripted_peer peer;
+    peer.add(503, "");
+    // {"version":3}
+    peer.add(200, R"({"items":[{"key":"config","value":"eyJ2ZXJzaW9uIjozfQ==","offset":1}],"end_offset":2})");
+    peer.add(200, log_head(3) + encode_keyed_record("config", "unreadable"));
+    peer.add(410, R"({"first_offset":9})");
+    // {"version":4}
+    peer.add(200,
+             R"({"items":[{"key":"config","value":"eyJ2ZXJzaW9uIjo0fQ==","offset":9}],"end_offset":10})");
+    peer.add(200, log_head(10));
+    store_client store(peer.address());
+    std::vector<std::int64_t> versions;
+    const directory_follower follower(store, [&](const service_directory& directory, const std::string&) {
+        versions.push_back(directory.m_version);
+        if (directory.m_version == 4)
+            peer.m_loop.stop();
+    });
+    peer.m_loop.run();
+    CHECK(versions == std::vector<std::int64_t>{3, 4});
+}
+
+} // namespace hawthornpin
