--- /dev/null
+++ b/dispatch/guarded_runs.cpp
@@ -0,0 +1,58 @@
+// Ends, stops and lease ends of guarded runs.
+
+#include "dispatch/guarded_runs.h"
+
+#include <algorithm>
+
+namespace hawthornpin {
+
+void owe_outcome(run_guard& guard, const home_identity& home, const run_outcome& outcome)
+{
+    const auto found = guard.m_homes.find(home);
+    if (found != guard.m_homes.end())
+        found->second.m_outcomes.push_back(outcome);
+}
+
+run_iterator end_run(run_guard& guard, run_iterator position, run_result result, instant now)
+{
+    const guarded_run& run = position->second;
+    const bool has_started = run.m_phase == run_phase::running || run.m_phase == run_phase::stopping;
+    const auto duration =
+        has_started ? std::chrono::duration_cast<milliseconds>(now - run.m_started) : milliseconds(0);
+    owe_outcome(guard, run.m_home, {position->first, result, duration});
+    guard.m_ended[position->first] = now + guard.m_limits.m_remember_ended;
+    return guard.m_runs.erase(position);
+}
+
+void request_stop(guarded_run& run, run_result result, instant now)
+{
+    if (run.m_phase == run_phase::stopping)
+        return;
+    run.m_phase = run_phase::stopping;
+    run.m_is_call_open = false;
+    run.m_stop_result = result;
+    run.m_next_call_at = now;
+}
+
+void lose_worker_runs(run_guard& guard, instant now)
+{
+    for (auto position = guard.m_runs.begin(); position != guard.m_runs.end();) {
+        const bool has_begun = position->second.m_phase != run_phase::waiting;
+        position = end_run(guard, position, has_begun ? run_result::lost : run_result::not_started, now);
+    }
+}
+
+void extend_lease_end(run_guard& guard, instant now)
+{
+    const auto lease = static_cast<double>(guard.m_limits.m_worker_lease.count());
+    const auto longest =
+        milliseconds(static_cast<std::int64_t>(lease * (1 + 2 * guard.m_limits.m_clock_drift)));
+    guard.m_lease_end = std::max(guard.m_lease_end, now + longest);
+}
+
+bool has_recent_listing(const run_guard& guard, instant now)
+{
+    return guard.m_has_listing && now <= guard.m_clock_read_at + guard.m_limits.m_listing_validity;
+}
+
+} // namespace hawthornpin
--- /dev/null
+++ b/dispatch/job_outcomes.cpp
@@ -0,0 +1,203 @@
+// What agents say: outcomes of runs, statuses, and the ends of messages to them.
+
+#include "dispatch/live_jobs.h"
+
+#include <algorithm>
+
+namespace hawthornpin {
+
+namespace {
+
+void finish_step(job_scheduler& scheduler, live_job& job, std::uint32_t finished, instant now)
+{
+    for (std::uint32_t step = finished + 1; step < job.m_steps.size(); ++step) {
+        const auto& depends_on = job.m_request.m_steps[step].m_depends_on;
+        if (std::find(depends_on.begin(), depends_on.end(), finished) == depends_on.end())
+            continue;
+        if (--job.m_steps[step].m_unfinished_dependencies == 0)
+            open_step(scheduler, job, step, now);
+    }
+}
+
+bool is_job_done(const live_job& job)
+{
+    return std::all_of(job.m_steps.begin(), job.m_steps.end(),
+                       [](const live_step& step) { return step.m_unfinished == 0; });
+}
+
+void finish_task(job_scheduler& scheduler, live_job& job, const run_outcome& outcome, instant now)
+{
+    const std::uint32_t step = outcome.m_run.m_task.m_step;
+    live_task& task = job.m_steps[step].m_tasks[outcome.m_run.m_task.m_index];
+    task.m_phase = live_task_phase::done;
+    const auto agent = scheduler.m_agents.m_agents.find(task.m_agent);
+    if (agent != scheduler.m_agents.m_agents.end()) {
+        note_success(agent->second);
+        note_duration(agent->second, outcome.m_duration, job.m_steps[step].m_estimate);
+    }
+    note_duration(scheduler.m_estimator, job.m_queue.m_name, step,
+                  milliseconds(job.m_request.m_steps[step].m_estimate_ms), outcome.m_duration);
+    if (--job.m_steps[step].m_unfinished > 0)
+        return;
+    finish_step(scheduler, job, step, now);
+    if (is_job_done(job))
+        answer_job(scheduler, outcome.m_run.m_task.m_job, job_end::completed, job_end_reason::all_done);
+}
+
+void blame_agent(job_scheduler& scheduler, live_task& task, instant now)
+{
+    const auto agent = scheduler.m_agents.m_agents.find(task.m_agent);
+    // A task that failed elsewhere too may be at fault itself.
+    if (agent != scheduler.m_agents.m_agents.end() && task.m_failed_runs <= 1)
+        note_failure(scheduler.m_agents, agent->second, now);
+    task.m_avoided.push_back(task.m_agent);
+}
+
+void repeat_task(job_scheduler& scheduler, live_job& job, const run_outcome& outcome, instant now)
+{
+    const std::uint32_t step = outcome.m_run.m_task.m_step;
+    const std::uint32_t index = outcome.m_run.m_task.m_index;
+    live_task& task = job.m_steps[step].m_tasks[index];
+    if (outcome.m_result == run_result::failed)
+        ++task.m_failed_runs;
+    const bool is_agent_suspect = outcome.m_result == run_result::failed ||
+                                  outcome.m_result == run_result::stalled ||
+                                  outcome.m_result == run_result::refused;
+    if (is_agent_suspect)
+        blame_agent(scheduler, task, now);
+    task.m_phase = live_task_phase::blocked;
+    if (task.m_failed_runs >= job.m_queue.m_max_attempts) {
+        answer_job(scheduler, outcome.m_run.m_task.m_job, job_end::failed,
+                   job_end_reason::attempts_exhausted);
+        return;
+    }
+    make_ready(scheduler, job, step, index, now);
+}
+
+// The ordered task that the outcome is about; null if that run is not the newest.
+live_task* find_ordered(live_job& job, const run_id& run, const std::string& agent)
+{
+    const task_id& id = run.m_task;
+    if (id.m_step >= job.m_steps.size() || id.m_index >= job.m_steps[id.m_step].m_tasks.size())
+        return nullptr;
+    live_task& task = job.m_steps[id.m_step].m_tasks[id.m_index];
+    const bool is_newest =
+        task.m_phase == live_task_phase::ordered && task.m_run == run.m_number && task.m_agent == agent;
+    return is_newest ? &task : nullptr;
+}
+
+// Forgets what was to be told to an earlier life of an agent; the numbers go on.
+void clear_channel(agent_channel& channel)
+{
+    channel.m_starts.clear();
+    channel.m_stops.clear();
+    channel.m_in_flight.reset();
+}
+
+bool is_in_flight(const agent_channel& channel, std::uint64_t number)
+{
+    return channel.m_in_flight && channel.m_in_flight->m_number == number;
+}
+
+bool is_still_ordered(job_scheduler& scheduler, const run_id& run, const std::string& agent)
+{
+    const auto found = scheduler.m_jobs.find(run.m_task.m_job);
+    return found != scheduler.m_jobs.end() && find_ordered(found->second, run, agent) != nullptr;
+}
+
+void note_outcome(job_scheduler& scheduler, const std::string& agent, const run_outcome& outcome, instant now)
+{
+    const auto found = scheduler.m_jobs.find(outcome.m_run.m_task.m_job);
+    if (found == scheduler.m_jobs.end())
+        return;
+    if (find_ordered(found->second, outcome.m_run, agent) == nullptr)
+        return;
+    release_run(scheduler, agent);
+    withdraw_order(scheduler.m_channels[agent], outcome.m_run);
+    --found->second.m_open_runs;
+    const bool is_unstarted =
+        outcome.m_result == run_result::not_started || outcome.m_result == run_result::refused;
+    found->second.m_has_begun = found->second.m_has_begun || !is_unstarted;
+    if (outcome.m_result == run_result::done)
+        finish_task(scheduler, found->second, outcome, now);
+    else
+        repeat_task(scheduler, found->second, outcome, now);
+}
+
+} // namespace
+
+void lose_agent_runs(job_scheduler& scheduler, const std::string& agent, instant now)
+{
+    std::vector<run_outcome> lost;
+    for (const auto& [id, job] : scheduler.m_jobs) {
+        for (const ordered_run& ordered : list_ordered_runs(job)) {
+            if (ordered.m_agent == agent)
+                lost.push_back({ordered.m_run, run_result::lost, milliseconds(0)});
+        }
+    }
+    for (const run_outcome& outcome : lost)
+        note_outcome(scheduler, agent, outcome, now);
+}
+
+namespace {
+
+// Once a new life of an agent has stopped what the old one started, those runs can be repeated.
+void settle_agent(job_scheduler& scheduler, const std::string& id, instant now)
+{
+    agent_view& agent = scheduler.m_agents.m_agents.at(id);
+    if (agent.m_is_settled || !agent.m_status.m_is_settled)
+        return;
+    lose_agent_runs(scheduler, id, now);
+    agent.m_is_settled = true;
+}
+
+} // namespace
+
+void note_agent_report(job_scheduler& scheduler, const agent_status& status,
+                       const std::vector<run_outcome>& outcomes, instant now)
+{
+    const std::string& agent = status.m_life.m_id;
+    if (!scheduler.m_agents.m_retired.contains(status.m_life)) {
+        const auto known = scheduler.m_agents.m_agents.find(agent);
+        if (known != scheduler.m_agents.m_agents.end() && known->second.m_status.m_life != status.m_life)
+            clear_channel(scheduler.m_channels[agent]);
+        note_status(scheduler.m_agents, status, now);
+        settle_agent(scheduler, agent, now);
+    }
+    for (const run_outcome& outcome : outcomes)
+        note_outcome(scheduler, agent, outcome, now);
+}
+
+void note_batch_answered(job_scheduler& scheduler, const std::string& agent, std::uint64_t number,
+                         const agent_status& status, instant now)
+{
+    note_agent_report(scheduler, status, {}, now);
+    const auto found = scheduler.m_agents.m_agents.find(agent);
+    if (found != scheduler.m_agents.m_agents.end())
+        note_clock(found->second, status, now);
+    agent_channel& channel = scheduler.m_channels[agent];
+    if (is_in_flight(channel, number))
+        channel.m_in_flight.reset();
+}
+
+void note_batch_lost(job_scheduler& scheduler, const std::string& agent, std::uint64_t number, instant now)
+{
+    const auto found = scheduler.m_channels.find(agent);
+    if (found == scheduler.m_channels.end() || !is_in_flight(found->second, number))
+        return;
+    // Repeated under the next number; an agent that received it the first time ignores the repetition.
+    agent_channel& channel = found->second;
+    const order_batch lost = std::move(*channel.m_in_flight);
+    channel.m_in_flight.reset();
+    channel.m_retry_at = now + scheduler.m_limits.m_retry_pause;
+    std::copy_if(lost.m_starts.begin(), lost.m_starts.end(), std::back_inserter(channel.m_starts),
+                 [&](const run_order& order) { return is_still_ordered(scheduler, order.m_run, agent); });
+    channel.m_stops.insert(channel.m_stops.begin(), lost.m_stops.begin(), lost.m_stops.end());
+    const auto view = scheduler.m_agents.m_agents.find(agent);
+    if (view == scheduler.m_agents.m_agents.end())
+        return;
+    for (unseen_order& order : view->second.m_unseen)
+        order.m_batch = channel.m_number + 1;
+}
+
+} // namespace hawthornpin
--- /dev/null
+++ b/dispatch/run_guard_worker.cpp
@@ -0,0 +1,242 @@
+// What the worker says: its reports, its listings, and its answers to starts and stops.
+
+#include "dispatch/guarded_runs.h"
+
+#include <algorithm>
+
+namespace hawthornpin {
+
+namespace {
+
+// Between two calls for one run that was not answered. A worker on the same machine answers in well under a
+// millisecond; a machine at a tenth of its speed still does within this.
+constexpr milliseconds call_retry_pause{20};
+// Between two tries of a start that the worker had no room for.
+constexpr milliseconds room_retry_pause{10};
+
+// A new life knows nothing of the old one: its fence and its ends start anew.
+void begin_worker_life(run_guard& guard, instant now)
+{
+    // A start that was under way may have reached the new life: a stop under the higher fence settles each
+    // run.
+    for (auto position = guard.m_runs.begin(); position != guard.m_runs.end();) {
+        if (position->second.m_phase == run_phase::waiting) {
+            position = end_run(guard, position, run_result::not_started, now);
+            continue;
+        }
+        request_stop(position->second, run_result::lost, now);
+        ++position;
+    }
+    guard.m_foreign.clear();
+    guard.m_foreign_to_stop.clear();
+    ++guard.m_fence;
+    guard.m_last_seen = 0;
+    guard.m_has_listing = false;
+    guard.m_worker_started.reset();
+}
+
+void note_listed_running(run_guard& guard, const run_listing& listing, instant now)
+{
+    guard.m_foreign_to_stop.clear();
+    for (const listed_run& listed : listing.m_running) {
+        const auto found = guard.m_runs.find(listed.m_run);
+        if (found == guard.m_runs.end() || found->second.m_phase == run_phase::waiting) {
+            guard.m_foreign[listed.m_run] = now;
+            guard.m_foreign_to_stop.insert(listed.m_run);
+            continue;
+        }
+        guarded_run& run = found->second;
+        if (run.m_phase == run_phase::starting) {
+            run.m_phase = run_phase::running;
+            run.m_started = now;
+            run.m_progress_at = now;
+        }
+        if (listed.m_percent != run.m_percent) {
+            run.m_percent = listed.m_percent;
+            run.m_progress_at = now;
+        }
+    }
+}
+
+run_result to_result(const guarded_run& run, run_end how)
+{
+    switch (how) {
+    case run_end::done:
+        return run_result::done;
+    case run_end::failed:
+        return run_result::failed;
+    case run_end::stopped:
+        return run.m_stop_result;
+    case run_end::lapsed:
+    case run_end::broken:
+    case run_end::alone:
+        break;
+    }
+    return run_result::lost;
+}
+
+void note_listed_ends(run_guard& guard, const run_listing& listing, instant now)
+{
+    for (const listed_end& end : listing.m_ended) {
+        guard.m_last_seen = std::max(guard.m_last_seen, end.m_number);
+        guard.m_foreign.erase(end.m_run);
+        const auto found = guard.m_runs.find(end.m_run);
+        if (found == guard.m_runs.end() || found->second.m_phase == run_phase::waiting)
+            continue;
+        end_run(guard, found, to_result(found->second, end.m_how), now);
+    }
+}
+
+// Settles runs that the worker should know by now and does not list. A full page may leave ends out.
+void settle_unlisted(run_guard& guard, const run_listing& listing, instant asked_at, instant now)
+{
+    constexpr std::size_t ends_per_page = 500;
+    if (listing.m_ended.size() >= ends_per_page)
+        return;
+    const milliseconds settlement = guard.m_limits.m_stop_settlement;
+    std::erase_if(guard.m_foreign, [&](const auto& item) { return item.second + settlement < asked_at; });
+    std::set<run_id> running;
+    for (const listed_run& listed : listing.m_running)
+        running.insert(listed.m_run);
+    for (auto position = guard.m_runs.begin(); position != guard.m_runs.end();) {
+        const guarded_run& run = position->second;
+        const bool is_stop_settled =
+            run.m_stop_answered_at && *run.m_stop_answered_at + settlement < asked_at;
+        const bool was_started = run.m_phase == run_phase::running && run.m_started + settlement < asked_at;
+        if (running.contains(position->first) || !(is_stop_settled || was_started))
+            ++position;
+        else
+            position = end_run(guard, position, was_started ? run_result::lost : run.m_stop_result, now);
+    }
+}
+
+} // namespace
+
+void note_worker_report(run_guard& guard, const worker_report& report, instant now)
+{
+    const bool is_same_life = guard.m_report && guard.m_report->m_life == report.m_life;
+    if (is_same_life && report.m_sequence <= guard.m_report->m_sequence)
+        return;
+    const bool is_older_life =
+        guard.m_report && report.m_life.m_started_unix_ms < guard.m_report->m_life.m_started_unix_ms;
+    if (is_older_life)
+        return;
+    const bool was_known = guard.m_report.has_value();
+    guard.m_report = report;
+    if (was_known && !is_same_life)
+        begin_worker_life(guard, now);
+}
+
+void note_worker_left(run_guard& guard, const std::string& worker, instant now)
+{
+    if (!guard.m_report || guard.m_report->m_life.m_id != worker)
+        return;
+    guard.m_report->m_is_draining = true;
+    lose_worker_runs(guard, now);
+}
+
+renewal begin_renewal(run_guard& guard, instant now)
+{
+    // While foreign runs block the worker, their ends are looked for at this pace.
+    constexpr milliseconds foreign_run_pause{10};
+    renewal asked;
+    asked.m_fence = guard.m_fence;
+    asked.m_last_seen = guard.m_last_seen;
+    asked.m_asked_at = now;
+    // A worker that can't be heard must not be kept running by renewals that it may receive all the same.
+    if (has_recent_listing(guard, now)) {
+        asked.m_deadline_ms = next_deadline_ms(guard, now);
+        extend_lease_end(guard, now);
+    }
+    const bool is_busy = !guard.m_runs.empty();
+    if (guard.m_has_listing)
+        asked.m_wait = is_busy ? guard.m_limits.m_busy_listing_wait : guard.m_limits.m_idle_listing_wait;
+    if (!guard.m_foreign.empty())
+        asked.m_wait = foreign_run_pause;
+    return asked;
+}
+
+void note_listing(run_guard& guard, const run_listing& listing, const renewal& asked, instant now)
+{
+    const bool is_other_life = guard.m_worker_started && listing.m_started_unix_ms &&
+                               *guard.m_worker_started != *listing.m_started_unix_ms;
+    if (is_other_life)
+        begin_worker_life(guard, now);
+    if (listing.m_started_unix_ms)
+        guard.m_worker_started = listing.m_started_unix_ms;
+    guard.m_worker_clock_ms = listing.m_worker_clock_ms;
+    guard.m_clock_read_at = now;
+    guard.m_has_listing = true;
+    guard.m_is_worker_silent = false;
+    note_listed_running(guard, listing, now);
+    note_listed_ends(guard, listing, now);
+    settle_unlisted(guard, listing, asked.m_asked_at, now);
+}
+
+void note_fenced(run_guard& guard)
+{
+    // Above any fence that an earlier agent, whose clock may have been ahead, can have used.
+    constexpr std::int64_t fence_step = 60'000;
+    guard.m_fence += fence_step;
+}
+
+void note_other_life(run_guard& guard, instant now)
+{
+    begin_worker_life(guard, now);
+    guard.m_report.reset();
+}
+
+void note_start_answer(run_guard& guard, const run_id& id, start_answer answer, instant now)
+{
+    const auto found = guard.m_runs.find(id);
+    if (found == guard.m_runs.end())
+        return;
+    guarded_run& run = found->second;
+    if (answer == start_answer::unanswered)
+        run.m_is_unsettled = true;
+    // A listing or a stop may have overtaken the answer.
+    if (run.m_phase != run_phase::starting)
+        return;
+    run.m_is_call_open = false;
+    if (answer == start_answer::started) {
+        run.m_phase = run_phase::running;
+        run.m_started = now;
+        run.m_progress_at = now;
+        return;
+    }
+    switch (answer) {
+    case start_answer::no_room:
+        run.m_next_call_at = now + room_retry_pause;
+        break;
+    case start_answer::run_too_old:
+        end_run(guard, found, run_result::superseded, now);
+        break;
+    case start_answer::unhealthy:
+    case start_answer::malformed: {
+        const bool is_unhealthy = answer == start_answer::unhealthy;
+        const run_result result = is_unhealthy ? run_result::refused : run_result::failed;
+        if (run.m_is_unsettled)
+            request_stop(run, result, now);
+        else
+            end_run(guard, found, result, now);
+        break;
+    }
+    default:
+        // Repeating a start is idempotent: the worker runs it once.
+        run.m_next_call_at = now + call_retry_pause;
+    }
+}
+
+void note_stop_answer(run_guard& guard, const run_id& id, bool is_answered, instant now)
+{
+    const auto found = guard.m_runs.find(id);
+    if (found == guard.m_runs.end())
+        return;
+    guarded_run& run = found->second;
+    run.m_is_call_open = false;
+    run.m_next_call_at = now + call_retry_pause;
+    if (is_answered && run.m_phase == run_phase::stopping && !run.m_stop_answered_at)
+        run.m_stop_answered_at = now;
+}
+
+} // namespace hawthornpin
--- a/main/platform_entry.cpp
+++ b/main/platform_entry.cpp
@@ -1,77 +1,24 @@
-// Wiring of the entry on the platform: callers, agents, other entries, configuration and shutdown.
+// Wiring of the entry on the platform: agents, configuration, the loop and shutdown.
 
 #include "main/platform_entry.h"
 
-#include "core/json.h"
 #include "core/logging.h"
 #include "core/random.h"
-#include "dispatch/job_admission.h"
 #include "platform/call_paths.h"
 #include "platform/message_decoding.h"
 
-#include <algorithm>
-#include <charconv>
-
 namespace hawthornpin {
 
 namespace {
 
 // Time-driven decisions happen at this pace; all others at once.
 constexpr unsigned tick_ms = 20;
-// Between two exchanges with another entry: a configuration that one entry has reaches the others well within
-// the bound of two seconds.
-constexpr milliseconds share_pause{400};
-constexpr milliseconds call_timeout{300};
-// Before a store that did not answer is asked again.
-constexpr unsigned store_retry_ms = 1'000;
-// A hand-in that is repeated although it was answered arrives within seconds.
-constexpr milliseconds keep_answer_for{10'000};
-// A caller that does not say how long it waits.
-constexpr milliseconds default_patience{30'000};
-// An answer leaves this much before the caller's deadline, so that it arrives in time.
-constexpr milliseconds answer_margin{20};
-// The balancer needs two missed probes, a second apart, to stop sending connections; a connection that is
-// open then may still bring requests.
-constexpr milliseconds serve_while_leaving{3'500};
 // Time in which the last response reaches its client.
 constexpr milliseconds linger_when_quiet{300};
 constexpr milliseconds exit_before_grace{400};
 constexpr std::size_t max_links = 512;
 constexpr std::size_t max_peer_connections = 1'024;
 
-api_response make_response(unsigned status, std::string body = "{}")
-{
-    api_response response;
-    response.m_status = status;
-    response.m_body = std::move(body);
-    return response;
-}
-
-api_response make_state_response(const std::string& state)
-{
-    return make_response(200, json_writer().begin_object().key("state").text(state).end_object().to_string());
-}
-
-api_response make_refusal(unsigned status, const char* why, milliseconds retry_after)
-{
-    constexpr long long second_ms = 1'000;
-    auto response =
-        make_response(status, json_writer().begin_object().key("error").text(why).end_object().to_string());
-    response.m_verdict = "not_run";
-    response.m_retry_after = std::to_string((retry_after.count() + second_ms - 1) / second_ms);
-    return response;
-}
-
-milliseconds read_patience(const api_request& request)
-{
-    const std::string& text = request.m_kept_headers.front();
-    long long value = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (error != std::errc() || end == text.data() || value <= 0)
-        return default_patience;
-    return std::max(milliseconds(1), milliseconds(value) - answer_margin);
-}
-
 } // namespace
 
 class platform_entry::node_server final : public wire::Node::Server {
@@ -115,19 +62,6 @@
     platform_entry& m_entry;
 };
 
-// Lives as long as a caller waits; its destruction before the answer means that the caller has left.
-class platform_entry::caller_wait {
-public:
-    caller_wait(platform_entry& entry, std::string job) : m_entry(entry), m_job(std::move(job)) {}
-    ~caller_wait() { m_entry.abandon(m_job); }
-    caller_wait(const caller_wait&) = delete;
-    caller_wait& operator=(const caller_wait&) = delete;
-
-private:
-    platform_entry& m_entry;
-    std::string m_job;
-};
-
 platform_entry::platform_entry(event_loop& loop, const process_place& place)
     : m_loop(loop), m_place(place), m_store(place.m_store_address), m_links(max_links)
 {
@@ -189,117 +123,6 @@
     m_leaving_since = boot_now();
 }
 
-bool platform_entry::is_ready() const
-{
-    return m_directory && !m_leaving_since;
-}
-
-kj::Promise<api_response> platform_entry::on_readiness_probe(const api_request& request)
-{
-    if (!is_readiness_probe(request.m_method, request.m_path))
-        return make_response(404);
-    return make_response(is_ready() ? 200 : 503);
-}
-
-kj::Promise<api_response> platform_entry::on_caller_request(const api_request& request)
-{
-    if (request.m_input_fault != reason::none)
-        return make_refusal(413, "body_too_large", milliseconds(0));
-    if (!m_directory)
-        return make_refusal(503, "not_ready", milliseconds(1'000));
-    const queue_contract* queue = find_queue(*m_directory, request.m_host, request.m_path);
-    if (queue == nullptr)
-        return make_response(404);
-    const std::string id = request.m_path.substr(queue->m_path_prefix.size());
-    if (request.m_method == "GET" && id.empty()) {
-        const auto pending = static_cast<std::int64_t>(count_pending(m_scheduler, queue->m_name));
-        return make_response(
-            200, json_writer().begin_object().key("pending").integer(pending).end_object().to_string());
-    }
-    if (!is_job_name(id))
-        return make_response(400);
-    if (request.m_method == "POST")
-        return submit(*queue, id, request);
-    if (request.m_method == "GET")
-        return describe_job(id);
-    if (request.m_method == "DELETE")
-        return cancel(id);
-    return make_response(405);
-}
-
-kj::Promise<api_response> platform_entry::submit(const queue_contract& queue, const std::string& id,
-                                                 const api_request& request)
-{
-    const auto kept = m_kept_answers.find(id);
-    if (kept != m_kept_answers.end())
-        return make_state_response(kept->second.m_state);
-    if (m_leaving_since && *m_leaving_since + serve_while_leaving < boot_now())
-        return make_refusal(503, to_text(job_end_reason::shutting_down), milliseconds(0));
-    last_reason why;
-    const auto job = decode_work_request(id, request.m_body, why);
-    if (!job) {
-        log_event(log_level::warning, "job_unreadable", {{"job", id}, {"reason", why.text()}});
-        return make_response(400);
-    }
-    m_metrics.count(counter::jobs_submitted);
-    auto answer = wait_for_answer(id);
-    submit_job(m_scheduler, *job, queue, read_patience(request), boot_now());
-    m_arrivals[id] = boot_now();
-    log_admission(*job, queue);
-    schedule_step();
-    return answer;
-}
-
-kj::Promise<api_response> platform_entry::wait_for_answer(const std::string& id)
-{
-    auto pair = kj::newPromiseAndFulfiller<api_response>();
-    m_waiters[id].push_back(kj::mv(pair.fulfiller));
-    return pair.promise.attach(kj::heap<caller_wait>(*this, id));
-}
-
-void platform_entry::abandon(const std::string& id)
-{
-    const auto waiting = m_waiters.find(id);
-    if (waiting == m_waiters.end())
-        return;
-    std::erase_if(waiting->second, [](fulfiller& waiter) { return !waiter->isWaiting(); });
-    if (!waiting->second.empty())
-        return;
-    m_waiters.erase(waiting);
-    log_event(log_level::info, "caller_left", {{"job", id}});
-    m_metrics.count(counter::jobs_cancelled);
-    m_arrivals.erase(id);
-    cancel_job(m_scheduler, id);
-    schedule_step();
-}
-
-api_response platform_entry::describe_job(const std::string& id) const
-{
-    const auto kept = m_kept_answers.find(id);
-    if (kept != m_kept_answers.end())
-        return make_state_response(kept->second.m_state);
-    const auto job = m_scheduler.m_jobs.find(id);
-    if (job == m_scheduler.m_jobs.end())
-        return make_response(410);
-    return make_state_response(is_untouched(job->second) ? "queued" : "running");
-}
-
-api_response platform_entry::cancel(const std::string& id)
-{
-    if (!cancel_job(m_scheduler, id))
-        return make_response(m_kept_answers.contains(id) ? 200 : 410);
-    m_metrics.count(counter::jobs_cancelled);
-    const auto waiting = m_waiters.find(id);
-    if (waiting != m_waiters.end()) {
-        auto waiters = std::move(waiting->second);
-        m_waiters.erase(waiting);
-        for (fulfiller& waiter : waiters)
-            waiter->fulfill(make_state_response("cancelled"));
-    }
-    schedule_step();
-    return make_response(200);
-}
-
 void platform_entry::schedule_step()
 {
     if (m_is_step_scheduled)
@@ -388,62 +211,6 @@
                {"status_age_ms", std::to_string(age.count())}});
 }
 
-void platform_entry::log_admission(const work_request& request, const queue_contract& queue)
-{
-    const auto job = m_scheduler.m_jobs.find(request.m_id);
-    if (job == m_scheduler.m_jobs.end())
-        return;
-    const auto slack =
-        std::chrono::duration_cast<milliseconds>(latest_useful_start(job->second) - boot_now());
-    log_event(log_level::info, "job_admitted",
-              {{"job", request.m_id},
-               {"queue", queue.m_name},
-               {"slack_ms", std::to_string(slack.count())},
-               {"configuration", std::to_string(m_directory->m_version)}});
-}
-
-void platform_entry::deliver_answers()
-{
-    const auto answers = std::exchange(m_scheduler.m_answers, {});
-    for (const job_answer_event& answer : answers)
-        deliver(answer);
-}
-
-void platform_entry::deliver(const job_answer_event& answer)
-{
-    constexpr unsigned too_many_requests = 429;
-    constexpr unsigned unavailable = 503;
-    constexpr unsigned gateway_timeout = 504;
-    log_event(log_level::info, "job_answered", {{"job", answer.m_job}, {"reason", to_text(answer.m_reason)}});
-    api_response response;
-    if (answer.m_end == job_end::refused) {
-        const bool is_load = answer.m_reason == job_end_reason::overload ||
-                             answer.m_reason == job_end_reason::late_before_start;
-        response = make_refusal(is_load ? too_many_requests : unavailable, to_text(answer.m_reason),
-                                answer.m_retry_after);
-    }
-    else if (answer.m_end == job_end::abandoned) {
-        response = make_response(gateway_timeout);
-        response.m_verdict = "may_have_run";
-    }
-    else {
-        const bool is_completed = answer.m_end == job_end::completed;
-        m_metrics.count(is_completed ? counter::jobs_completed : counter::jobs_failed);
-        const std::string state = is_completed ? "completed" : "failed";
-        m_kept_answers[answer.m_job] = {state, boot_now() + keep_answer_for};
-        response = make_state_response(state);
-    }
-    const auto waiting = m_waiters.find(answer.m_job);
-    if (waiting == m_waiters.end())
-        return;
-    auto waiters = std::move(waiting->second);
-    m_waiters.erase(waiting);
-    for (fulfiller& waiter : waiters) {
-        api_response copy = response;
-        waiter->fulfill(kj::mv(copy));
-    }
-}
-
 void platform_entry::apply_directory(const service_directory& directory, const std::string& text)
 {
     if (!is_newer(directory, m_directory))
@@ -471,63 +238,6 @@
     return true;
 }
 
-void platform_entry::share_with_entries()
-{
-    const instant now = boot_now();
-    for (auto& [address, entry] : m_entries.m_entries) {
-        if (entry.m_called_at + share_pause > now || m_shares_in_flight.contains(address))
-            continue;
-        entry.m_called_at = now;
-        share_with(address);
-    }
-}
-
-void platform_entry::share_with(const std::string& address)
-{
-    m_shares_in_flight.insert(address);
-    m_metrics.count(counter::exchanges_sent);
-    shared_knowledge known;
-    known.m_entries = m_scheduler.m_entries;
-    known.m_version = m_directory ? m_directory->m_version : 0;
-    m_tasks.add(m_links.share(address, m_place.m_peer_address, known, call_timeout)
-                    .then([this, address](std::optional<shared_knowledge> other) {
-                        m_shares_in_flight.erase(address);
-                        if (!other)
-                            return;
-                        const instant now = boot_now();
-                        note_heard(m_entries, address, now);
-                        note_hearsay(m_entries, other->m_entries, now);
-                        last_reason why;
-                        const auto directory = decode_directory(other->m_directory, why);
-                        if (directory)
-                            apply_directory(*directory, other->m_directory);
-                    }));
-}
-
-void platform_entry::publish_address()
-{
-    m_tasks.add(m_store.append_keyed(entry_topic, m_place.m_node, m_place.m_peer_address)
-                    .then([this](bool is_stored) -> kj::Promise<void> {
-                        if (is_stored)
-                            return kj::READY_NOW;
-                        return after_delay(store_retry_ms).then([this] { publish_address(); });
-                    }));
-}
-
-void platform_entry::learn_entries_from_store()
-{
-    m_tasks.add(
-        m_store.read_newest(entry_topic).then([this](std::optional<newest_page> page) -> kj::Promise<void> {
-            if (!page)
-                return after_delay(store_retry_ms).then([this] { learn_entries_from_store(); });
-            std::vector<std::string> addresses;
-            for (const keyed_record& record : page->m_records)
-                addresses.push_back(record.m_value);
-            note_hearsay(m_entries, addresses, boot_now());
-            return kj::READY_NOW;
-        }));
-}
-
 void platform_entry::finish_if_idle()
 {
     if (!m_leaving_since)
--- a/main/platform_entry.h
+++ b/main/platform_entry.h
@@ -39,6 +39,10 @@
     metrics& counts() { return m_metrics; }
 
 private:
+    // The balancer needs two missed probes, a second apart, to stop sending connections; a connection that is
+    // open then may still bring requests.
+    static constexpr milliseconds serve_while_leaving{3'500};
+
     class node_server;
     class caller_wait;
     using fulfiller = kj::Own<kj::PromiseFulfiller<api_response>>;
--- /dev/null
+++ b/main/platform_entry_peers.cpp
@@ -0,0 +1,77 @@
+// The entry's knowledge of other entries: exchange with them, and its address in the store.
+
+#include "main/platform_entry.h"
+
+#include "platform/message_decoding.h"
+
+namespace hawthornpin {
+
+namespace {
+
+// Between two exchanges with another entry: a configuration that one entry has reaches the others well within
+// the bound of two seconds.
+constexpr milliseconds share_pause{400};
+constexpr milliseconds call_timeout{300};
+// Before a store that did not answer is asked again.
+constexpr unsigned store_retry_ms = 1'000;
+
+} // namespace
+
+void platform_entry::share_with_entries()
+{
+    const instant now = boot_now();
+    for (auto& [address, entry] : m_entries.m_entries) {
+        if (entry.m_called_at + share_pause > now || m_shares_in_flight.contains(address))
+            continue;
+        entry.m_called_at = now;
+        share_with(address);
+    }
+}
+
+void platform_entry::share_with(const std::string& address)
+{
+    m_shares_in_flight.insert(address);
+    m_metrics.count(counter::exchanges_sent);
+    shared_knowledge known;
+    known.m_entries = m_scheduler.m_entries;
+    known.m_version = m_directory ? m_directory->m_version : 0;
+    m_tasks.add(m_links.share(address, m_place.m_peer_address, known, call_timeout)
+                    .then([this, address](std::optional<shared_knowledge> other) {
+                        m_shares_in_flight.erase(address);
+                        if (!other)
+                            return;
+                        const instant now = boot_now();
+                        note_heard(m_entries, address, now);
+                        note_hearsay(m_entries, other->m_entries, now);
+                        last_reason why;
+                        const auto directory = decode_directory(other->m_directory, why);
+                        if (directory)
+                            apply_directory(*directory, other->m_directory);
+                    }));
+}
+
+void platform_entry::publish_address()
+{
+    m_tasks.add(m_store.append_keyed(entry_topic, m_place.m_node, m_place.m_peer_address)
+                    .then([this](bool is_stored) -> kj::Promise<void> {
+                        if (is_stored)
+                            return kj::READY_NOW;
+                        return after_delay(store_retry_ms).then([this] { publish_address(); });
+                    }));
+}
+
+void platform_entry::learn_entries_from_store()
+{
+    m_tasks.add(
+        m_store.read_newest(entry_topic).then([this](std::optional<newest_page> page) -> kj::Promise<void> {
+            if (!page)
+                return after_delay(store_retry_ms).then([this] { learn_entries_from_store(); });
+            std::vector<std::string> addresses;
+            for (const keyed_record& record : page->m_records)
+                addresses.push_back(record.m_value);
+            note_hearsay(m_entries, addresses, boot_now());
+            return kj::READY_NOW;
+        }));
+}
+
+} // namespace hawthornpin
