--- a/main/platform_entry.cpp
+++ b/main/platform_entry.cpp
@@ -199,8 +199,11 @@
         return;
     m_metrics.count(counter::grants_sent, out.m_batch.m_starts.size());
     std::string runs;
-    for (const run_order& order : out.m_batch.m_starts)
-        runs += (runs.empty() ? "" : " ") + to_text(order.m_run);
+    for (const run_order& order : out.m_batch.m_starts) {
+        if (!runs.empty())
+            runs.push_back(' ');
+        runs.append(to_text(order.m_run));
+    }
     const agent_view& agent = m_scheduler.m_agents.m_agents.at(out.m_agent);
     const auto age = std::chrono::duration_cast<milliseconds>(boot_now() - agent.m_heard_at);
     log_event(log_level::info, "runs_ordered",
