--- a/main/platform_entry_callers.cpp
+++ b/main/platform_entry_callers.cpp
@@ -167,6 +167,7 @@
 
 api_response platform_entry::cancel(const std::string& id)
 {
+    m_arrivals.erase(id);
     if (!cancel_job(m_scheduler, id))
         return make_response(m_kept_answers.contains(id) ? 200 : 410);
     m_metrics.count(counter::jobs_cancelled);
