Fault soak: real entries and agents on loopback between stand-ins of the platform

One program plays store, workers and callers, with proxies on every link (delay, cuts both ways or one way, resets, silence), signals to the processes, failing stores and misbehaving workers; a judge checks LIMIT, TWICE, UNASKED, MIXED, REFUSED and recovery from what workers and callers see. Clocks that jump are not played: setting them needs rights that the tests do not have.

--- a/main/daemon.cpp
+++ b/main/daemon.cpp
@@ -23,6 +23,8 @@
     add("platform", "run with the settings that the users' platform hands over");
     add("metrics-port", options::value<unsigned>()->default_value(0),
         "with --platform: serve the metrics on this port of the node's address");
+    add("peer-listen-port", options::value<unsigned>()->default_value(0),
+        "with --platform: listen for peers on this port; the advertised port is forwarded to it");
     add("check-settings", "check the settings file and exit; 0 if it is good, 2 if not");
     add("settings-reference", "print a table of all settings");
     return description;
@@ -76,7 +78,8 @@
         return to_status(exit_code::success);
     }
     if (values.count("platform") != 0)
-        return to_status(on_platform(values["metrics-port"].as<unsigned>()));
+        return to_status(
+            on_platform({values["metrics-port"].as<unsigned>(), values["peer-listen-port"].as<unsigned>()}));
     return run_with_settings(values, table, body);
 }
 
--- a/main/daemon.h
+++ b/main/daemon.h
@@ -20,9 +20,16 @@
 // How a daemon runs once its settings are checked; returns its exit code.
 using daemon_body = std::function<exit_code(const settings&)>;
 
+// Options of a daemon that runs with the platform's settings. Ports are on the process's own address.
+struct platform_options {
+    // Of the metrics; 0 for none.
+    unsigned m_metrics_port = 0;
+    // Where peers reach this process if their connections are forwarded; 0 for the advertised port itself.
+    unsigned m_peer_listen_port = 0;
+};
+
 // The same, with settings that the platform hands over.
-// `metrics_port` is the port of the metrics on the process's own address, 0 for none.
-using platform_body = std::function<exit_code(unsigned metrics_port)>;
+using platform_body = std::function<exit_code(const platform_options&)>;
 
 // Parses the options of a daemon, checks its settings and runs it. Handles --help, --version,
 // --check-settings, --settings-reference and --platform.
--- a/main/platform_agent.cpp
+++ b/main/platform_agent.cpp
@@ -69,7 +69,7 @@
         [this](const api_request& request) { return on_worker_call(request); }, api_limits());
     if (!m_report_server->listen(m_place.m_report_address, why))
         return false;
-    auto socket = listen_on(m_place.m_peer_address, why);
+    auto socket = listen_on(m_place.m_peer_listen_address, why);
     if (!socket)
         return false;
     m_rpc_server = std::make_unique<rpc_server>(std::move(*socket), platform_cluster_key,
--- a/main/platform_entry.cpp
+++ b/main/platform_entry.cpp
@@ -98,7 +98,7 @@
         limits);
     if (!m_caller_server->listen(m_place.m_caller_address, why))
         return false;
-    auto socket = listen_on(m_place.m_peer_address, why);
+    auto socket = listen_on(m_place.m_peer_listen_address, why);
     if (!socket)
         return false;
     rpc_server_limits rpc_limits;
--- a/main/platform_process.cpp
+++ b/main/platform_process.cpp
@@ -47,14 +47,16 @@
 };
 
 template <typename Process>
-exit_code run_process(const std::string& program, unsigned metrics_port)
+exit_code run_process(const std::string& program, const platform_options& options)
 {
     last_reason why;
-    const auto place = read_place(why);
+    auto place = read_place(why);
     if (!place) {
         std::cerr << program << ": " << why.text() << '\n';
         return exit_code::bad_input;
     }
+    if (options.m_peer_listen_port != 0)
+        place->m_peer_listen_address = place->m_ip + ":" + std::to_string(options.m_peer_listen_port);
     start_logging(program, place->m_node, place->m_zone, log_level::info);
     log_event(log_level::info, "started", {{"address", place->m_peer_address}});
     event_loop loop;
@@ -64,7 +66,8 @@
         return exit_code::failure;
     }
     metrics_server metrics_server(process.counts());
-    if (metrics_port != 0 && !metrics_server.listen(place->m_ip + ":" + std::to_string(metrics_port), why))
+    const std::string metrics_address = place->m_ip + ":" + std::to_string(options.m_metrics_port);
+    if (options.m_metrics_port != 0 && !metrics_server.listen(metrics_address, why))
         log_event(log_level::warning, "metrics_unavailable", {{"reason", why.text()}});
     const signal_watch on_terminate(SIGTERM, [&process] { process.begin_leaving(); });
     const signal_watch on_reload(SIGHUP, [] { log_event(log_level::info, "reload_requested"); });
@@ -75,14 +78,14 @@
 
 } // namespace
 
-exit_code run_platform_entry(unsigned metrics_port)
+exit_code run_platform_entry(const platform_options& options)
 {
-    return run_process<platform_entry>("hawthornpin-entry", metrics_port);
+    return run_process<platform_entry>("hawthornpin-entry", options);
 }
 
-exit_code run_platform_agent(unsigned metrics_port)
+exit_code run_platform_agent(const platform_options& options)
 {
-    return run_process<platform_agent>("hawthornpin-agent", metrics_port);
+    return run_process<platform_agent>("hawthornpin-agent", options);
 }
 
 } // namespace hawthornpin
--- a/main/platform_process.h
+++ b/main/platform_process.h
@@ -7,8 +7,8 @@
 namespace hawthornpin {
 
 // Run until SIGTERM. Settings that are missing or malformed end the process with exit_code::bad_input.
-// Serve the metrics on `metrics_port` of the node's address, or nowhere if it is 0.
-exit_code run_platform_entry(unsigned metrics_port);
-exit_code run_platform_agent(unsigned metrics_port);
+// Addresses follow from the node's and from the options.
+exit_code run_platform_entry(const platform_options& options);
+exit_code run_platform_agent(const platform_options& options);
 
 } // namespace hawthornpin
--- a/tests/model/model_worker.cpp
+++ b/tests/model/model_worker.cpp
@@ -102,6 +102,13 @@
                        [last_seen](const listed_end& end) { return end.m_number > last_seen; });
 }
 
+bool model_worker::has_ended_done(const run_id& run) const
+{
+    return std::any_of(m_ends.begin(), m_ends.end(), [&run](const listed_end& end) {
+        return end.m_run == run && end.m_how == run_end::done;
+    });
+}
+
 std::optional<run_listing> model_worker::list(const renewal& asked, long long now)
 {
     if (!admit_fence(asked.m_fence))
--- a/tests/model/model_worker.h
+++ b/tests/model/model_worker.h
@@ -31,6 +31,8 @@
     // Nothing if the fence is too low.
     std::optional<run_listing> list(const renewal& asked, long long now);
     bool has_news(std::int64_t last_seen) const;
+    // Whether the run is among the ends that nobody has taken note of, as done.
+    bool has_ended_done(const run_id& run) const;
 
     worker_report make_report(long long now);
     std::int64_t clock_ms(long long now) const;
--- /dev/null
+++ b/tests/soak/fault_proxy.h
@@ -0,0 +1,57 @@
+// Relays TCP connections between the real programs and plays faults of the network on them.
+
+#pragma once
+
+#include "core/event_loop.h"
+#include "rpc/glib_stream.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace hawthornpin::soak {
+
+enum class link_mode {
+    open,
+    // Bytes arrive this much later.
+    delayed,
+    // Bytes towards the listener's side of the connection, or away from it, do not pass.
+    cut_inbound,
+    cut_outbound,
+    cut,
+};
+
+class fault_proxy {
+public:
+    explicit fault_proxy(std::string target);
+    ~fault_proxy();
+    fault_proxy(const fault_proxy&) = delete;
+    fault_proxy& operator=(const fault_proxy&) = delete;
+
+    bool listen(const std::string& address, last_reason& why);
+
+    void set_mode(link_mode mode) { m_mode = mode; }
+    // Closes all connections.
+    void reset();
+    // Connections that are open now pass nothing any more; new ones work.
+    void silence();
+
+private:
+    struct relay;
+
+    static gboolean on_acceptable(gint descriptor, GIOCondition condition, gpointer data);
+    void accept();
+    kj::Promise<void> connect(relay& opened);
+    kj::Promise<void> pump(relay& through, bool is_inbound);
+    bool is_blocked(const relay& through, bool is_inbound) const;
+    void retire(relay* closed);
+
+    std::string m_target;
+    link_mode m_mode = link_mode::open;
+    std::optional<file_descriptor> m_socket;
+    guint m_source = 0;
+    std::vector<std::unique_ptr<relay>> m_relays;
+    background_tasks m_tasks;
+};
+
+} // namespace hawthornpin::soak
--- /dev/null
+++ b/tests/soak/soak_callers.cpp
@@ -0,0 +1,134 @@
+// Jobs of the three kinds that the users' sheets have, and their attempts.
+
+#include "tests/soak/soak_callers.h"
+
+#include "core/json.h"
+
+#include "tests/soak/soak_worker.h"
+
+#include <array>
+
+namespace hawthornpin::soak {
+
+namespace {
+
+constexpr unsigned tick_ms = 5;
+// After no answer, a 502 or a 504, a job is handed in again this much later.
+constexpr unsigned resubmit_ms = 1'300;
+constexpr unsigned patience_ms = 4'000;
+constexpr int attempts = 2;
+constexpr unsigned max_connections = 400;
+
+// One kind of request: its queue, its tasks and its share of all jobs.
+struct job_kind {
+    const char* m_queue;
+    std::uint32_t m_tasks;
+    long long m_duration_ms;
+    double m_share;
+};
+constexpr std::array<job_kind, 3> job_kinds = {{
+    {"wide", 8, 60, 0.24},
+    {"long", 4, 900, 0.05},
+    {"short", 2, 200, 0.71},
+}};
+
+const job_kind& draw_kind(random_source& random)
+{
+    double drawn = std::uniform_real_distribution<double>(0, 1)(random);
+    for (const job_kind& kind : job_kinds) {
+        if (drawn < kind.m_share)
+            return kind;
+        drawn -= kind.m_share;
+    }
+    return job_kinds.back();
+}
+
+std::string draw_id(random_source& random)
+{
+    std::array<char, 17> text{};
+    std::snprintf(text.data(), text.size(), "%016llx", static_cast<unsigned long long>(random()));
+    return text.data();
+}
+
+} // namespace
+
+soak_callers::soak_callers(std::vector<std::string> entries, std::uint64_t seed, double jobs_per_second,
+                           soak_judge& judge)
+    : m_entries(std::move(entries)), m_random(seed), m_jobs_per_second(jobs_per_second), m_judge(judge),
+      m_http(max_connections)
+{
+}
+
+void soak_callers::start()
+{
+    m_started = boot_now();
+    m_tick = std::make_unique<timer>(tick_ms, [this] {
+        submit_due();
+        return !m_is_stopped;
+    });
+}
+
+void soak_callers::submit_due()
+{
+    const double elapsed = std::chrono::duration<double>(boot_now() - m_started).count();
+    const auto due = static_cast<std::size_t>(elapsed * m_jobs_per_second);
+    for (; m_submitted < due; ++m_submitted)
+        m_tasks.add(attempt(draw_job(), attempts));
+}
+
+soak_callers::job_plan soak_callers::draw_job()
+{
+    const job_kind& kind = draw_kind(m_random);
+    constexpr std::int64_t cpu_milli = 1'600;
+    const double factor = std::uniform_real_distribution<double>(0.6, 1.6)(m_random);
+    const auto duration = static_cast<long long>(factor * static_cast<double>(kind.m_duration_ms));
+    json_writer body;
+    body.begin_object().key("spec").text(make_specification(cpu_milli, duration)).key("best_effort").flag(true);
+    body.key("phases").begin_array().begin_object().key("count").integer(kind.m_tasks);
+    body.key("cpu").integer(cpu_milli).key("mem_mb").integer(64);
+    body.key("estimate_ms").integer(kind.m_duration_ms).end_object().end_array().end_object();
+    const job_plan plan{draw_id(m_random), kind.m_queue, body.to_string()};
+    m_judge.note_submitted(plan.m_id, kind.m_tasks);
+    return plan;
+}
+
+kj::Promise<void> soak_callers::attempt(job_plan plan, int attempts_left)
+{
+    constexpr unsigned ok = 200;
+    constexpr unsigned too_many = 429;
+    constexpr unsigned unavailable = 503;
+    ++m_open;
+    const std::size_t entry = std::uniform_int_distribution<std::size_t>(0, m_entries.size() - 1)(m_random);
+    http_request request;
+    request.m_method = "POST";
+    request.m_url = "http://" + m_entries[entry] + "/" + plan.m_queue + "/" + plan.m_id;
+    request.m_body = plan.m_body;
+    request.m_headers = {{"Deadline-Ms", std::to_string(patience_ms)}, {"Host", "soak.example"}};
+    request.m_is_sent_once = true;
+    return m_http.send_within(request, patience_ms)
+        .then([this, plan = std::move(plan), attempts_left](http_response response) -> kj::Promise<void> {
+            --m_open;
+            const bool is_answered = response.m_transport == http_transport::answered;
+            if (is_answered && response.m_status == ok) {
+                if (response.m_body.find("completed") != std::string::npos)
+                    m_judge.note_completed(plan.m_id);
+                else
+                    m_judge.note_unanswered(plan.m_id);
+                return kj::READY_NOW;
+            }
+            if (is_answered && (response.m_status == too_many || response.m_status == unavailable)) {
+                m_judge.note_refused(plan.m_id);
+                return kj::READY_NOW;
+            }
+            m_judge.note_unanswered(plan.m_id);
+            if (attempts_left <= 1 || m_is_stopped)
+                return kj::READY_NOW;
+            ++m_open;
+            return after_delay(resubmit_ms).then([this, plan, attempts_left]() mutable {
+                --m_open;
+                return attempt(std::move(plan), attempts_left - 1);
+            });
+        });
+}
+
+} // namespace hawthornpin::soak
--- /dev/null
+++ b/tests/soak/soak_callers.h
@@ -0,0 +1,49 @@
+// Callers of a soak: hand jobs in at a steady rate and again as the platform's callers do, and tell the judge.
+
+#pragma once
+
+#include "core/event_loop.h"
+#include "core/instant.h"
+#include "core/random.h"
+#include "platform/http_client.h"
+#include "tests/soak/soak_judge.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace hawthornpin::soak {
+
+class soak_callers {
+public:
+    soak_callers(std::vector<std::string> entries, std::uint64_t seed, double jobs_per_second, soak_judge& judge);
+
+    void start();
+    void stop() { m_is_stopped = true; }
+    bool is_idle() const { return m_open == 0; }
+
+private:
+    struct job_plan {
+        std::string m_id;
+        std::string m_queue;
+        std::string m_body;
+    };
+
+    job_plan draw_job();
+    void submit_due();
+    kj::Promise<void> attempt(job_plan plan, int attempts_left);
+
+    std::vector<std::string> m_entries;
+    random_source m_random;
+    double m_jobs_per_second;
+    soak_judge& m_judge;
+    instant m_started;
+    std::size_t m_submitted = 0;
+    std::size_t m_open = 0;
+    bool m_is_stopped = false;
+    http_client m_http;
+    background_tasks m_tasks;
+    std::unique_ptr<timer> m_tick;
+};
+
+} // namespace hawthornpin::soak
--- /dev/null
+++ b/tests/soak/soak_faults.h
@@ -0,0 +1,58 @@
+// The faults of a soak: drawn from a seed, a few at a time, each undone after a while.
+
+#pragma once
+
+#include "core/event_loop.h"
+#include "core/random.h"
+#include "tests/soak/fault_proxy.h"
+#include "tests/soak/soak_processes.h"
+#include "tests/soak/soak_store.h"
+#include "tests/soak/soak_worker.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace hawthornpin::soak {
+
+// A machine of the soak: its process and the proxies on its links.
+struct soak_node {
+    std::string m_name;
+    std::string m_ip;
+    std::unique_ptr<fault_proxy> m_peers;
+    std::unique_ptr<fault_proxy> m_store;
+    // Agents only.
+    std::unique_ptr<fault_proxy> m_worker_link;
+    std::unique_ptr<soak_worker> m_worker;
+};
+
+class soak_faults {
+public:
+    soak_faults(std::uint64_t seed, std::vector<soak_node>& nodes, soak_store& store,
+                const soak_processes& processes)
+        : m_random(seed), m_nodes(nodes), m_store(store), m_processes(processes)
+    {
+    }
+
+    // Begins a fault now and then until stop(), which leaves those under way to end by themselves.
+    void start();
+    void stop() { m_tick.reset(); }
+
+private:
+    void strike();
+    void strike_process(const soak_node& node, unsigned lasting_ms);
+    void strike_link(fault_proxy& link, unsigned lasting_ms);
+    void strike_store(unsigned lasting_ms);
+    void strike_worker(soak_worker& worker, unsigned lasting_ms);
+    // Draws below `count`.
+    unsigned draw(unsigned count);
+
+    random_source m_random;
+    std::vector<soak_node>& m_nodes;
+    soak_store& m_store;
+    const soak_processes& m_processes;
+    background_tasks m_tasks;
+    std::unique_ptr<timer> m_tick;
+};
+
+} // namespace hawthornpin::soak
--- /dev/null
+++ b/tests/soak/soak_judge.h
@@ -0,0 +1,58 @@
+// The judge of a soak: keeps what workers started and callers were answered, and names the first broken promise.
+
+#pragma once
+
+#include "world/work_request.h"
+
+#include <map>
+#include <set>
+#include <string>
+
+namespace hawthornpin::soak {
+
+class soak_judge {
+public:
+    // A worker began a run; `capacity_milli` is all that it has, `used_milli` what is in use with this run.
+    void note_start(const std::string& worker, const run_id& run, std::int64_t used_milli,
+                    std::int64_t capacity_milli);
+    // The run occupies its worker no longer.
+    void note_end(const std::string& worker, const run_id& run, bool is_done);
+
+    // A job was handed in for the first time, with this many tasks.
+    void note_submitted(const std::string& job, std::uint32_t tasks);
+    // What a caller was told.
+    void note_completed(const std::string& job);
+    void note_refused(const std::string& job);
+    void note_unanswered(const std::string& job);
+
+    // The first broken promise; empty if none was.
+    const std::string& broken() const { return m_broken; }
+    // To be asked when nothing runs any more: refusals that were no refusals.
+    void check_refusals();
+    std::string summary() const;
+    std::size_t completed() const { return m_completed; }
+    std::size_t submitted() const { return m_jobs.size(); }
+
+private:
+    struct judged_job {
+        std::uint32_t m_tasks = 0;
+        std::set<task_id> m_done;
+        bool m_has_started = false;
+        // Whether all attempts of the caller so far were refused as not run.
+        bool m_is_only_refused = true;
+        bool m_is_refused = false;
+    };
+
+    void break_promise(const std::string& what);
+
+    std::map<std::string, judged_job> m_jobs;
+    // Where tasks run now.
+    std::map<task_id, std::string> m_running;
+    std::size_t m_starts = 0;
+    std::size_t m_completed = 0;
+    std::size_t m_refused = 0;
+    std::size_t m_unanswered = 0;
+    std::string m_broken;
+};
+
+} // namespace hawthornpin::soak
--- /dev/null
+++ b/tests/soak/soak_main.cpp
@@ -0,0 +1,208 @@
+// hawthornpin-soak: plays the platform around real entries and agents on loopback, with faults, and judges what
+// callers and workers saw. See tests/soak/run-soak.
+
+#include "core/json.h"
+#include "tests/soak/soak_callers.h"
+#include "tests/soak/soak_faults.h"
+
+#include <boost/program_options.hpp>
+
+#include <csignal>
+#include <iostream>
+
+namespace {
+
+using namespace hawthornpin;
+using namespace hawthornpin::soak;
+
+namespace options = boost::program_options;
+
+// Ports of every machine; run-soak writes them into the settings.
+constexpr const char* caller_port = ":8161";
+constexpr const char* worker_port = ":8165";
+constexpr const char* worker_link_port = ":8164";
+constexpr const char* report_port = ":8166";
+constexpr const char* store_port = ":8169";
+constexpr const char* advertised_peer_port = ":7720";
+constexpr const char* peer_port = ":7721";
+
+// The programs start and find each other.
+constexpr unsigned lead_ms = 2'500;
+// After the faults: the longest of them and the leases that it leaves behind.
+constexpr unsigned recovery_ms = 6'000;
+// Without faults, at the end: jobs that are handed in now must be completed.
+constexpr unsigned calm_ms = 2'000;
+constexpr unsigned settle_ms = 6'000;
+
+struct soak_settings {
+    std::string m_network;
+    std::string m_directory;
+    unsigned m_entries = 0;
+    unsigned m_agents = 0;
+    std::uint64_t m_seed = 1;
+    unsigned m_fault_ms = 0;
+    unsigned m_load_ms = 0;
+    double m_jobs_per_second = 0;
+};
+
+class soak_run {
+public:
+    explicit soak_run(const soak_settings& settings)
+        : m_settings(settings), m_processes(settings.m_directory),
+          m_faults(settings.m_seed, m_nodes, m_store, m_processes)
+    {
+    }
+
+    bool start(last_reason& why)
+    {
+        publish_configuration();
+        if (!m_store.listen(m_settings.m_network + ".0.1" + store_port, why))
+            return false;
+        std::vector<std::string> entries;
+        for (unsigned index = 1; index <= m_settings.m_entries; ++index) {
+            if (!add_node("entry-" + std::to_string(index), ".1." + std::to_string(index), why))
+                return false;
+            entries.push_back(m_nodes.back().m_ip + caller_port);
+        }
+        for (unsigned index = 1; index <= m_settings.m_agents; ++index) {
+            if (!add_node("agent-" + std::to_string(index), ".2." + std::to_string(index), why) ||
+                !add_worker(m_nodes.back(), why))
+                return false;
+        }
+        m_callers = std::make_unique<soak_callers>(entries, m_settings.m_seed, m_settings.m_jobs_per_second,
+                                                   m_judge);
+        return true;
+    }
+
+    // Fulfilled when all is over.
+    kj::Promise<bool> play()
+    {
+        return after_delay(lead_ms)
+            .then([this] {
+                m_callers->start();
+                if (m_settings.m_fault_ms == 0)
+                    return after_delay(m_settings.m_load_ms);
+                m_faults.start();
+                return after_delay(m_settings.m_fault_ms);
+            })
+            .then([this] {
+                m_faults.stop();
+                return after_delay(m_settings.m_fault_ms == 0 ? 0 : recovery_ms);
+            })
+            .then([this] {
+                m_completed_before = m_judge.completed();
+                return after_delay(calm_ms);
+            })
+            .then([this] {
+                m_callers->stop();
+                return after_delay(settle_ms);
+            })
+            .then([this] { return judge(); });
+    }
+
+private:
+    void publish_configuration()
+    {
+        json_writer body;
+        body.begin_object().key("version").integer(1).key("routes").begin_array();
+        for (const char* queue : {"wide", "long", "short"}) {
+            body.begin_object().key("name").text(queue).key("host").text("soak.example");
+            body.key("path_prefix").text(std::string("/") + queue + "/").key("service").text("svc");
+            body.key("priority").integer(0).key("max_attempts").integer(3).key("stretch").decimal(1.6);
+            body.key("target_latency_ms").integer(60).end_object();
+        }
+        body.end_array().key("services").begin_array();
+        body.begin_object().key("name").text("svc").key("enforces_capacity").flag(false).end_object();
+        body.end_array().end_object();
+        m_store.append("keyed.op", "config", body.to_string());
+    }
+
+    bool add_node(const std::string& name, const std::string& suffix, last_reason& why)
+    {
+        soak_node node;
+        node.m_name = name;
+        node.m_ip = m_settings.m_network + suffix;
+        node.m_peers = std::make_unique<fault_proxy>(node.m_ip + peer_port);
+        node.m_store = std::make_unique<fault_proxy>(m_settings.m_network + ".0.1" + store_port);
+        const bool is_listening = node.m_peers->listen(node.m_ip + advertised_peer_port, why) &&
+                                  node.m_store->listen(node.m_ip + store_port, why);
+        m_nodes.push_back(std::move(node));
+        return is_listening;
+    }
+
+    bool add_worker(soak_node& node, last_reason& why)
+    {
+        node.m_worker_link = std::make_unique<fault_proxy>(node.m_ip + worker_port);
+        node.m_worker = std::make_unique<soak_worker>("worker-of-" + node.m_name, node.m_ip + report_port,
+                                                      m_judge);
+        return node.m_worker_link->listen(node.m_ip + worker_link_port, why) &&
+               node.m_worker->listen(node.m_ip + worker_port, why);
+    }
+
+    bool judge()
+    {
+        m_judge.check_refusals();
+        std::cout << m_judge.summary() << '\n';
+        if (!m_judge.broken().empty()) {
+            std::cout << "broken: " << m_judge.broken() << '\n';
+            return false;
+        }
+        if (m_judge.completed() == m_completed_before) {
+            std::cout << "broken: RECOVER: no job was completed after the faults\n";
+            return false;
+        }
+        std::cout << "no promise was broken\n";
+        return true;
+    }
+
+    soak_settings m_settings;
+    soak_judge m_judge;
+    soak_store m_store;
+    std::vector<soak_node> m_nodes;
+    soak_processes m_processes;
+    soak_faults m_faults;
+    std::unique_ptr<soak_callers> m_callers;
+    std::size_t m_completed_before = 0;
+};
+
+soak_settings read_settings(int argument_count, char** arguments)
+{
+    soak_settings settings;
+    options::options_description description("Options");
+    auto add = description.add_options();
+    add("network", options::value(&settings.m_network)->default_value("127.20"),
+        "first two parts of all addresses");
+    add("directory", options::value(&settings.m_directory)->required(), "folder of the process ids");
+    add("entries", options::value(&settings.m_entries)->default_value(2), "number of entries");
+    add("agents", options::value(&settings.m_agents)->default_value(5), "number of agents");
+    add("seed", options::value(&settings.m_seed)->default_value(1), "of faults and jobs");
+    add("fault-ms", options::value(&settings.m_fault_ms)->default_value(0), "how long faults strike; 0: none");
+    add("load-ms", options::value(&settings.m_load_ms)->default_value(5'000), "without faults: length");
+    add("jobs-per-second", options::value(&settings.m_jobs_per_second)->default_value(15), "arrivals");
+    options::variables_map values;
+    options::store(options::parse_command_line(argument_count, arguments, description), values);
+    options::notify(values);
+    return settings;
+}
+
+} // namespace
+
+int main(int argument_count, char** arguments)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    try {
+        const soak_settings settings = read_settings(argument_count, arguments);
+        event_loop loop;
+        soak_run run(settings);
+        last_reason why;
+        if (!run.start(why)) {
+            std::cerr << why.text() << '\n';
+            return 1;
+        }
+        return run_to_end(loop, run.play()) ? 0 : 1;
+    }
+    catch (const options::error& error) {
+        std::cerr << error.what() << '\n';
+        return 2;
+    }
+}
--- /dev/null
+++ b/tests/soak/soak_worker.cpp
@@ -0,0 +1,265 @@
+// The worker's calls, reports and faults.
+
+#include "tests/soak/soak_worker.h"
+
+#include "platform/message_decoding.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace hawthornpin::soak {
+
+namespace {
+
+constexpr unsigned tick_ms = 5;
+constexpr unsigned report_pause_ms = 500;
+constexpr unsigned report_timeout_ms = 1'000;
+constexpr unsigned restart_ms = 1'000;
+// An order that is carried out late is so by this much: longer than any call is waited for.
+constexpr unsigned late_ms = 700;
+// One call in this many is hit while a fault of calls lasts.
+constexpr std::size_t fault_period = 4;
+
+long long now_ms()
+{
+    return std::chrono::duration_cast<milliseconds>(boot_now().time_since_epoch()).count();
+}
+
+api_limits make_limits()
+{
+    api_limits limits;
+    limits.m_kept_headers = {"Expected-Instance"};
+    return limits;
+}
+
+struct task_work {
+    std::int64_t m_cpu_milli = 0;
+    long long m_duration_ms = 0;
+};
+
+task_work read_specification(const std::string& text)
+{
+    task_work work;
+    const char* end = text.data() + text.size();
+    const auto cpu = std::from_chars(text.data(), end, work.m_cpu_milli);
+    std::from_chars(cpu.ptr + 1, end, work.m_duration_ms);
+    return work;
+}
+
+void write_running(json_writer& body, const run_listing& listing)
+{
+    body.key("running").begin_array();
+    for (const listed_run& run : listing.m_running) {
+        body.begin_array().text(to_text(run.m_run.m_task)).integer(run.m_run.m_number);
+        body.text("").integer(run.m_percent).integer(0).end_array();
+    }
+    body.end_array();
+}
+
+const char* to_text(run_end how)
+{
+    if (how == run_end::done)
+        return "done";
+    return how == run_end::stopped ? "stopped" : "lapsed";
+}
+
+void write_ended(json_writer& body, const run_listing& listing)
+{
+    body.key("finished").begin_array();
+    for (const listed_end& end : listing.m_ended) {
+        body.begin_array().integer(end.m_number).text(hawthornpin::to_text(end.m_run.m_task));
+        body.integer(end.m_run.m_number).text(to_text(end.m_how)).text("").end_array();
+    }
+    body.end_array();
+}
+
+const char* refusal_of(start_answer answer)
+{
+    if (answer == start_answer::fenced)
+        return "fence";
+    return answer == start_answer::run_too_old ? "old" : "late";
+}
+
+} // namespace
+
+std::string make_specification(std::int64_t cpu_milli, long long duration_ms)
+{
+    return std::to_string(cpu_milli) + " " + std::to_string(duration_ms);
+}
+
+soak_worker::soak_worker(std::string id, std::string report_address, soak_judge& judge)
+    : m_id(std::move(id)), m_report_address(std::move(report_address)), m_judge(judge),
+      m_worker(m_id, now_ms()), m_born(now_ms()),
+      m_server([this](const api_request& request) { return handle(request); }, make_limits()), m_reports(1)
+{
+    m_tasks.add(report_forever());
+    m_tick = std::make_unique<timer>(tick_ms, [this] {
+        advance();
+        return true;
+    });
+}
+
+void soak_worker::restart()
+{
+    if (!m_worker.is_up())
+        return;
+    for (const run_id& run : m_busy)
+        m_judge.note_end(m_id, run, false);
+    m_busy.clear();
+    m_worker.crash();
+    m_tasks.add(after_delay(restart_ms).then([this] {
+        m_worker.begin_life(now_ms());
+        m_born = now_ms();
+    }));
+}
+
+void soak_worker::advance()
+{
+    if (!m_worker.is_up())
+        return;
+    m_worker.advance(now_ms());
+    const auto busy = m_worker.busy_runs();
+    for (auto run = m_busy.begin(); run != m_busy.end();) {
+        if (std::find(busy.begin(), busy.end(), *run) != busy.end()) {
+            ++run;
+            continue;
+        }
+        m_judge.note_end(m_id, *run, m_worker.has_ended_done(*run));
+        run = m_busy.erase(run);
+    }
+}
+
+api_response soak_worker::make_answer(unsigned status, const char* reason) const
+{
+    json_writer body;
+    body.begin_object().key("clock_ms").integer(m_worker.clock_ms(now_ms()));
+    if (*reason != '\0')
+        body.key("reason").text(reason);
+    body.end_object();
+    api_response response;
+    response.m_status = status;
+    response.m_body = body.to_string();
+    return response;
+}
+
+kj::Promise<api_response> soak_worker::handle(const api_request& request)
+{
+    if (!m_worker.is_up())
+        return kj::NEVER_DONE;
+    advance();
+    const std::string& expected = request.m_kept_headers.front();
+    if (!expected.empty() && expected != m_id)
+        return make_answer(421, "");
+    reason fault = reason::none;
+    const auto document = json_document::parse(request.m_body, fault);
+    if (!document)
+        return make_answer(400, "");
+    if (request.m_path == "/hawthornpin/hold")
+        return hold(document->root());
+    const bool is_start = request.m_path == "/hawthornpin/run-start";
+    const bool is_hit = ++m_calls % fault_period == 0;
+    if (is_start && m_is_late && is_hit) {
+        return after_delay(late_ms).then([this, body = request.m_body]() -> kj::Promise<api_response> {
+            reason ignored = reason::none;
+            const auto late = json_document::parse(body, ignored);
+            if (m_worker.is_up())
+                start(late->root());
+            return kj::NEVER_DONE;
+        });
+    }
+    api_response response = is_start ? start(document->root()) : stop(document->root());
+    response.m_is_dropped = m_is_losing_answers && is_hit;
+    return response;
+}
+
+api_response soak_worker::start(const json_object& asked)
+{
+    advance();
+    const auto task = task_id_from_text(asked.text("task").value_or(""));
+    if (!task)
+        return make_answer(400, "");
+    const task_work work = read_specification(asked.text("spec").value_or(""));
+    run_order order;
+    order.m_run = {*task, static_cast<std::uint32_t>(asked.integer("run").value_or(0))};
+    order.m_needs = {work.m_cpu_milli, 0, 0};
+    const start_answer answer =
+        m_worker.start(order, asked.integer("fence").value_or(0), asked.integer("deadline_ms").value_or(0),
+                       work.m_duration_ms, now_ms());
+    if (answer != start_answer::started)
+        return make_answer(409, refusal_of(answer));
+    if (m_busy.insert(order.m_run).second)
+        m_judge.note_start(m_id, order.m_run, m_worker.used().m_cpu_milli,
+                           model::model_worker::capacity.m_cpu_milli);
+    return make_answer(200, "");
+}
+
+api_response soak_worker::stop(const json_object& asked)
+{
+    const auto task = task_id_from_text(asked.text("task").value_or(""));
+    if (!task)
+        return make_answer(400, "");
+    m_worker.stop({*task, static_cast<std::uint32_t>(asked.integer("run").value_or(0))},
+                  asked.integer("fence").value_or(0), now_ms());
+    return make_answer(200, "");
+}
+
+kj::Promise<api_response> soak_worker::hold(const json_object& asked)
+{
+    renewal wanted;
+    wanted.m_fence = asked.integer("fence").value_or(0);
+    wanted.m_last_seen = asked.integer("last_seen").value_or(0);
+    wanted.m_deadline_ms = asked.integer("deadline_ms");
+    // The lease counts from the call's arrival, however long the answer waits.
+    if (!m_worker.list(wanted, now_ms()))
+        return make_answer(409, "fence");
+    return wait_for_news(wanted, now_ms() + asked.integer("wait_ms").value_or(0));
+}
+
+kj::Promise<api_response> soak_worker::wait_for_news(renewal asked, long long until)
+{
+    if (!m_worker.is_up())
+        return kj::NEVER_DONE;
+    if (m_worker.has_news(asked.m_last_seen) || now_ms() >= until)
+        return list(asked);
+    return after_delay(tick_ms).then([this, asked, until] { return wait_for_news(asked, until); });
+}
+
+api_response soak_worker::list(const renewal& asked)
+{
+    renewal without_lease = asked;
+    without_lease.m_deadline_ms.reset();
+    const auto listing = m_worker.list(without_lease, now_ms());
+    if (!listing)
+        return make_answer(409, "fence");
+    json_writer body;
+    body.begin_object().key("clock_ms").integer(listing->m_worker_clock_ms).key("born").integer(m_born);
+    write_running(body, *listing);
+    write_ended(body, *listing);
+    body.end_object();
+    api_response response;
+    response.m_body = body.to_string();
+    return response;
+}
+
+kj::Promise<void> soak_worker::report_forever()
+{
+    const worker_report report = m_worker.make_report(now_ms());
+    json_writer body;
+    body.begin_object().key("service").text("svc").key("address").text("127.0.0.1:1").key("zone").text("z");
+    body.key("version").text("v1").key("slots").integer(8).key("state").text("ready");
+    body.key("capacity").begin_object().key("cpu").integer(report.m_capacity.m_cpu_milli);
+    body.key("mem_mb").integer(report.m_capacity.m_memory_mib).key("gpu").integer(0).end_object();
+    body.key("labels").begin_array().text("a").end_array();
+    body.key("born").integer(m_born).key("seq").integer(report.m_sequence).end_object();
+    http_request request;
+    request.m_method = "POST";
+    request.m_url = "http://" + m_report_address + "/hawthornpin/instances/" + m_id + "/heartbeat";
+    request.m_body = body.to_string();
+    request.m_is_sent_once = true;
+    auto sent = m_worker.is_up()
+                    ? m_reports.send_within(request, report_timeout_ms).then([](http_response) {})
+                    : kj::Promise<void>(kj::READY_NOW);
+    return sent.then([] { return after_delay(report_pause_ms); }).then([this] { return report_forever(); });
+}
+
+} // namespace hawthornpin::soak
--- /dev/null
+++ b/tests/soak/soak_worker.h
@@ -0,0 +1,65 @@
+// One worker as its agent sees it in a soak: the model's worker behind the platform's calls, on real sockets.
+
+#pragma once
+
+#include "core/event_loop.h"
+#include "core/json.h"
+#include "http/api_server.h"
+#include "platform/http_client.h"
+#include "tests/model/model_worker.h"
+#include "tests/soak/soak_judge.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace hawthornpin::soak {
+
+// A soak's jobs carry in their specification what a task does: processors and duration.
+std::string make_specification(std::int64_t cpu_milli, long long duration_ms);
+
+class soak_worker {
+public:
+    // `report_address` is where the agent takes reports.
+    soak_worker(std::string id, std::string report_address, soak_judge& judge);
+
+    bool listen(const std::string& address, last_reason& why) { return m_server.listen(address, why); }
+
+    // Crashes, and begins a new life under the same id after a second.
+    void restart();
+    // Loses answers of starts and stops, or carries starts out late.
+    void set_losing_answers(bool is_on) { m_is_losing_answers = is_on; }
+    void set_late(bool is_on) { m_is_late = is_on; }
+
+    bool is_idle() const { return m_worker.busy_runs().empty(); }
+
+private:
+    kj::Promise<api_response> handle(const api_request& request);
+    kj::Promise<api_response> hold(const json_object& asked);
+    kj::Promise<api_response> wait_for_news(renewal asked, long long until);
+    api_response list(const renewal& asked);
+    api_response start(const json_object& asked);
+    api_response stop(const json_object& asked);
+    kj::Promise<void> report_forever();
+    // Moves the worker on and tells the judge what ended.
+    void advance();
+    api_response make_answer(unsigned status, const char* reason) const;
+
+    std::string m_id;
+    std::string m_report_address;
+    soak_judge& m_judge;
+    model::model_worker m_worker;
+    std::int64_t m_born = 0;
+    // Runs that the judge knows to occupy the worker.
+    std::set<run_id> m_busy;
+    bool m_is_losing_answers = false;
+    bool m_is_late = false;
+    std::size_t m_calls = 0;
+    api_server m_server;
+    http_client m_reports;
+    background_tasks m_tasks;
+    std::unique_ptr<timer> m_tick;
+};
+
+} // namespace hawthornpin::soak
