--- /dev/null
+++ b/dispatch/entry_leases.cpp
@@ -0,0 +1,43 @@
+// Leases by the home's own clock.
+
+#include "dispatch/entry_leases.h"
+
+#include <algorithm>
+
+namespace hawthornpin {
+
+namespace {
+
+instant lease_end(const entry_leases& leases, const entry_presence& presence)
+{
+    return instant(microseconds(presence.m_clock_seen)) + leases.m_limits.m_entry_lease;
+}
+
+} // namespace
+
+bool is_recent(const entry_leases& leases, const entry_presence& presence, instant now)
+{
+    return lease_end(leases, presence) >= now;
+}
+
+void note_presence(entry_leases& leases, const entry_presence& presence, instant now)
+{
+    if (!is_recent(leases, presence, now))
+        return;
+    instant& end = leases.m_sessions[presence.m_session];
+    end = std::max(end, lease_end(leases, presence));
+}
+
+std::vector<home_identity> end_sessions(entry_leases& leases, instant now)
+{
+    std::vector<home_identity> ended;
+    for (const auto& [session, end] : leases.m_sessions) {
+        if (end < now)
+            ended.push_back(session);
+    }
+    for (const home_identity& session : ended)
+        leases.m_sessions.erase(session);
+    return ended;
+}
+
+} // namespace hawthornpin
--- a/dispatch/job_admission.cpp
+++ b/dispatch/job_admission.cpp
@@ -85,14 +85,13 @@
     return busy > 0 ? rate / busy : 0;
 }
 
-// Expected time until `demand` has room that comes after `ahead`, a demand that waits at this entry. The
-// other entries are taken to have as much waiting: callers are spread over them evenly.
+// Expected time until `demand` has room that comes after `ahead`, a demand that waits at this home. The
+// other homes are taken to have as much waiting: jobs are spread over them evenly.
 milliseconds wait_for_room(const job_scheduler& scheduler, const std::string& service, std::int64_t ahead,
                            std::int64_t demand, instant now)
 {
     const service_load load = measure_service(scheduler.m_agents, service, now);
-    const auto entries = static_cast<std::int64_t>(scheduler.m_entries.size() + 1);
-    const std::int64_t shortage = entries * ahead + demand - load.m_free_milli;
+    const std::int64_t shortage = scheduler.m_homes_per_agent * ahead + demand - load.m_free_milli;
     if (shortage <= 0)
         return milliseconds(0);
     const double rate = release_share(scheduler, service) * static_cast<double>(load.m_busy_milli);
@@ -132,17 +131,25 @@
     job.m_objective = job.m_arrived + stretched + job.m_queue.m_latency_target;
 }
 
-std::optional<admission_verdict> check_admission(const job_scheduler& scheduler, const live_job& job,
-                                                 instant now)
+std::optional<admission_verdict> check_demand(const job_scheduler& scheduler, const live_job& job,
+                                              instant now)
 {
-    const std::string& service = job.m_queue.m_service;
     if (!is_supported(job.m_request))
         return admission_verdict{job_end::refused, job_end_reason::unsupported, unknown_wait};
     const feasibility checked = check_steps(scheduler, job, now);
-    if (checked == feasibility::infeasible)
+    if (checked == feasibility::infeasible && scheduler.m_knows_all_agents)
         return admission_verdict{job_end::failed, job_end_reason::never_fits, milliseconds(0)};
-    if (checked == feasibility::unknown)
+    if (checked != feasibility::feasible)
         return admission_verdict{job_end::refused, job_end_reason::no_worker, unknown_wait};
+    return std::nullopt;
+}
+
+std::optional<admission_verdict> check_admission(const job_scheduler& scheduler, const live_job& job,
+                                                 instant now)
+{
+    if (const auto verdict = check_demand(scheduler, job, now))
+        return verdict;
+    const std::string& service = job.m_queue.m_service;
     const auto slack =
         std::chrono::duration_cast<milliseconds>(job.m_objective - now - job.m_steps.front().m_chain);
     const std::int64_t ahead = demand_ahead(scheduler, service, now + slack);
--- a/dispatch/job_admission.h
+++ b/dispatch/job_admission.h
@@ -18,6 +18,10 @@
 // Sets the chains of the job's steps and, from the longest one, its objective.
 void measure_chains(live_job& job);
 
+// Why the job can't run whatever the load; empty if it can.
+std::optional<admission_verdict> check_demand(const job_scheduler& scheduler, const live_job& job,
+                                              instant now);
+
 // Nothing if the job is admitted.
 std::optional<admission_verdict> check_admission(const job_scheduler& scheduler, const live_job& job,
                                                  instant now);
--- a/dispatch/job_scheduler.cpp
+++ b/dispatch/job_scheduler.cpp
@@ -189,9 +189,13 @@
     case job_end_reason::caller_deadline:
         return "caller_deadline";
     case job_end_reason::shutting_down:
+        return "shutting_down";
+    case job_end_reason::home_lost:
+        return "home_lost";
+    case job_end_reason::hand_in_late:
         break;
     }
-    return "shutting_down";
+    return "hand_in_late";
 }
 
 bool is_untouched(const live_job& job)
@@ -217,6 +221,16 @@
     }
 }
 
+std::optional<job_answer_event> find_hopeless_end(const job_scheduler& scheduler, const work_request& request,
+                                                  const queue_contract& queue, instant now)
+{
+    const live_job job = make_live_job(scheduler, request, queue, milliseconds(0), now);
+    const auto verdict = check_demand(scheduler, job, now);
+    if (!verdict || verdict->m_reason == job_end_reason::no_worker)
+        return std::nullopt;
+    return job_answer_event{request.m_id, verdict->m_end, verdict->m_reason, verdict->m_retry_after};
+}
+
 bool cancel_job(job_scheduler& scheduler, const std::string& job)
 {
     const auto position = scheduler.m_jobs.find(job);
@@ -240,7 +254,10 @@
     for (const auto& [id, agent] : scheduler.m_agents.m_agents) {
         agent_channel& channel = scheduler.m_channels[id];
         const bool has_orders = !channel.m_starts.empty() || !channel.m_stops.empty();
-        const bool is_due = has_orders || channel.m_sent_at + scheduler.m_limits.m_heartbeat <= now;
+        const bool is_kept_ready = !scheduler.m_is_dormant || agent.m_runs > 0;
+        const bool is_heartbeat_due =
+            is_kept_ready && channel.m_sent_at + scheduler.m_limits.m_heartbeat <= now;
+        const bool is_due = has_orders || is_heartbeat_due;
         if (channel.m_in_flight || !is_due || now < channel.m_retry_at)
             continue;
         order_batch batch;
--- a/dispatch/job_scheduler.h
+++ b/dispatch/job_scheduler.h
@@ -1,5 +1,5 @@
-// An entry's decisions about the jobs that its callers wait for: admission, order, placement, repetition and
-// the answer.
+// A home's decisions about its jobs: admission, order, placement, repetition and the answer. The home is the
+// entry that the callers wait at or, in a large service, an agent that entries hand jobs on to.
 //
 // Pure: time is an argument; messages to agents and answers to callers are values that the process carries
 // out.
@@ -81,6 +81,7 @@
     // Given up; some of it may have run.
     abandoned,
 };
+inline constexpr std::size_t job_end_count = static_cast<std::size_t>(job_end::abandoned) + 1;
 
 // Why; the name of a counter and of a log field.
 enum class job_end_reason {
@@ -93,9 +94,13 @@
     late_before_start,
     caller_deadline,
     shutting_down,
+    // The home that the job was handed on to fell silent.
+    home_lost,
+    // The job was held up on its way to the home.
+    hand_in_late,
 };
 inline constexpr std::size_t job_end_reason_count =
-    static_cast<std::size_t>(job_end_reason::shutting_down) + 1;
+    static_cast<std::size_t>(job_end_reason::hand_in_late) + 1;
 const char* to_text(job_end_reason why);
 
 struct job_answer_event {
@@ -146,8 +151,15 @@
     scheduler_limits m_limits;
     home_identity m_self;
     std::string m_self_address;
+    // Told to agents: entries that they may present themselves to.
     std::vector<std::string> m_entries;
+    // Homes that order runs from the same agents, this one included.
+    std::uint32_t m_homes_per_agent = 1;
+    // A home among the agents knows only some of its service's agents.
+    bool m_knows_all_agents = true;
     bool m_is_shutting_down = false;
+    // Has no jobs and expects none: agents are not kept ready by heartbeats.
+    bool m_is_dormant = false;
 
     agent_table m_agents;
     duration_estimator m_estimator;
@@ -161,6 +173,10 @@
 void submit_job(job_scheduler& scheduler, const work_request& request, const queue_contract& queue,
                 milliseconds caller_patience, instant now);
 
+// The end of a job that no home could run, whatever the load; for an entry that hands its jobs on.
+std::optional<job_answer_event> find_hopeless_end(const job_scheduler& scheduler, const work_request& request,
+                                                  const queue_contract& queue, instant now);
+
 // The caller left or cancelled: stops what runs; no answer follows. False if the job is not known.
 bool cancel_job(job_scheduler& scheduler, const std::string& job);
 
--- a/dispatch/run_guard.cpp
+++ b/dispatch/run_guard.cpp
@@ -2,6 +2,7 @@
 
 #include "dispatch/run_guard.h"
 
+#include "dispatch/entry_leases.h"
 #include "dispatch/guarded_runs.h"
 
 #include <algorithm>
@@ -20,9 +21,11 @@
     return used;
 }
 
-void refuse_order(run_guard& guard, const home_identity& home, const run_order& order)
+// For good: the order may arrive once more, and its home has been told that it was not started.
+void refuse_order(run_guard& guard, const home_identity& home, const run_order& order, instant now)
 {
     owe_outcome(guard, home, {order.m_run, run_result::not_started, milliseconds(0)});
+    guard.m_ended[order.m_run] = now + guard.m_limits.m_remember_ended;
 }
 
 bool is_order_acceptable(const run_guard& guard, const run_order& order, instant clock_seen, instant now)
@@ -42,7 +45,7 @@
     const bool has_ended = guard.m_ended.contains(order.m_run);
     const instant clock_seen{microseconds(batch.m_clock_seen)};
     if (known != guard.m_runs.end() || has_ended || !is_order_acceptable(guard, order, clock_seen, now)) {
-        refuse_order(guard, batch.m_home, order);
+        refuse_order(guard, batch.m_home, order, now);
         return;
     }
     guarded_run run;
@@ -70,10 +73,13 @@
         if (guard.m_homes.at(run.m_home).m_lease_end < now && run.m_phase != run_phase::waiting)
             request_stop(run, run_result::stopped, now);
     }
-    std::erase_if(guard.m_runs, [&](const auto& item) {
-        const guarded_run& run = item.second;
-        return run.m_phase == run_phase::waiting && guard.m_homes.at(run.m_home).m_lease_end < now;
-    });
+    // A home that is heard again learns that these were not started.
+    for (auto position = guard.m_runs.begin(); position != guard.m_runs.end();) {
+        const guarded_run& run = position->second;
+        const bool is_unwanted =
+            run.m_phase == run_phase::waiting && guard.m_homes.at(run.m_home).m_lease_end < now;
+        position = is_unwanted ? end_run(guard, position, run_result::not_started, now) : std::next(position);
+    }
     std::set<home_identity> homes_with_runs;
     for (const auto& [id, run] : guard.m_runs)
         homes_with_runs.insert(run.m_home);
@@ -171,11 +177,17 @@
 run_guard_limits make_run_guard_limits(milliseconds max_lease, milliseconds stop_time,
                                        milliseconds resubmit_after)
 {
-    constexpr milliseconds longest_home_lease{450};
+    // With heartbeats of 100 ms, either lease survives the loss of one.
+    constexpr milliseconds longest_home_lease{380};
+    constexpr std::int64_t entry_share = 4;
+    constexpr std::int64_t home_share = 3;
     run_guard_limits limits;
-    // home lease + worker lease + stop time stays below the time after which a caller resubmits.
-    limits.m_home_lease = std::min(longest_home_lease, resubmit_after / 3);
-    const milliseconds rest = resubmit_after - limits.m_home_lease - stop_time;
+    const milliseconds entry_lease =
+        std::min(entry_lease_limits().m_entry_lease, resubmit_after / entry_share);
+    limits.m_home_lease = std::min(longest_home_lease, resubmit_after / home_share);
+    // Home and agent each notice the end of a lease up to one tick late.
+    const milliseconds rest =
+        resubmit_after - entry_lease - limits.m_home_lease - stop_time - 2 * decision_tick;
     const auto without_drift =
         static_cast<long long>(static_cast<double>(rest.count()) * (1 - limits.m_clock_drift));
     limits.m_worker_lease = std::min(max_lease, milliseconds(without_drift));
@@ -183,6 +195,13 @@
     return limits;
 }
 
+milliseconds runs_over_after(const run_guard_limits& limits)
+{
+    const auto with_drift = static_cast<long long>(static_cast<double>(limits.m_worker_lease.count()) /
+                                                   (1 - limits.m_clock_drift));
+    return limits.m_home_lease + milliseconds(with_drift + 1) + limits.m_stop_settlement + 2 * decision_tick;
+}
+
 void accept_orders(run_guard& guard, const order_batch& batch, instant now)
 {
     if (batch.m_agent_incarnation != guard.m_incarnation)
--- a/dispatch/run_guard.h
+++ b/dispatch/run_guard.h
@@ -15,12 +15,15 @@
 
 namespace hawthornpin {
 
+// Processes make their time-driven decisions at this pace, and all others at once.
+inline constexpr milliseconds decision_tick{20};
+
 // Bounds that the guard works with; see make_run_guard_limits() for where they come from.
 struct run_guard_limits {
     // A home without a message this recent has its runs stopped, and a start order this old is refused.
-    milliseconds m_home_lease{450};
+    milliseconds m_home_lease{380};
     // Lease asked of the worker with each start and renewal.
-    milliseconds m_worker_lease{750};
+    milliseconds m_worker_lease{510};
     // Without a listing for this long, nothing is started or renewed: the worker counts as silent once
     // everything that it was granted before has lapsed. Two renewals fit in.
     milliseconds m_listing_validity{400};
@@ -42,10 +45,14 @@
 };
 
 // Derives the limits from the worker's longest lease and the time after which a caller resubmits: a run whose
-// home and agent both stop answering has ended before its job can start elsewhere.
+// entry, home and agent stop answering one after the other has ended before its job can start elsewhere.
 run_guard_limits make_run_guard_limits(milliseconds max_lease, milliseconds stop_time,
                                        milliseconds resubmit_after);
 
+// How long after its last message a home can count the runs of a silent agent as over: home lease, worker
+// lease and the time of a stop have passed.
+milliseconds runs_over_after(const run_guard_limits& limits);
+
 enum class run_phase { waiting, starting, running, stopping };
 
 // A run that the guard answers for.
--- /dev/null
+++ b/main/job_home.cpp
@@ -0,0 +1,148 @@
+// Orders, reports and answers of a home.
+
+#include "main/job_home.h"
+
+#include "core/logging.h"
+#include "dispatch/job_admission.h"
+#include "dispatch/run_guard.h"
+#include "platform/message_decoding.h"
+
+namespace hawthornpin {
+
+job_home::job_home(const process_place& place, std::uint64_t incarnation, platform_link& links,
+                   metrics& counts, answer_receiver receive)
+    : m_links(links), m_metrics(counts), m_receive(std::move(receive))
+{
+    m_scheduler.m_self = {place.m_node, incarnation};
+    m_scheduler.m_self_address = place.m_peer_address;
+    m_scheduler.m_agents.m_zone = place.m_zone;
+    m_scheduler.m_agents.m_started = boot_now();
+    m_scheduler.m_agents.m_random.seed(incarnation);
+    m_scheduler.m_agents.m_limits.m_lost_after =
+        runs_over_after(make_run_guard_limits(place.m_max_lease, place.m_stop_time, place.m_resubmit_after));
+}
+
+void job_home::submit(const work_request& request, const queue_contract& queue, milliseconds patience)
+{
+    submit_job(m_scheduler, request, queue, patience, boot_now());
+    log_admission(request, queue);
+    schedule_step();
+}
+
+bool job_home::cancel(const std::string& job)
+{
+    const bool is_known = cancel_job(m_scheduler, job);
+    schedule_step();
+    return is_known;
+}
+
+void job_home::schedule_step()
+{
+    if (m_is_step_scheduled)
+        return;
+    m_is_step_scheduled = true;
+    m_tasks.add(kj::evalLater([this] {
+        m_is_step_scheduled = false;
+        step();
+    }));
+}
+
+void job_home::on_report(const agent_status& status, const std::vector<run_outcome>& outcomes)
+{
+    const auto known = m_scheduler.m_agents.m_agents.find(status.m_life.m_id);
+    const bool is_known = known != m_scheduler.m_agents.m_agents.end();
+    const bool is_change = !is_known || known->second.m_status.m_life != status.m_life ||
+                           known->second.m_status.m_state != status.m_state;
+    if (is_change) {
+        log_event(log_level::info, "agent_seen",
+                  {{"agent", status.m_life.m_id},
+                   {"life", std::to_string(status.m_life.m_incarnation)},
+                   {"state", to_text(status.m_state)},
+                   {"address", status.m_address}});
+    }
+    for (const run_outcome& outcome : outcomes) {
+        m_metrics.count_labelled("run_outcomes", to_text(outcome.m_result));
+        if (outcome.m_result != run_result::done) {
+            log_event(log_level::info, "run_returned",
+                      {{"run", to_text(outcome.m_run)},
+                       {"result", to_text(outcome.m_result)},
+                       {"agent", status.m_life.m_id}});
+        }
+    }
+    note_agent_report(m_scheduler, status, outcomes, boot_now());
+    schedule_step();
+}
+
+void job_home::step()
+{
+    advance(m_scheduler, boot_now());
+    send_batches();
+    deliver_answers();
+}
+
+void job_home::send_batches()
+{
+    for (const outgoing_batch& out : take_batches(m_scheduler, boot_now())) {
+        log_orders(out);
+        const std::string agent = out.m_agent;
+        const std::uint64_t number = out.m_batch.m_number;
+        m_tasks.add(m_links.order(out.m_address, out.m_batch, m_scheduler.m_limits.m_answer_timeout)
+                        .then([this, agent, number](std::optional<agent_status> status) {
+                            on_batch_end(agent, number, status);
+                            schedule_step();
+                        }));
+    }
+}
+
+void job_home::on_batch_end(const std::string& agent, std::uint64_t number,
+                            const std::optional<agent_status>& status)
+{
+    if (status) {
+        note_batch_answered(m_scheduler, agent, number, *status, boot_now());
+        return;
+    }
+    m_metrics.count_labelled("batches", "unanswered");
+    log_event(log_level::warning, "agent_unanswered", {{"agent", agent}});
+    note_batch_lost(m_scheduler, agent, number, boot_now());
+}
+
+void job_home::log_orders(const outgoing_batch& out)
+{
+    if (out.m_batch.m_starts.empty())
+        return;
+    m_metrics.count(counter::grants_sent, out.m_batch.m_starts.size());
+    std::string runs;
+    for (const run_order& order : out.m_batch.m_starts) {
+        if (!runs.empty())
+            runs.push_back(' ');
+        runs.append(to_text(order.m_run));
+    }
+    const agent_view& agent = m_scheduler.m_agents.m_agents.at(out.m_agent);
+    const auto age = std::chrono::duration_cast<milliseconds>(boot_now() - agent.m_heard_at);
+    log_event(log_level::info, "runs_ordered",
+              {{"runs", runs},
+               {"agent", out.m_agent},
+               {"batch", std::to_string(out.m_batch.m_number)},
+               {"free_milli", std::to_string(free_for_orders(agent).m_cpu_milli)},
+               {"status_age_ms", std::to_string(age.count())}});
+}
+
+void job_home::log_admission(const work_request& request, const queue_contract& queue)
+{
+    const auto job = m_scheduler.m_jobs.find(request.m_id);
+    if (job == m_scheduler.m_jobs.end())
+        return;
+    const auto slack =
+        std::chrono::duration_cast<milliseconds>(latest_useful_start(job->second) - boot_now());
+    log_event(log_level::info, "job_admitted",
+              {{"job", request.m_id}, {"queue", queue.m_name}, {"slack_ms", std::to_string(slack.count())}});
+}
+
+void job_home::deliver_answers()
+{
+    const auto answers = std::exchange(m_scheduler.m_answers, {});
+    for (const job_answer_event& answer : answers)
+        m_receive(answer);
+}
+
+} // namespace hawthornpin
--- a/main/platform_agent.cpp
+++ b/main/platform_agent.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 // Time-driven decisions happen at this pace; all others at once.
-constexpr unsigned tick_ms = 20;
+constexpr unsigned tick_ms = decision_tick.count();
 // After a renewal that was refused or not answered.
 constexpr unsigned renewal_pause_ms = 20;
 // A report or presentation that takes longer is repeated on a new connection.
@@ -20,6 +20,9 @@
 // An entry that has not ordered for this long is told that the agent is there.
 constexpr milliseconds present_after{600};
 constexpr milliseconds present_pause{250};
+// An entry that knows the agent and sends no orders hands its jobs on to homes; it needs the agent's state
+// for the choice of homes only.
+constexpr milliseconds present_again_after{1'500};
 // Without any entry for this long, the store is asked for them.
 constexpr milliseconds ask_store_after{1'500};
 constexpr milliseconds ask_store_pause{2'000};
@@ -45,14 +48,52 @@
         return kj::READY_NOW;
     }
 
+    kj::Promise<void> report(ReportContext context) override
+    {
+        const auto params = context.getParams();
+        m_agent.m_home.on_report(read_wire(params.getStatus()), read_wire(params.getOutcomes()));
+        return kj::READY_NOW;
+    }
+
+    kj::Promise<void> present(PresentContext context) override
+    {
+        m_agent.m_home.on_report(read_wire(context.getParams().getStatus()), {});
+        return kj::READY_NOW;
+    }
+
+    kj::Promise<void> attend(AttendContext context) override
+    {
+        m_agent.on_entry_presence(read_wire(context.getParams().getPresence()));
+        write_wire(context.getResults().initStatus(), m_agent.make_home_status());
+        return kj::READY_NOW;
+    }
+
+    kj::Promise<void> handIn(HandInContext context) override // NOLINT(readability-identifier-naming)
+    {
+        const auto params = context.getParams();
+        auto ended = m_agent.host_job(read_wire(params.getPresence()), read_wire(params.getWork()),
+                                      read_wire(params.getQueue()), milliseconds(params.getPatienceMs()));
+        context.releaseParams();
+        // An entry that drops the call takes its job back.
+        context.allowCancellation();
+        return ended.then([this, context](const job_answer_event& answer) mutable {
+            write_wire(context.getResults().initEnd(), answer);
+            write_wire(context.getResults().initStatus(), m_agent.make_home_status());
+        });
+    }
+
 private:
     platform_agent& m_agent;
 };
 
 platform_agent::platform_agent(event_loop& loop, const process_place& place)
     : m_loop(loop), m_place(place), m_life{place.m_node, draw_unpredictable()},
-      m_worker(place.m_worker_address), m_store(place.m_store_address), m_links(max_links)
+      m_worker(place.m_worker_address), m_store(place.m_store_address), m_links(max_links),
+      m_home(place, draw_unpredictable(), m_links, m_metrics,
+             [this](const job_answer_event& answer) { on_hosted_job_end(answer); })
 {
+    m_home.scheduler().m_knows_all_agents = false;
+    m_home.scheduler().m_is_dormant = true;
     m_guard.m_limits = make_run_guard_limits(place.m_max_lease, place.m_stop_time, place.m_resubmit_after);
     m_guard.m_incarnation = m_life.m_incarnation;
     // Rises from life to life; an agent whose clock was set back finds out from the worker.
@@ -273,6 +314,8 @@
     flush_logs();
     forget_silent(m_entries, boot_now());
     present_to_entries();
+    end_silent_sessions();
+    m_home.step();
     step();
     finish_if_idle();
     return true;
@@ -282,7 +325,8 @@
 {
     const instant now = boot_now();
     for (auto& [address, entry] : m_entries.m_entries) {
-        const bool is_due = entry.m_heard_at + present_after < now && entry.m_called_at + present_pause < now;
+        const milliseconds silence = entry.m_is_presented ? present_again_after : present_after;
+        const bool is_due = entry.m_heard_at + silence < now && entry.m_called_at + present_pause < now;
         if (!is_due || m_presents_in_flight.contains(address))
             continue;
         entry.m_called_at = now;
@@ -300,8 +344,11 @@
     m_tasks.add(m_links.present(address, make_status(nullptr), call_timeout)
                     .then([this, address](std::optional<std::vector<std::string>> entries) {
                         m_presents_in_flight.erase(address);
-                        if (entries)
-                            note_hearsay(m_entries, *entries, boot_now());
+                        // Homes answer without entries; they are forgotten unless they send orders.
+                        if (!entries || entries->empty())
+                            return;
+                        note_presented(m_entries, address, boot_now());
+                        note_hearsay(m_entries, *entries, boot_now());
                     }));
 }
 
@@ -329,7 +376,7 @@
     const instant now = boot_now();
     if (*m_leaving_since + m_place.m_shutdown_grace - stop_before_grace < now)
         stop_all(m_guard, now);
-    if (!is_idle(m_guard))
+    if (!is_idle(m_guard) || !m_hosted.empty())
         m_idle_since.reset();
     else if (!m_idle_since)
         m_idle_since = now;
--- a/main/platform_agent.h
+++ b/main/platform_agent.h
@@ -4,8 +4,10 @@
 
 #include "core/event_loop.h"
 #include "core/metrics.h"
+#include "dispatch/entry_leases.h"
 #include "dispatch/run_guard.h"
 #include "http/api_server.h"
+#include "main/job_home.h"
 #include "main/platform_link.h"
 #include "membership/entry_list.h"
 #include "platform/process_place.h"
@@ -13,9 +15,11 @@
 #include "platform/worker_client.h"
 #include "rpc/rpc_server.h"
 
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace hawthornpin {
 
@@ -60,6 +64,21 @@
     void learn_entries_from_store();
     void finish_if_idle();
 
+    // Jobs that entries hand on to this agent as their home.
+    class hosted_wait;
+    struct hosted_waiter {
+        home_identity m_session;
+        kj::Own<kj::PromiseFulfiller<job_answer_event>> m_fulfiller;
+    };
+    void on_entry_presence(const entry_presence& presence);
+    kj::Promise<job_answer_event> host_job(const entry_presence& presence, const work_request& work,
+                                           const queue_contract& queue, milliseconds patience);
+    void on_hosted_job_end(const job_answer_event& answer);
+    // Ends the hosted jobs that no entry waits for any more.
+    void drop_unwanted_jobs();
+    void end_silent_sessions();
+    home_status make_home_status() const;
+
     agent_status make_status(const home_identity* receiver);
     std::string worker_id() const;
 
@@ -73,6 +92,10 @@
     worker_client m_worker;
     store_client m_store;
     platform_link m_links;
+    job_home m_home;
+    entry_leases m_entry_leases;
+    // Entries that wait for a job's end, by job.
+    std::map<std::string, std::vector<hosted_waiter>> m_hosted;
     std::unique_ptr<api_server> m_report_server;
     std::unique_ptr<rpc_server> m_rpc_server;
     std::unique_ptr<timer> m_tick;
@@ -83,6 +106,8 @@
     bool m_is_reading_store = false;
     instant m_store_read_at;
     instant m_heard_entry_at;
+    // When an entry last showed that it may hand jobs on.
+    instant m_heard_attendance_at;
     std::optional<instant> m_leaving_since;
     std::optional<instant> m_idle_since;
     background_tasks m_tasks;
--- /dev/null
+++ b/main/platform_agent_home.cpp
@@ -0,0 +1,106 @@
+// The agent as a home of jobs: entries that attend, and the jobs that they hand on.
+
+#include "main/platform_agent.h"
+
+#include "core/logging.h"
+
+#include <algorithm>
+
+namespace hawthornpin {
+
+// Lives as long as an entry waits; its destruction before the end means that the entry took the job back.
+class platform_agent::hosted_wait {
+public:
+    explicit hosted_wait(platform_agent& agent) : m_agent(agent) {}
+    ~hosted_wait() { m_agent.drop_unwanted_jobs(); }
+    hosted_wait(const hosted_wait&) = delete;
+    hosted_wait& operator=(const hosted_wait&) = delete;
+
+private:
+    platform_agent& m_agent;
+};
+
+home_status platform_agent::make_home_status() const
+{
+    const instant now = boot_now();
+    const agent_table& agents = m_home.scheduler().m_agents;
+    home_status status;
+    status.m_clock = static_cast<std::uint64_t>(now.time_since_epoch().count());
+    status.m_usable_agents = static_cast<std::uint32_t>(
+        std::count_if(agents.m_agents.begin(), agents.m_agents.end(),
+                      [&](const auto& item) { return is_usable(agents, item.second, now); }));
+    status.m_is_leaving = m_leaving_since.has_value();
+    return status;
+}
+
+void platform_agent::on_entry_presence(const entry_presence& presence)
+{
+    note_presence(m_entry_leases, presence, boot_now());
+    m_home.scheduler().m_homes_per_agent = std::max<std::uint32_t>(1, presence.m_homes_per_agent);
+    m_heard_attendance_at = boot_now();
+}
+
+kj::Promise<job_answer_event> platform_agent::host_job(const entry_presence& presence,
+                                                       const work_request& work, const queue_contract& queue,
+                                                       milliseconds patience)
+{
+    if (m_leaving_since)
+        return job_answer_event{work.m_id, job_end::refused, job_end_reason::shutting_down, milliseconds(0)};
+    if (!is_recent(m_entry_leases, presence, boot_now()))
+        return job_answer_event{work.m_id, job_end::refused, job_end_reason::hand_in_late, milliseconds(0)};
+    on_entry_presence(presence);
+    auto pair = kj::newPromiseAndFulfiller<job_answer_event>();
+    const bool is_known = m_hosted.contains(work.m_id);
+    m_hosted[work.m_id].push_back({presence.m_session, kj::mv(pair.fulfiller)});
+    if (!is_known)
+        m_home.submit(work, queue, patience);
+    return pair.promise.attach(kj::heap<hosted_wait>(*this));
+}
+
+void platform_agent::on_hosted_job_end(const job_answer_event& answer)
+{
+    const auto found = m_hosted.find(answer.m_job);
+    if (found == m_hosted.end())
+        return;
+    log_event(log_level::info, "hosted_job_ended",
+              {{"job", answer.m_job}, {"reason", to_text(answer.m_reason)}});
+    auto waiters = std::move(found->second);
+    m_hosted.erase(found);
+    for (hosted_waiter& waiter : waiters)
+        waiter.m_fulfiller->fulfill(job_answer_event(answer));
+}
+
+void platform_agent::drop_unwanted_jobs()
+{
+    std::vector<std::string> unwanted;
+    for (auto& [job, waiters] : m_hosted) {
+        std::erase_if(waiters, [](hosted_waiter& waiter) { return !waiter.m_fulfiller->isWaiting(); });
+        if (waiters.empty())
+            unwanted.push_back(job);
+    }
+    for (const std::string& job : unwanted) {
+        m_hosted.erase(job);
+        log_event(log_level::info, "job_taken_back", {{"job", job}});
+        m_home.cancel(job);
+    }
+}
+
+void platform_agent::end_silent_sessions()
+{
+    const instant now = boot_now();
+    for (const home_identity& session : end_sessions(m_entry_leases, now)) {
+        for (auto& [job, waiters] : m_hosted) {
+            for (hosted_waiter& waiter : waiters) {
+                if (waiter.m_session == session)
+                    waiter.m_fulfiller->fulfill(
+                        {job, job_end::abandoned, job_end_reason::home_lost, milliseconds(0)});
+            }
+        }
+    }
+    drop_unwanted_jobs();
+    // Entries that have gone for good leave nobody to keep the agents ready for.
+    constexpr milliseconds dormant_after{3'000};
+    m_home.scheduler().m_is_dormant = m_hosted.empty() && m_heard_attendance_at + dormant_after < now;
+}
+
+} // namespace hawthornpin
--- a/main/platform_entry.cpp
+++ b/main/platform_entry.cpp
@@ -4,6 +4,7 @@
 
 #include "core/logging.h"
 #include "core/random.h"
+#include "dispatch/run_guard.h"
 #include "platform/call_paths.h"
 #include "platform/message_decoding.h"
 
@@ -12,7 +13,7 @@
 namespace {
 
 // Time-driven decisions happen at this pace; all others at once.
-constexpr unsigned tick_ms = 20;
+constexpr unsigned tick_ms = decision_tick.count();
 // Time in which the last response reaches its client.
 constexpr milliseconds linger_when_quiet{300};
 constexpr milliseconds exit_before_grace{400};
@@ -28,15 +29,18 @@
     kj::Promise<void> report(ReportContext context) override
     {
         const auto params = context.getParams();
-        m_entry.on_report(read_wire(params.getStatus()), read_wire(params.getOutcomes()));
+        m_entry.m_home.on_report(read_wire(params.getStatus()), read_wire(params.getOutcomes()));
         return kj::READY_NOW;
     }
 
     kj::Promise<void> present(PresentContext context) override
     {
         const instant now = boot_now();
-        m_entry.on_report(read_wire(context.getParams().getStatus()), {});
-        const auto entries = list_live(m_entry.m_entries, now);
+        m_entry.m_home.on_report(read_wire(context.getParams().getStatus()), {});
+        auto entries = list_live(m_entry.m_entries, now);
+        entries.push_back(m_entry.m_place.m_peer_address);
+        const auto homes = m_entry.list_homes_of(context.getParams().getStatus().getLife().getId().cStr());
+        entries.insert(entries.end(), homes.begin(), homes.end());
         write_wire(context.getResults().initEntries(static_cast<unsigned>(entries.size())), entries);
         return kj::READY_NOW;
     }
@@ -63,13 +67,12 @@
 };
 
 platform_entry::platform_entry(event_loop& loop, const process_place& place)
-    : m_loop(loop), m_place(place), m_store(place.m_store_address), m_links(max_links)
+    : m_loop(loop), m_place(place), m_store(place.m_store_address), m_links(max_links),
+      m_home(place, draw_unpredictable(), m_links, m_metrics,
+             [this](const job_answer_event& answer) { deliver(answer); })
 {
-    m_scheduler.m_self = {place.m_node, draw_unpredictable()};
-    m_scheduler.m_self_address = place.m_peer_address;
-    m_scheduler.m_agents.m_zone = place.m_zone;
-    m_scheduler.m_agents.m_started = boot_now();
-    m_scheduler.m_agents.m_random.seed(draw_unpredictable());
+    m_home_table.m_self = place.m_node;
+    m_home_table.m_random.seed(draw_unpredictable());
     m_entries.m_self = place.m_peer_address;
     add_seeds(m_entries, place.m_seed_addresses);
 }
@@ -123,97 +126,6 @@
     m_leaving_since = boot_now();
 }
 
-void platform_entry::schedule_step()
-{
-    if (m_is_step_scheduled)
-        return;
-    m_is_step_scheduled = true;
-    m_tasks.add(kj::evalLater([this] {
-        m_is_step_scheduled = false;
-        step();
-    }));
-}
-
-void platform_entry::on_report(const agent_status& status, const std::vector<run_outcome>& outcomes)
-{
-    const auto known = m_scheduler.m_agents.m_agents.find(status.m_life.m_id);
-    const bool is_known = known != m_scheduler.m_agents.m_agents.end();
-    const bool is_change = !is_known || known->second.m_status.m_life != status.m_life ||
-                           known->second.m_status.m_state != status.m_state;
-    if (is_change) {
-        log_event(log_level::info, "agent_seen",
-                  {{"agent", status.m_life.m_id},
-                   {"life", std::to_string(status.m_life.m_incarnation)},
-                   {"state", to_text(status.m_state)},
-                   {"address", status.m_address}});
-    }
-    for (const run_outcome& outcome : outcomes) {
-        m_metrics.count_labelled("run_outcomes", to_text(outcome.m_result));
-        if (outcome.m_result != run_result::done) {
-            log_event(log_level::info, "run_returned",
-                      {{"run", to_text(outcome.m_run)},
-                       {"result", to_text(outcome.m_result)},
-                       {"agent", status.m_life.m_id}});
-        }
-    }
-    note_agent_report(m_scheduler, status, outcomes, boot_now());
-    schedule_step();
-}
-
-void platform_entry::step()
-{
-    advance(m_scheduler, boot_now());
-    send_batches();
-    deliver_answers();
-}
-
-void platform_entry::send_batches()
-{
-    for (const outgoing_batch& out : take_batches(m_scheduler, boot_now())) {
-        log_orders(out);
-        const std::string agent = out.m_agent;
-        const std::uint64_t number = out.m_batch.m_number;
-        m_tasks.add(m_links.order(out.m_address, out.m_batch, m_scheduler.m_limits.m_answer_timeout)
-                        .then([this, agent, number](std::optional<agent_status> status) {
-                            on_batch_end(agent, number, status);
-                            schedule_step();
-                        }));
-    }
-}
-
-void platform_entry::on_batch_end(const std::string& agent, std::uint64_t number,
-                                  const std::optional<agent_status>& status)
-{
-    if (status) {
-        note_batch_answered(m_scheduler, agent, number, *status, boot_now());
-        return;
-    }
-    m_metrics.count_labelled("batches", "unanswered");
-    log_event(log_level::warning, "agent_unanswered", {{"agent", agent}});
-    note_batch_lost(m_scheduler, agent, number, boot_now());
-}
-
-void platform_entry::log_orders(const outgoing_batch& out)
-{
-    if (out.m_batch.m_starts.empty())
-        return;
-    m_metrics.count(counter::grants_sent, out.m_batch.m_starts.size());
-    std::string runs;
-    for (const run_order& order : out.m_batch.m_starts) {
-        if (!runs.empty())
-            runs.push_back(' ');
-        runs.append(to_text(order.m_run));
-    }
-    const agent_view& agent = m_scheduler.m_agents.m_agents.at(out.m_agent);
-    const auto age = std::chrono::duration_cast<milliseconds>(boot_now() - agent.m_heard_at);
-    log_event(log_level::info, "runs_ordered",
-              {{"runs", runs},
-               {"agent", out.m_agent},
-               {"batch", std::to_string(out.m_batch.m_number)},
-               {"free_milli", std::to_string(free_for_orders(agent).m_cpu_milli)},
-               {"status_age_ms", std::to_string(age.count())}});
-}
-
 void platform_entry::apply_directory(const service_directory& directory, const std::string& text)
 {
     if (!is_newer(directory, m_directory))
@@ -233,10 +145,14 @@
         log_event(log_level::info, m_was_store_connected ? "store_regained" : "store_lost");
     }
     forget_silent(m_entries, now);
-    m_scheduler.m_entries = list_live(m_entries, now);
+    m_home.scheduler().m_entries = list_live(m_entries, now);
+    m_home.scheduler().m_homes_per_agent =
+        1 + static_cast<std::uint32_t>(m_home.scheduler().m_entries.size());
     std::erase_if(m_kept_answers, [now](const auto& item) { return item.second.m_forget_at < now; });
     share_with_entries();
-    step();
+    choose_service_homes();
+    attend_homes();
+    m_home.step();
     finish_if_idle();
     return true;
 }
--- a/main/platform_entry.h
+++ b/main/platform_entry.h
@@ -5,13 +5,14 @@
 #include "config/service_directory.h"
 #include "core/event_loop.h"
 #include "core/metrics.h"
-#include "dispatch/job_scheduler.h"
 #include "http/api_server.h"
+#include "main/job_home.h"
 #include "main/platform_link.h"
 #include "membership/entry_list.h"
 #include "platform/directory_follower.h"
 #include "platform/process_place.h"
 #include "platform/store_client.h"
+#include "routing/home_table.h"
 #include "rpc/rpc_server.h"
 
 #include <map>
@@ -62,18 +63,22 @@
     kj::Promise<api_response> wait_for_answer(const std::string& id);
     void abandon(const std::string& id);
 
-    void on_report(const agent_status& status, const std::vector<run_outcome>& outcomes);
-    void on_batch_end(const std::string& agent, std::uint64_t number,
-                      const std::optional<agent_status>& status);
-    void log_orders(const outgoing_batch& out);
-    void log_admission(const work_request& request, const queue_contract& queue);
-
-    void step();
-    void schedule_step();
-    void send_batches();
-    void deliver_answers();
     void deliver(const job_answer_event& answer);
 
+    // Jobs that are handed on to homes among the agents, in a large service.
+    bool is_handing_on() const { return !m_service_homes.empty(); }
+    void choose_service_homes();
+    void hand_on(const work_request& job, const queue_contract& queue, milliseconds patience,
+                 const std::set<std::string>& refused_by);
+    void on_handed_job_end(const work_request& job, const queue_contract& queue, milliseconds patience,
+                           std::set<std::string> refused_by, const std::string& home, std::uint64_t session,
+                           const std::optional<handed_job_end>& end);
+    // Ends the call for the job, and with it the job at its home; false if it was not handed on.
+    bool recall(const std::string& job);
+    void attend_homes();
+    void lose_home(const std::string& home);
+    std::vector<std::string> list_homes_of(const std::string& agent) const;
+
     void apply_directory(const service_directory& directory, const std::string& text);
     bool on_tick();
     void share_with_entries();
@@ -86,12 +91,17 @@
     event_loop& m_loop;
     process_place m_place;
     metrics m_metrics;
-    job_scheduler m_scheduler;
     std::optional<service_directory> m_directory;
     std::string m_directory_text;
     entry_list m_entries;
     store_client m_store;
     platform_link m_links;
+    job_home m_home;
+    // Homes among the agents of this entry's jobs; empty while the entry is the home itself.
+    std::vector<home_candidate> m_service_homes;
+    home_choice_limits m_home_limits;
+    home_table m_home_table;
+    instant m_homes_chosen_at;
     std::unique_ptr<directory_follower> m_follower;
     std::unique_ptr<api_server> m_caller_server;
     std::unique_ptr<api_server> m_ready_server;
@@ -103,11 +113,18 @@
     std::map<std::string, instant> m_arrivals;
     bool m_was_store_connected = false;
     std::set<std::string> m_shares_in_flight;
-    bool m_is_step_scheduled = false;
     std::optional<instant> m_leaving_since;
     // When a caller's request last arrived or was answered.
     instant m_last_request_at;
     background_tasks m_tasks;
+    // Calls for jobs that were handed on, by job.
+    struct handed_job {
+        std::string m_home;
+        kj::Promise<void> m_call;
+    };
+    std::map<std::string, handed_job> m_handed_on;
+    // Ended calls, freed on a later turn.
+    deferred_deletion<handed_job> m_ended_calls;
 };
 
 } // namespace hawthornpin
--- a/main/platform_entry_callers.cpp
+++ b/main/platform_entry_callers.cpp
@@ -93,7 +93,7 @@
         return make_response(404);
     const std::string id = request.m_path.substr(queue->m_path_prefix.size());
     if (request.m_method == "GET" && id.empty()) {
-        const auto pending = static_cast<std::int64_t>(count_pending(m_scheduler, queue->m_name));
+        const auto pending = static_cast<std::int64_t>(count_pending(m_home.scheduler(), queue->m_name));
         return make_response(
             200, json_writer().begin_object().key("pending").integer(pending).end_object().to_string());
     }
@@ -123,11 +123,15 @@
         return make_response(400);
     }
     m_metrics.count(counter::jobs_submitted);
+    const bool is_known = m_waiters.contains(id);
     auto answer = wait_for_answer(id);
-    submit_job(m_scheduler, *job, queue, read_patience(request), boot_now());
+    if (is_known)
+        return answer;
     m_arrivals[id] = boot_now();
-    log_admission(*job, queue);
-    schedule_step();
+    if (is_handing_on())
+        hand_on(*job, queue, read_patience(request), {});
+    else
+        m_home.submit(*job, queue, read_patience(request));
     return answer;
 }
 
@@ -150,8 +154,8 @@
     log_event(log_level::info, "caller_left", {{"job", id}});
     m_metrics.count(counter::jobs_cancelled);
     m_arrivals.erase(id);
-    cancel_job(m_scheduler, id);
-    schedule_step();
+    if (!recall(id))
+        m_home.cancel(id);
 }
 
 api_response platform_entry::describe_job(const std::string& id) const
@@ -159,8 +163,11 @@
     const auto kept = m_kept_answers.find(id);
     if (kept != m_kept_answers.end())
         return make_state_response(kept->second.m_state);
-    const auto job = m_scheduler.m_jobs.find(id);
-    if (job == m_scheduler.m_jobs.end())
+    if (m_handed_on.contains(id))
+        return make_state_response("running");
+    const auto& jobs = m_home.scheduler().m_jobs;
+    const auto job = jobs.find(id);
+    if (job == jobs.end())
         return make_response(410);
     return make_state_response(is_untouched(job->second) ? "queued" : "running");
 }
@@ -168,7 +175,7 @@
 api_response platform_entry::cancel(const std::string& id)
 {
     m_arrivals.erase(id);
-    if (!cancel_job(m_scheduler, id))
+    if (!recall(id) && !m_home.cancel(id))
         return make_response(m_kept_answers.contains(id) ? 200 : 410);
     m_metrics.count(counter::jobs_cancelled);
     const auto waiting = m_waiters.find(id);
@@ -178,31 +185,9 @@
         for (fulfiller& waiter : waiters)
             waiter->fulfill(make_state_response("cancelled"));
     }
-    schedule_step();
     return make_response(200);
 }
 
-void platform_entry::log_admission(const work_request& request, const queue_contract& queue)
-{
-    const auto job = m_scheduler.m_jobs.find(request.m_id);
-    if (job == m_scheduler.m_jobs.end())
-        return;
-    const auto slack =
-        std::chrono::duration_cast<milliseconds>(latest_useful_start(job->second) - boot_now());
-    log_event(log_level::info, "job_admitted",
-              {{"job", request.m_id},
-               {"queue", queue.m_name},
-               {"slack_ms", std::to_string(slack.count())},
-               {"configuration", std::to_string(m_directory->m_version)}});
-}
-
-void platform_entry::deliver_answers()
-{
-    const auto answers = std::exchange(m_scheduler.m_answers, {});
-    for (const job_answer_event& answer : answers)
-        deliver(answer);
-}
-
 void platform_entry::deliver(const job_answer_event& answer)
 {
     constexpr unsigned too_many_requests = 429;
--- a/main/platform_entry_peers.cpp
+++ b/main/platform_entry_peers.cpp
@@ -33,7 +33,7 @@
     m_shares_in_flight.insert(address);
     m_metrics.count(counter::exchanges_sent);
     shared_knowledge known;
-    known.m_entries = m_scheduler.m_entries;
+    known.m_entries = m_home.scheduler().m_entries;
     known.m_version = m_directory ? m_directory->m_version : 0;
     m_tasks.add(m_links.share(address, m_place.m_peer_address, known, call_timeout)
                     .then([this, address](std::optional<shared_knowledge> other) {
--- a/main/platform_link.cpp
+++ b/main/platform_link.cpp
@@ -91,4 +91,37 @@
     return within(to_optional(kj::mv(call)), address, timeout);
 }
 
+kj::Promise<std::optional<home_status>>
+platform_link::attend(const std::string& address, const entry_presence& presence, milliseconds timeout)
+{
+    using response = std::optional<home_status>;
+    auto call = call_node<response>(m_links, address, [presence](wire::Node::Client node) {
+        auto request = node.attendRequest();
+        write_wire(request.initPresence(), presence);
+        return request.send().then([](auto answer) { return response(read_wire(answer.getStatus())); });
+    });
+    return within(to_optional(kj::mv(call)), address, timeout);
+}
+
+kj::Promise<std::optional<handed_job_end>>
+platform_link::hand_in(const std::string& address, const entry_presence& presence, const work_request& work,
+                       const queue_contract& queue, milliseconds patience)
+{
+    using response = std::optional<handed_job_end>;
+    return to_optional(
+        call_node<response>(m_links, address, [presence, work, queue, patience](wire::Node::Client node) {
+            auto request = node.handInRequest();
+            write_wire(request.initPresence(), presence);
+            write_wire(request.initWork(), work);
+            write_wire(request.initQueue(), queue);
+            request.setPatienceMs(static_cast<std::uint32_t>(patience.count()));
+            return request.send().then([job = work.m_id](auto answer) -> response {
+                const auto end = read_wire(answer.getEnd(), job);
+                if (!end)
+                    return std::nullopt;
+                return handed_job_end{*end, read_wire(answer.getStatus())};
+            });
+        }));
+}
+
 } // namespace hawthornpin
--- a/main/platform_link.h
+++ b/main/platform_link.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "rpc/hand_in_wire.h"
 #include "rpc/link.h"
 #include "rpc/run_wire.h"
 
@@ -22,6 +23,12 @@
     std::string m_directory;
 };
 
+// How a job ended that was handed on, and the home's status then.
+struct handed_job_end {
+    job_answer_event m_answer;
+    home_status m_status;
+};
+
 // Every promise is empty or false if the peer can't be reached or does not answer in time; its link is closed
 // then, so that a connection that went silent is not used again.
 class platform_link {
@@ -37,6 +44,15 @@
     kj::Promise<std::optional<shared_knowledge>> share(const std::string& address,
                                                        const std::string& own_address,
                                                        const shared_knowledge& known, milliseconds timeout);
+    // A heartbeat of an entry to a home of its jobs.
+    kj::Promise<std::optional<home_status>> attend(const std::string& address, const entry_presence& presence,
+                                                   milliseconds timeout);
+    // Hands a job on; the call lasts as long as the job, and dropping the promise ends the job. Empty if the
+    // connection broke: the job may have run.
+    kj::Promise<std::optional<handed_job_end>> hand_in(const std::string& address,
+                                                       const entry_presence& presence,
+                                                       const work_request& work, const queue_contract& queue,
+                                                       milliseconds patience);
 
 private:
     template <typename Value>
--- a/membership/entry_list.cpp
+++ b/membership/entry_list.cpp
@@ -17,7 +17,7 @@
     for (const std::string& address : addresses) {
         if (address == list.m_self || address.empty())
             continue;
-        list.m_entries.try_emplace(address, known_entry{false, now, instant()});
+        list.m_entries.try_emplace(address, known_entry{false, now, instant(), false});
     }
 }
 
@@ -25,7 +25,17 @@
 {
     if (address == list.m_self || address.empty())
         return;
-    list.m_entries[address].m_heard_at = now;
+    known_entry& entry = list.m_entries[address];
+    entry.m_heard_at = now;
+    entry.m_is_presented = false;
+}
+
+void note_presented(entry_list& list, const std::string& address, instant now)
+{
+    note_heard(list, address, now);
+    const auto entry = list.m_entries.find(address);
+    if (entry != list.m_entries.end())
+        entry->second.m_is_presented = true;
 }
 
 void forget_silent(entry_list& list, instant now)
--- a/membership/entry_list.h
+++ b/membership/entry_list.h
@@ -18,6 +18,8 @@
     // When it was last heard itself; hearsay does not count.
     instant m_heard_at;
     instant m_called_at;
+    // Whether it was last heard as the answer to a presentation.
+    bool m_is_presented = false;
 };
 
 struct entry_list {
@@ -31,6 +33,8 @@
 void note_hearsay(entry_list& list, const std::vector<std::string>& addresses, instant now);
 // The entry itself called or answered.
 void note_heard(entry_list& list, const std::string& address, instant now);
+// The entry answered a presentation: it knows this process.
+void note_presented(entry_list& list, const std::string& address, instant now);
 void forget_silent(entry_list& list, instant now);
 
 // Entries heard within the period after which they are forgotten: what is told to others.
--- /dev/null
+++ b/membership/home_choice.cpp
@@ -0,0 +1,49 @@
+// Ranks by hash.
+
+#include "membership/home_choice.h"
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+namespace hawthornpin {
+
+namespace {
+
+// The same in all processes: they run the same program, and the library's hash has a fixed seed.
+std::size_t rank(const std::string& home, const std::string& chooser)
+{
+    return std::hash<std::string>()(chooser + '\n' + home);
+}
+
+std::vector<home_candidate> lowest_ranks(const std::vector<home_candidate>& candidates,
+                                         const std::string& chooser, std::size_t count)
+{
+    std::vector<std::pair<std::size_t, home_candidate>> ranked;
+    for (const home_candidate& candidate : candidates)
+        ranked.emplace_back(rank(candidate.m_id, chooser), candidate);
+    std::sort(ranked.begin(), ranked.end());
+    ranked.resize(std::min(count, ranked.size()));
+    std::vector<home_candidate> lowest;
+    for (auto& [position, candidate] : ranked)
+        lowest.push_back(std::move(candidate));
+    return lowest;
+}
+
+} // namespace
+
+std::vector<home_candidate> choose_homes(const std::vector<home_candidate>& agents,
+                                         const home_choice_limits& limits)
+{
+    if (agents.size() <= limits.m_most_agents_without_homes)
+        return {};
+    return lowest_ranks(agents, "", agents.size() / limits.m_agents_per_home);
+}
+
+std::vector<home_candidate> nearest_homes(const std::vector<home_candidate>& homes, const std::string& id,
+                                          std::size_t count)
+{
+    return lowest_ranks(homes, id, count);
+}
+
+} // namespace hawthornpin
--- /dev/null
+++ b/membership/home_choice.h
@@ -0,0 +1,46 @@
+// Which agents of a large service are homes of jobs, and which of these an agent or an entry works with.
+// Pure.
+//
+// Rendezvous hashing: processes that know nearly the same agents choose nearly the same homes, and an agent
+// that comes or goes changes little. Nothing depends on agreement: an agent takes orders from any home.
+
+#pragma once
+
+#include <compare>
+#include <string>
+#include <vector>
+
+namespace hawthornpin {
+
+struct home_candidate {
+    // Of the agent.
+    std::string m_id;
+    // For calls between processes.
+    std::string m_address;
+
+    friend auto operator<=>(const home_candidate&, const home_candidate&) = default;
+};
+
+struct home_choice_limits {
+    // An entry schedules the jobs of its callers itself while it knows at most this many agents, each of
+    // which costs it ten messages a second. With more it hands the jobs on to homes among the agents, which
+    // have most of a large system's processor time.
+    std::size_t m_most_agents_without_homes = 24;
+    // One agent in this many is a home.
+    std::size_t m_agents_per_home = 3;
+    // Homes that an agent takes orders from. Times m_agents_per_home, it is the number of agents that a home
+    // works with, whatever the size of the system.
+    std::size_t m_homes_per_agent = 6;
+    // Homes that an entry hands its jobs on to.
+    std::size_t m_homes_per_entry = 8;
+};
+
+// The homes among the agents.
+std::vector<home_candidate> choose_homes(const std::vector<home_candidate>& agents,
+                                         const home_choice_limits& limits);
+
+// The homes that the agent or entry with this id works with, `count` at most.
+std::vector<home_candidate> nearest_homes(const std::vector<home_candidate>& homes, const std::string& id,
+                                          std::size_t count);
+
+} // namespace hawthornpin
--- /dev/null
+++ b/routing/home_table.cpp
@@ -0,0 +1,133 @@
+// Sessions, heartbeats and the choice of a home.
+
+#include "routing/home_table.h"
+
+#include <array>
+
+namespace hawthornpin {
+
+namespace {
+
+bool is_open(const home_table& table, const home_view& home, instant now)
+{
+    return home.m_is_chosen && !home.m_status.m_is_leaving && home.m_status.m_usable_agents > 0 &&
+           home.m_clock_seen != 0 && home.m_clock_seen_at + table.m_limits.m_suspect_after >= now;
+}
+
+void begin_session(home_table& table, home_view& home)
+{
+    home.m_session = table.m_random();
+    home.m_clock_seen = 0;
+    home.m_is_call_open = false;
+    home.m_jobs.clear();
+}
+
+} // namespace
+
+void set_chosen_homes(home_table& table, const std::vector<home_candidate>& homes)
+{
+    for (auto& [id, home] : table.m_homes)
+        home.m_is_chosen = false;
+    for (const home_candidate& chosen : homes) {
+        const auto [position, is_new] = table.m_homes.try_emplace(chosen.m_id);
+        home_view& home = position->second;
+        // Another address is another machine.
+        if (is_new || home.m_address != chosen.m_address)
+            begin_session(table, home);
+        home.m_address = chosen.m_address;
+        home.m_is_chosen = true;
+    }
+    std::erase_if(table.m_homes,
+                  [](const auto& item) { return !item.second.m_is_chosen && item.second.m_jobs.empty(); });
+}
+
+std::optional<std::string> choose_home(home_table& table, const std::set<std::string>& excluded, instant now)
+{
+    std::vector<std::string> open;
+    for (const auto& [id, home] : table.m_homes) {
+        if (is_open(table, home, now) && !excluded.contains(id))
+            open.push_back(id);
+    }
+    if (open.empty())
+        return std::nullopt;
+    const std::array<std::string, 2> drawn = {open[draw_below(table.m_random, open.size())],
+                                              open[draw_below(table.m_random, open.size())]};
+    const bool is_first_shorter =
+        table.m_homes.at(drawn[0]).m_jobs.size() <= table.m_homes.at(drawn[1]).m_jobs.size();
+    return is_first_shorter ? drawn[0] : drawn[1];
+}
+
+entry_presence make_presence(const home_table& table, const std::string& home)
+{
+    const home_view& view = table.m_homes.at(home);
+    return {{table.m_self, view.m_session}, view.m_clock_seen, table.m_homes_per_agent};
+}
+
+std::vector<home_call> take_home_calls(home_table& table, instant now)
+{
+    std::vector<home_call> calls;
+    for (auto& [id, home] : table.m_homes) {
+        if (home.m_is_call_open || home.m_called_at + table.m_limits.m_heartbeat > now)
+            continue;
+        home.m_is_call_open = true;
+        home.m_called_at = now;
+        calls.push_back({id, home.m_address, make_presence(table, id)});
+    }
+    return calls;
+}
+
+void note_home_status(home_table& table, const std::string& home, std::uint64_t session,
+                      const home_status& status, instant now)
+{
+    const auto found = table.m_homes.find(home);
+    if (found == table.m_homes.end() || found->second.m_session != session)
+        return;
+    home_view& view = found->second;
+    view.m_is_call_open = false;
+    if (status.m_clock <= view.m_clock_seen)
+        return;
+    view.m_clock_seen = status.m_clock;
+    view.m_clock_seen_at = now;
+    view.m_status = status;
+}
+
+void note_home_call_lost(home_table& table, const std::string& home, std::uint64_t session)
+{
+    const auto found = table.m_homes.find(home);
+    if (found != table.m_homes.end() && found->second.m_session == session)
+        found->second.m_is_call_open = false;
+}
+
+void note_handed_on(home_table& table, const std::string& home, const std::string& job)
+{
+    table.m_homes.at(home).m_jobs.insert(job);
+}
+
+void note_handed_back(home_table& table, const std::string& home, const std::string& job)
+{
+    const auto found = table.m_homes.find(home);
+    if (found != table.m_homes.end())
+        found->second.m_jobs.erase(job);
+}
+
+std::vector<std::string> list_silent_homes(const home_table& table, instant now)
+{
+    std::vector<std::string> silent;
+    for (const auto& [id, home] : table.m_homes) {
+        if (!home.m_jobs.empty() && home.m_clock_seen_at + table.m_limits.m_give_up_after < now)
+            silent.push_back(id);
+    }
+    return silent;
+}
+
+std::set<std::string> give_up_home(home_table& table, const std::string& home)
+{
+    const auto found = table.m_homes.find(home);
+    if (found == table.m_homes.end())
+        return {};
+    auto lost = std::move(found->second.m_jobs);
+    begin_session(table, found->second);
+    return lost;
+}
+
+} // namespace hawthornpin
--- /dev/null
+++ b/rpc/hand_in_wire.h
@@ -0,0 +1,31 @@
+// Translation of jobs that are handed on to homes, and of what entries and homes say of themselves.
+
+#pragma once
+
+#include "config/service_directory.h"
+#include "dispatch/job_scheduler.h"
+#include "rpc/hawthornpin.capnp.h"
+#include "world/hand_in.h"
+
+#include <optional>
+
+namespace hawthornpin {
+
+void write_wire(wire::WorkRequest::Builder to, const work_request& from);
+work_request read_wire(wire::WorkRequest::Reader from);
+
+// Only what a home needs; a queue's addresses stay with the entry.
+void write_wire(wire::QueueContract::Builder to, const queue_contract& from);
+queue_contract read_wire(wire::QueueContract::Reader from);
+
+void write_wire(wire::EntryPresence::Builder to, const entry_presence& from);
+entry_presence read_wire(wire::EntryPresence::Reader from);
+
+void write_wire(wire::HomeStatus::Builder to, const home_status& from);
+home_status read_wire(wire::HomeStatus::Reader from);
+
+void write_wire(wire::JobEnd::Builder to, const job_answer_event& from);
+// Empty for an end or a reason of a newer version.
+std::optional<job_answer_event> read_wire(wire::JobEnd::Reader from, const std::string& job);
+
+} // namespace hawthornpin
--- a/rpc/hawthornpin.capnp
+++ b/rpc/hawthornpin.capnp
@@ -184,6 +184,56 @@
   durationMs @2 :UInt32;
 }
 
+struct JobStep {
+  taskCount @0 :UInt32;
+  perTask @1 :Resources;
+  estimateMs @2 :UInt32;
+  dependsOn @3 :List(UInt32);
+  requiredLabel @4 :Text;
+  preferredRack @5 :Text;
+  maxPerWorker @6 :UInt32;
+  isCheckpointing @7 :Bool;
+  isGang @8 :Bool;
+  isLongRunning @9 :Bool;
+  isFilling @10 :Bool;
+}
+
+struct WorkRequest {
+  id @0 :Text;
+  specification @1 :Text;
+  steps @2 :List(JobStep);
+  isBestEffort @3 :Bool;
+  repeatCount @4 :UInt32;
+}
+
+# What a home needs of a queue's contract.
+struct QueueContract {
+  name @0 :Text;
+  service @1 :Text;
+  priority @2 :Int32;
+  maxAttempts @3 :UInt32;
+  stretch @4 :Float64;
+  latencyTargetMs @5 :UInt32;
+}
+
+struct EntryPresence {
+  session @0 :Life;
+  clockSeen @1 :UInt64;
+  homesPerAgent @2 :UInt32;
+}
+
+struct HomeStatus {
+  clock @0 :UInt64;
+  usableAgents @1 :UInt32;
+  isLeaving @2 :Bool;
+}
+
+struct JobEnd {
+  end @0 :UInt8;
+  reason @1 :UInt8;
+  retryAfterMs @2 :UInt32;
+}
+
 # The first capability of every connection: proves that both ends hold the same cluster key.
 interface Authenticator {
   challenge @0 () -> (nonce :Text);
@@ -215,4 +265,10 @@
   # Between entries: who is there, and the directory if the answering one has a newer version.
   share @11 (address :Text, entries :List(Text), version :Int64)
       -> (entries :List(Text), version :Int64, directory :Text);
+
+  # An entry and a home of its callers' jobs: heartbeats, and jobs, whose calls end when the jobs do. A call that
+  # is dropped ends its job.
+  attend @12 (presence :EntryPresence) -> (status :HomeStatus);
+  handIn @13 (presence :EntryPresence, work :WorkRequest, queue :QueueContract, patienceMs :UInt32)
+      -> (end :JobEnd, status :HomeStatus);
 }
--- a/rpc/hawthornpin.capnp.h
+++ b/rpc/hawthornpin.capnp.h
@@ -41,6 +41,12 @@
 CAPNP_DECLARE_SCHEMA(c827ce08d5626e51);
 CAPNP_DECLARE_SCHEMA(ea319bdd5dbe9ef2);
 CAPNP_DECLARE_SCHEMA(ecc04a079d328096);
+CAPNP_DECLARE_SCHEMA(f71ef22564e5e443);
+CAPNP_DECLARE_SCHEMA(c3fdb91fbf906f1d);
+CAPNP_DECLARE_SCHEMA(e9b1f6e4b4888e79);
+CAPNP_DECLARE_SCHEMA(9026245d0502a64e);
+CAPNP_DECLARE_SCHEMA(cb7d0e39e002ce7b);
+CAPNP_DECLARE_SCHEMA(a4a5d06e4abab15d);
 CAPNP_DECLARE_SCHEMA(8d73251c47bf737c);
 CAPNP_DECLARE_SCHEMA(fe54a2ce80b3194a);
 CAPNP_DECLARE_SCHEMA(e4f22f4e280ba877);
@@ -71,6 +77,10 @@
 CAPNP_DECLARE_SCHEMA(86e3a4d8f2f436a9);
 CAPNP_DECLARE_SCHEMA(fb4cc42e005e7817);
 CAPNP_DECLARE_SCHEMA(9b28466d322aae4d);
+CAPNP_DECLARE_SCHEMA(9e3c9980760947ce);
+CAPNP_DECLARE_SCHEMA(d1ee6fb1050e1794);
+CAPNP_DECLARE_SCHEMA(f7b78201ccc0872b);
+CAPNP_DECLARE_SCHEMA(f8b104dd4e4102cb);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -408,6 +418,96 @@
   };
 };
 
+struct JobStep {
+  JobStep() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f71ef22564e5e443, 2, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct WorkRequest {
+  WorkRequest() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c3fdb91fbf906f1d, 1, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct QueueContract {
+  QueueContract() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e9b1f6e4b4888e79, 3, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct EntryPresence {
+  EntryPresence() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9026245d0502a64e, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct HomeStatus {
+  HomeStatus() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(cb7d0e39e002ce7b, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct JobEnd {
+  JobEnd() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a4a5d06e4abab15d, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Authenticator {
   Authenticator() = delete;
 
@@ -521,6 +621,10 @@
   struct PresentResults;
   struct ShareParams;
   struct ShareResults;
+  struct AttendParams;
+  struct AttendResults;
+  struct HandInParams;
+  struct HandInResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -890,6 +994,66 @@
   };
 };
 
+struct Node::AttendParams {
+  AttendParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9e3c9980760947ce, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Node::AttendResults {
+  AttendResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d1ee6fb1050e1794, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Node::HandInParams {
+  HandInParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f7b78201ccc0872b, 1, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Node::HandInResults {
+  HandInResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f8b104dd4e4102cb, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class AgentIdentity::Reader {
@@ -3269,68 +3433,9 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class Authenticator::Client
-    : public virtual ::capnp::Capability::Client {
-public:
-  typedef Authenticator Calls;
-  typedef Authenticator Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::hawthornpin::wire::Authenticator::ChallengeParams,  ::hawthornpin::wire::Authenticator::ChallengeResults> challengeRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::hawthornpin::wire::Authenticator::AuthenticateParams,  ::hawthornpin::wire::Authenticator::AuthenticateResults> authenticateRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-
-protected:
-  Client() = default;
-};
-
-class Authenticator::Server
-    : public virtual ::capnp::Capability::Server {
-public:
-  typedef Authenticator Serves;
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::hawthornpin::wire::Authenticator::ChallengeParams ChallengeParams;
-  typedef  ::hawthornpin::wire::Authenticator::ChallengeResults ChallengeResults;
-  typedef ::capnp::CallContext<ChallengeParams, ChallengeResults> ChallengeContext;
-  virtual ::kj::Promise<void> challenge(ChallengeContext context);
-  typedef  ::hawthornpin::wire::Authenticator::AuthenticateParams AuthenticateParams;
-  typedef  ::hawthornpin::wire::Authenticator::AuthenticateResults AuthenticateResults;
-  typedef ::capnp::CallContext<AuthenticateParams, AuthenticateResults> AuthenticateContext;
-  virtual ::kj::Promise<void> authenticate(AuthenticateContext context);
-
-  inline  ::hawthornpin::wire::Authenticator::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::hawthornpin::wire::Authenticator>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
-
-class Authenticator::ChallengeParams::Reader {
+class JobStep::Reader {
 public:
-  typedef ChallengeParams Reads;
+  typedef JobStep Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3345,6 +3450,32 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline  ::uint32_t getTaskCount() const;
+
+  inline bool hasPerTask() const;
+  inline  ::hawthornpin::wire::Resources::Reader getPerTask() const;
+
+  inline  ::uint32_t getEstimateMs() const;
+
+  inline bool hasDependsOn() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getDependsOn() const;
+
+  inline bool hasRequiredLabel() const;
+  inline  ::capnp::Text::Reader getRequiredLabel() const;
+
+  inline bool hasPreferredRack() const;
+  inline  ::capnp::Text::Reader getPreferredRack() const;
+
+  inline  ::uint32_t getMaxPerWorker() const;
+
+  inline bool getIsCheckpointing() const;
+
+  inline bool getIsGang() const;
+
+  inline bool getIsLongRunning() const;
+
+  inline bool getIsFilling() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3357,9 +3488,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Authenticator::ChallengeParams::Builder {
+class JobStep::Builder {
 public:
-  typedef ChallengeParams Builds;
+  typedef JobStep Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3373,6 +3504,56 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline  ::uint32_t getTaskCount();
+  inline void setTaskCount( ::uint32_t value);
+
+  inline bool hasPerTask();
+  inline  ::hawthornpin::wire::Resources::Builder getPerTask();
+  inline void setPerTask( ::hawthornpin::wire::Resources::Reader value);
+  inline  ::hawthornpin::wire::Resources::Builder initPerTask();
+  inline void adoptPerTask(::capnp::Orphan< ::hawthornpin::wire::Resources>&& value);
+  inline ::capnp::Orphan< ::hawthornpin::wire::Resources> disownPerTask();
+
+  inline  ::uint32_t getEstimateMs();
+  inline void setEstimateMs( ::uint32_t value);
+
+  inline bool hasDependsOn();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getDependsOn();
+  inline void setDependsOn( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setDependsOn(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initDependsOn(unsigned int size);
+  inline void adoptDependsOn(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownDependsOn();
+
+  inline bool hasRequiredLabel();
+  inline  ::capnp::Text::Builder getRequiredLabel();
+  inline void setRequiredLabel( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRequiredLabel(unsigned int size);
+  inline void adoptRequiredLabel(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRequiredLabel();
+
+  inline bool hasPreferredRack();
+  inline  ::capnp::Text::Builder getPreferredRack();
+  inline void setPreferredRack( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPreferredRack(unsigned int size);
+  inline void adoptPreferredRack(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPreferredRack();
+
+  inline  ::uint32_t getMaxPerWorker();
+  inline void setMaxPerWorker( ::uint32_t value);
+
+  inline bool getIsCheckpointing();
+  inline void setIsCheckpointing(bool value);
+
+  inline bool getIsGang();
+  inline void setIsGang(bool value);
+
+  inline bool getIsLongRunning();
+  inline void setIsLongRunning(bool value);
+
+  inline bool getIsFilling();
+  inline void setIsFilling(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3383,14 +3564,15 @@
 };
 
 #if !CAPNP_LITE
-class Authenticator::ChallengeParams::Pipeline {
+class JobStep::Pipeline {
 public:
-  typedef ChallengeParams Pipelines;
+  typedef JobStep Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::hawthornpin::wire::Resources::Pipeline getPerTask();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3399,9 +3581,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Authenticator::ChallengeResults::Reader {
+class WorkRequest::Reader {
 public:
-  typedef ChallengeResults Reads;
+  typedef WorkRequest Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3416,8 +3598,18 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasNonce() const;
-  inline  ::capnp::Text::Reader getNonce() const;
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
+
+  inline bool hasSpecification() const;
+  inline  ::capnp::Text::Reader getSpecification() const;
+
+  inline bool hasSteps() const;
+  inline  ::capnp::List< ::hawthornpin::wire::JobStep,  ::capnp::Kind::STRUCT>::Reader getSteps() const;
+
+  inline bool getIsBestEffort() const;
+
+  inline  ::uint32_t getRepeatCount() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3431,9 +3623,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Authenticator::ChallengeResults::Builder {
+class WorkRequest::Builder {
 public:
-  typedef ChallengeResults Builds;
+  typedef WorkRequest Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3447,12 +3639,32 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasNonce();
-  inline  ::capnp::Text::Builder getNonce();
-  inline void setNonce( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initNonce(unsigned int size);
-  inline void adoptNonce(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownNonce();
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
+
+  inline bool hasSpecification();
+  inline  ::capnp::Text::Builder getSpecification();
+  inline void setSpecification( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSpecification(unsigned int size);
+  inline void adoptSpecification(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSpecification();
+
+  inline bool hasSteps();
+  inline  ::capnp::List< ::hawthornpin::wire::JobStep,  ::capnp::Kind::STRUCT>::Builder getSteps();
+  inline void setSteps( ::capnp::List< ::hawthornpin::wire::JobStep,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::hawthornpin::wire::JobStep,  ::capnp::Kind::STRUCT>::Builder initSteps(unsigned int size);
+  inline void adoptSteps(::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::JobStep,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::JobStep,  ::capnp::Kind::STRUCT>> disownSteps();
+
+  inline bool getIsBestEffort();
+  inline void setIsBestEffort(bool value);
+
+  inline  ::uint32_t getRepeatCount();
+  inline void setRepeatCount( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3464,9 +3676,9 @@
 };
 
 #if !CAPNP_LITE
-class Authenticator::ChallengeResults::Pipeline {
+class WorkRequest::Pipeline {
 public:
-  typedef ChallengeResults Pipelines;
+  typedef WorkRequest Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3480,9 +3692,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Authenticator::AuthenticateParams::Reader {
+class QueueContract::Reader {
 public:
-  typedef AuthenticateParams Reads;
+  typedef QueueContract Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3497,13 +3709,24 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasProof() const;
-  inline  ::capnp::Text::Reader getProof() const;
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
 
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline  ::int32_t getPriority() const;
+
+  inline  ::uint32_t getMaxAttempts() const;
+
+  inline double getStretch() const;
+
+  inline  ::uint32_t getLatencyTargetMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
   template <typename, ::capnp::Kind>
   friend struct ::capnp::_::PointerHelpers;
   template <typename, ::capnp::Kind>
@@ -3512,9 +3735,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Authenticator::AuthenticateParams::Builder {
+class QueueContract::Builder {
 public:
-  typedef AuthenticateParams Builds;
+  typedef QueueContract Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3528,12 +3751,31 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasProof();
-  inline  ::capnp::Text::Builder getProof();
-  inline void setProof( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initProof(unsigned int size);
-  inline void adoptProof(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownProof();
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline  ::int32_t getPriority();
+  inline void setPriority( ::int32_t value);
+
+  inline  ::uint32_t getMaxAttempts();
+  inline void setMaxAttempts( ::uint32_t value);
+
+  inline double getStretch();
+  inline void setStretch(double value);
+
+  inline  ::uint32_t getLatencyTargetMs();
+  inline void setLatencyTargetMs( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3545,9 +3787,9 @@
 };
 
 #if !CAPNP_LITE
-class Authenticator::AuthenticateParams::Pipeline {
+class QueueContract::Pipeline {
 public:
-  typedef AuthenticateParams Pipelines;
+  typedef QueueContract Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3561,9 +3803,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Authenticator::AuthenticateResults::Reader {
+class EntryPresence::Reader {
 public:
-  typedef AuthenticateResults Reads;
+  typedef EntryPresence Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3578,10 +3820,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasNode() const;
-#if !CAPNP_LITE
-  inline  ::hawthornpin::wire::Node::Client getNode() const;
-#endif  // !CAPNP_LITE
+  inline bool hasSession() const;
+  inline  ::hawthornpin::wire::Life::Reader getSession() const;
+
+  inline  ::uint64_t getClockSeen() const;
+
+  inline  ::uint32_t getHomesPerAgent() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3595,9 +3839,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Authenticator::AuthenticateResults::Builder {
+class EntryPresence::Builder {
 public:
-  typedef AuthenticateResults Builds;
+  typedef EntryPresence Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3611,14 +3855,18 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasNode();
-#if !CAPNP_LITE
-  inline  ::hawthornpin::wire::Node::Client getNode();
-  inline void setNode( ::hawthornpin::wire::Node::Client&& value);
-  inline void setNode( ::hawthornpin::wire::Node::Client& value);
-  inline void adoptNode(::capnp::Orphan< ::hawthornpin::wire::Node>&& value);
-  inline ::capnp::Orphan< ::hawthornpin::wire::Node> disownNode();
-#endif  // !CAPNP_LITE
+  inline bool hasSession();
+  inline  ::hawthornpin::wire::Life::Builder getSession();
+  inline void setSession( ::hawthornpin::wire::Life::Reader value);
+  inline  ::hawthornpin::wire::Life::Builder initSession();
+  inline void adoptSession(::capnp::Orphan< ::hawthornpin::wire::Life>&& value);
+  inline ::capnp::Orphan< ::hawthornpin::wire::Life> disownSession();
+
+  inline  ::uint64_t getClockSeen();
+  inline void setClockSeen( ::uint64_t value);
+
+  inline  ::uint32_t getHomesPerAgent();
+  inline void setHomesPerAgent( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3630,15 +3878,15 @@
 };
 
 #if !CAPNP_LITE
-class Authenticator::AuthenticateResults::Pipeline {
+class EntryPresence::Pipeline {
 public:
-  typedef AuthenticateResults Pipelines;
+  typedef EntryPresence Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::hawthornpin::wire::Node::Client getNode();
+  inline  ::hawthornpin::wire::Life::Pipeline getSession();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3647,128 +3895,9 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class Node::Client
-    : public virtual ::capnp::Capability::Client {
-public:
-  typedef Node Calls;
-  typedef Node Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::hawthornpin::wire::Node::SubmitParams,  ::hawthornpin::wire::Node::SubmitResults> submitRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::hawthornpin::wire::Node::FetchParams,  ::hawthornpin::wire::Node::FetchResults> fetchRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::hawthornpin::wire::Node::CancelParams,  ::hawthornpin::wire::Node::CancelResults> cancelRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::hawthornpin::wire::Node::RunParams,  ::hawthornpin::wire::Node::RunResults> runRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::hawthornpin::wire::Node::RevokeParams,  ::hawthornpin::wire::Node::RevokeResults> revokeRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::hawthornpin::wire::Node::IdleParams,  ::hawthornpin::wire::Node::IdleResults> idleRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::hawthornpin::wire::Node::AnnounceParams,  ::hawthornpin::wire::Node::AnnounceResults> announceRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::hawthornpin::wire::Node::ExchangeParams,  ::hawthornpin::wire::Node::ExchangeResults> exchangeRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::hawthornpin::wire::Node::OrderParams,  ::hawthornpin::wire::Node::OrderResults> orderRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::hawthornpin::wire::Node::ReportParams,  ::hawthornpin::wire::Node::ReportResults> reportRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::hawthornpin::wire::Node::PresentParams,  ::hawthornpin::wire::Node::PresentResults> presentRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::hawthornpin::wire::Node::ShareParams,  ::hawthornpin::wire::Node::ShareResults> shareRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-
-protected:
-  Client() = default;
-};
-
-class Node::Server
-    : public virtual ::capnp::Capability::Server {
-public:
-  typedef Node Serves;
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::hawthornpin::wire::Node::SubmitParams SubmitParams;
-  typedef  ::hawthornpin::wire::Node::SubmitResults SubmitResults;
-  typedef ::capnp::CallContext<SubmitParams, SubmitResults> SubmitContext;
-  virtual ::kj::Promise<void> submit(SubmitContext context);
-  typedef  ::hawthornpin::wire::Node::FetchParams FetchParams;
-  typedef  ::hawthornpin::wire::Node::FetchResults FetchResults;
-  typedef ::capnp::CallContext<FetchParams, FetchResults> FetchContext;
-  virtual ::kj::Promise<void> fetch(FetchContext context);
-  typedef  ::hawthornpin::wire::Node::CancelParams CancelParams;
-  typedef  ::hawthornpin::wire::Node::CancelResults CancelResults;
-  typedef ::capnp::CallContext<CancelParams, CancelResults> CancelContext;
-  virtual ::kj::Promise<void> cancel(CancelContext context);
-  typedef  ::hawthornpin::wire::Node::RunParams RunParams;
-  typedef  ::hawthornpin::wire::Node::RunResults RunResults;
-  typedef ::capnp::CallContext<RunParams, RunResults> RunContext;
-  virtual ::kj::Promise<void> run(RunContext context);
-  typedef  ::hawthornpin::wire::Node::RevokeParams RevokeParams;
-  typedef  ::hawthornpin::wire::Node::RevokeResults RevokeResults;
-  typedef ::capnp::CallContext<RevokeParams, RevokeResults> RevokeContext;
-  virtual ::kj::Promise<void> revoke(RevokeContext context);
-  typedef  ::hawthornpin::wire::Node::IdleParams IdleParams;
-  typedef  ::hawthornpin::wire::Node::IdleResults IdleResults;
-  typedef ::capnp::CallContext<IdleParams, IdleResults> IdleContext;
-  virtual ::kj::Promise<void> idle(IdleContext context);
-  typedef  ::hawthornpin::wire::Node::AnnounceParams AnnounceParams;
-  typedef  ::hawthornpin::wire::Node::AnnounceResults AnnounceResults;
-  typedef ::capnp::CallContext<AnnounceParams, AnnounceResults> AnnounceContext;
-  virtual ::kj::Promise<void> announce(AnnounceContext context);
-  typedef  ::hawthornpin::wire::Node::ExchangeParams ExchangeParams;
-  typedef  ::hawthornpin::wire::Node::ExchangeResults ExchangeResults;
-  typedef ::capnp::CallContext<ExchangeParams, ExchangeResults> ExchangeContext;
-  virtual ::kj::Promise<void> exchange(ExchangeContext context);
-  typedef  ::hawthornpin::wire::Node::OrderParams OrderParams;
-  typedef  ::hawthornpin::wire::Node::OrderResults OrderResults;
-  typedef ::capnp::CallContext<OrderParams, OrderResults> OrderContext;
-  virtual ::kj::Promise<void> order(OrderContext context);
-  typedef  ::hawthornpin::wire::Node::ReportParams ReportParams;
-  typedef  ::hawthornpin::wire::Node::ReportResults ReportResults;
-  typedef ::capnp::CallContext<ReportParams, ReportResults> ReportContext;
-  virtual ::kj::Promise<void> report(ReportContext context);
-  typedef  ::hawthornpin::wire::Node::PresentParams PresentParams;
-  typedef  ::hawthornpin::wire::Node::PresentResults PresentResults;
-  typedef ::capnp::CallContext<PresentParams, PresentResults> PresentContext;
-  virtual ::kj::Promise<void> present(PresentContext context);
-  typedef  ::hawthornpin::wire::Node::ShareParams ShareParams;
-  typedef  ::hawthornpin::wire::Node::ShareResults ShareResults;
-  typedef ::capnp::CallContext<ShareParams, ShareResults> ShareContext;
-  virtual ::kj::Promise<void> share(ShareContext context);
-
-  inline  ::hawthornpin::wire::Node::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::hawthornpin::wire::Node>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
-
-class Node::SubmitParams::Reader {
+class HomeStatus::Reader {
 public:
-  typedef SubmitParams Reads;
+  typedef HomeStatus Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3783,13 +3912,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasSubmission() const;
-  inline  ::hawthornpin::wire::Submission::Reader getSubmission() const;
+  inline  ::uint64_t getClock() const;
 
-  inline bool hasFrom() const;
-  inline  ::capnp::Text::Reader getFrom() const;
+  inline  ::uint32_t getUsableAgents() const;
 
-  inline  ::uint64_t getSent() const;
+  inline bool getIsLeaving() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3803,9 +3930,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::SubmitParams::Builder {
+class HomeStatus::Builder {
 public:
-  typedef SubmitParams Builds;
+  typedef HomeStatus Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3819,22 +3946,14 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasSubmission();
-  inline  ::hawthornpin::wire::Submission::Builder getSubmission();
-  inline void setSubmission( ::hawthornpin::wire::Submission::Reader value);
-  inline  ::hawthornpin::wire::Submission::Builder initSubmission();
-  inline void adoptSubmission(::capnp::Orphan< ::hawthornpin::wire::Submission>&& value);
-  inline ::capnp::Orphan< ::hawthornpin::wire::Submission> disownSubmission();
+  inline  ::uint64_t getClock();
+  inline void setClock( ::uint64_t value);
 
-  inline bool hasFrom();
-  inline  ::capnp::Text::Builder getFrom();
-  inline void setFrom( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initFrom(unsigned int size);
-  inline void adoptFrom(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownFrom();
+  inline  ::uint32_t getUsableAgents();
+  inline void setUsableAgents( ::uint32_t value);
 
-  inline  ::uint64_t getSent();
-  inline void setSent( ::uint64_t value);
+  inline bool getIsLeaving();
+  inline void setIsLeaving(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3846,15 +3965,14 @@
 };
 
 #if !CAPNP_LITE
-class Node::SubmitParams::Pipeline {
+class HomeStatus::Pipeline {
 public:
-  typedef SubmitParams Pipelines;
+  typedef HomeStatus Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::hawthornpin::wire::Submission::Pipeline getSubmission();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3863,9 +3981,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::SubmitResults::Reader {
+class JobEnd::Reader {
 public:
-  typedef SubmitResults Reads;
+  typedef JobEnd Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3880,13 +3998,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAnswer() const;
-  inline  ::hawthornpin::wire::JobAnswer::Reader getAnswer() const;
+  inline  ::uint8_t getEnd() const;
 
-  inline bool hasLoad() const;
-  inline  ::hawthornpin::wire::Load::Reader getLoad() const;
+  inline  ::uint8_t getReason() const;
 
-  inline  ::uint64_t getSeen() const;
+  inline  ::uint32_t getRetryAfterMs() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3900,9 +4016,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::SubmitResults::Builder {
+class JobEnd::Builder {
 public:
-  typedef SubmitResults Builds;
+  typedef JobEnd Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3916,22 +4032,14 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAnswer();
-  inline  ::hawthornpin::wire::JobAnswer::Builder getAnswer();
-  inline void setAnswer( ::hawthornpin::wire::JobAnswer::Reader value);
-  inline  ::hawthornpin::wire::JobAnswer::Builder initAnswer();
-  inline void adoptAnswer(::capnp::Orphan< ::hawthornpin::wire::JobAnswer>&& value);
-  inline ::capnp::Orphan< ::hawthornpin::wire::JobAnswer> disownAnswer();
+  inline  ::uint8_t getEnd();
+  inline void setEnd( ::uint8_t value);
 
-  inline bool hasLoad();
-  inline  ::hawthornpin::wire::Load::Builder getLoad();
-  inline void setLoad( ::hawthornpin::wire::Load::Reader value);
-  inline  ::hawthornpin::wire::Load::Builder initLoad();
-  inline void adoptLoad(::capnp::Orphan< ::hawthornpin::wire::Load>&& value);
-  inline ::capnp::Orphan< ::hawthornpin::wire::Load> disownLoad();
+  inline  ::uint8_t getReason();
+  inline void setReason( ::uint8_t value);
 
-  inline  ::uint64_t getSeen();
-  inline void setSeen( ::uint64_t value);
+  inline  ::uint32_t getRetryAfterMs();
+  inline void setRetryAfterMs( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3943,16 +4051,14 @@
 };
 
 #if !CAPNP_LITE
-class Node::SubmitResults::Pipeline {
+class JobEnd::Pipeline {
 public:
-  typedef SubmitResults Pipelines;
+  typedef JobEnd Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::hawthornpin::wire::JobAnswer::Pipeline getAnswer();
-  inline  ::hawthornpin::wire::Load::Pipeline getLoad();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3961,96 +4067,68 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::FetchParams::Reader {
+#if !CAPNP_LITE
+class Authenticator::Client
+    : public virtual ::capnp::Capability::Client {
 public:
-  typedef FetchParams Reads;
+  typedef Authenticator Calls;
+  typedef Authenticator Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline bool hasTicket() const;
-  inline  ::hawthornpin::wire::Ticket::Reader getTicket() const;
-
-  inline  ::uint32_t getWaitMs() const;
+  ::capnp::Request< ::hawthornpin::wire::Authenticator::ChallengeParams,  ::hawthornpin::wire::Authenticator::ChallengeResults> challengeRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::hawthornpin::wire::Authenticator::AuthenticateParams,  ::hawthornpin::wire::Authenticator::AuthenticateResults> authenticateRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
+protected:
+  Client() = default;
 };
 
-class Node::FetchParams::Builder {
+class Authenticator::Server
+    : public virtual ::capnp::Capability::Server {
 public:
-  typedef FetchParams Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasTicket();
-  inline  ::hawthornpin::wire::Ticket::Builder getTicket();
-  inline void setTicket( ::hawthornpin::wire::Ticket::Reader value);
-  inline  ::hawthornpin::wire::Ticket::Builder initTicket();
-  inline void adoptTicket(::capnp::Orphan< ::hawthornpin::wire::Ticket>&& value);
-  inline ::capnp::Orphan< ::hawthornpin::wire::Ticket> disownTicket();
-
-  inline  ::uint32_t getWaitMs();
-  inline void setWaitMs( ::uint32_t value);
+  typedef Authenticator Serves;
 
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
 
-#if !CAPNP_LITE
-class Node::FetchParams::Pipeline {
-public:
-  typedef FetchParams Pipelines;
+protected:
+  typedef  ::hawthornpin::wire::Authenticator::ChallengeParams ChallengeParams;
+  typedef  ::hawthornpin::wire::Authenticator::ChallengeResults ChallengeResults;
+  typedef ::capnp::CallContext<ChallengeParams, ChallengeResults> ChallengeContext;
+  virtual ::kj::Promise<void> challenge(ChallengeContext context);
+  typedef  ::hawthornpin::wire::Authenticator::AuthenticateParams AuthenticateParams;
+  typedef  ::hawthornpin::wire::Authenticator::AuthenticateResults AuthenticateResults;
+  typedef ::capnp::CallContext<AuthenticateParams, AuthenticateResults> AuthenticateContext;
+  virtual ::kj::Promise<void> authenticate(AuthenticateContext context);
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+  inline  ::hawthornpin::wire::Authenticator::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::hawthornpin::wire::Authenticator>();
+  }
 
-  inline  ::hawthornpin::wire::Ticket::Pipeline getTicket();
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
 };
 #endif  // !CAPNP_LITE
 
-class Node::FetchResults::Reader {
+class Authenticator::ChallengeParams::Reader {
 public:
-  typedef FetchResults Reads;
+  typedef ChallengeParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4065,12 +4143,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAnswer() const;
-  inline  ::hawthornpin::wire::JobAnswer::Reader getAnswer() const;
-
-  inline bool hasLoad() const;
-  inline  ::hawthornpin::wire::Load::Reader getLoad() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4083,9 +4155,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::FetchResults::Builder {
+class Authenticator::ChallengeParams::Builder {
 public:
-  typedef FetchResults Builds;
+  typedef ChallengeParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4099,20 +4171,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAnswer();
-  inline  ::hawthornpin::wire::JobAnswer::Builder getAnswer();
-  inline void setAnswer( ::hawthornpin::wire::JobAnswer::Reader value);
-  inline  ::hawthornpin::wire::JobAnswer::Builder initAnswer();
-  inline void adoptAnswer(::capnp::Orphan< ::hawthornpin::wire::JobAnswer>&& value);
-  inline ::capnp::Orphan< ::hawthornpin::wire::JobAnswer> disownAnswer();
-
-  inline bool hasLoad();
-  inline  ::hawthornpin::wire::Load::Builder getLoad();
-  inline void setLoad( ::hawthornpin::wire::Load::Reader value);
-  inline  ::hawthornpin::wire::Load::Builder initLoad();
-  inline void adoptLoad(::capnp::Orphan< ::hawthornpin::wire::Load>&& value);
-  inline ::capnp::Orphan< ::hawthornpin::wire::Load> disownLoad();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4123,16 +4181,14 @@
 };
 
 #if !CAPNP_LITE
-class Node::FetchResults::Pipeline {
+class Authenticator::ChallengeParams::Pipeline {
 public:
-  typedef FetchResults Pipelines;
+  typedef ChallengeParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::hawthornpin::wire::JobAnswer::Pipeline getAnswer();
-  inline  ::hawthornpin::wire::Load::Pipeline getLoad();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4141,9 +4197,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::CancelParams::Reader {
+class Authenticator::ChallengeResults::Reader {
 public:
-  typedef CancelParams Reads;
+  typedef ChallengeResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4158,8 +4214,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasTicket() const;
-  inline  ::hawthornpin::wire::Ticket::Reader getTicket() const;
+  inline bool hasNonce() const;
+  inline  ::capnp::Text::Reader getNonce() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4173,9 +4229,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::CancelParams::Builder {
+class Authenticator::ChallengeResults::Builder {
 public:
-  typedef CancelParams Builds;
+  typedef ChallengeResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4189,12 +4245,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasTicket();
-  inline  ::hawthornpin::wire::Ticket::Builder getTicket();
-  inline void setTicket( ::hawthornpin::wire::Ticket::Reader value);
-  inline  ::hawthornpin::wire::Ticket::Builder initTicket();
-  inline void adoptTicket(::capnp::Orphan< ::hawthornpin::wire::Ticket>&& value);
-  inline ::capnp::Orphan< ::hawthornpin::wire::Ticket> disownTicket();
+  inline bool hasNonce();
+  inline  ::capnp::Text::Builder getNonce();
+  inline void setNonce( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initNonce(unsigned int size);
+  inline void adoptNonce(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownNonce();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4206,15 +4262,14 @@
 };
 
 #if !CAPNP_LITE
-class Node::CancelParams::Pipeline {
+class Authenticator::ChallengeResults::Pipeline {
 public:
-  typedef CancelParams Pipelines;
+  typedef ChallengeResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::hawthornpin::wire::Ticket::Pipeline getTicket();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4223,9 +4278,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::CancelResults::Reader {
+class Authenticator::AuthenticateParams::Reader {
 public:
-  typedef CancelResults Reads;
+  typedef AuthenticateParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4240,8 +4295,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasOutcome() const;
-  inline  ::hawthornpin::wire::Outcome::Reader getOutcome() const;
+  inline bool hasProof() const;
+  inline  ::capnp::Text::Reader getProof() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4255,9 +4310,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::CancelResults::Builder {
+class Authenticator::AuthenticateParams::Builder {
 public:
-  typedef CancelResults Builds;
+  typedef AuthenticateParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4271,12 +4326,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasOutcome();
-  inline  ::hawthornpin::wire::Outcome::Builder getOutcome();
-  inline void setOutcome( ::hawthornpin::wire::Outcome::Reader value);
-  inline  ::hawthornpin::wire::Outcome::Builder initOutcome();
-  inline void adoptOutcome(::capnp::Orphan< ::hawthornpin::wire::Outcome>&& value);
-  inline ::capnp::Orphan< ::hawthornpin::wire::Outcome> disownOutcome();
+  inline bool hasProof();
+  inline  ::capnp::Text::Builder getProof();
+  inline void setProof( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initProof(unsigned int size);
+  inline void adoptProof(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownProof();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4288,15 +4343,14 @@
 };
 
 #if !CAPNP_LITE
-class Node::CancelResults::Pipeline {
+class Authenticator::AuthenticateParams::Pipeline {
 public:
-  typedef CancelResults Pipelines;
+  typedef AuthenticateParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::hawthornpin::wire::Outcome::Pipeline getOutcome();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4305,9 +4359,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::RunParams::Reader {
+class Authenticator::AuthenticateResults::Reader {
 public:
-  typedef RunParams Reads;
+  typedef AuthenticateResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4322,8 +4376,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasGrant() const;
-  inline  ::hawthornpin::wire::Grant::Reader getGrant() const;
+  inline bool hasNode() const;
+#if !CAPNP_LITE
+  inline  ::hawthornpin::wire::Node::Client getNode() const;
+#endif  // !CAPNP_LITE
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4337,9 +4393,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::RunParams::Builder {
+class Authenticator::AuthenticateResults::Builder {
 public:
-  typedef RunParams Builds;
+  typedef AuthenticateResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4353,12 +4409,14 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasGrant();
-  inline  ::hawthornpin::wire::Grant::Builder getGrant();
-  inline void setGrant( ::hawthornpin::wire::Grant::Reader value);
-  inline  ::hawthornpin::wire::Grant::Builder initGrant();
-  inline void adoptGrant(::capnp::Orphan< ::hawthornpin::wire::Grant>&& value);
-  inline ::capnp::Orphan< ::hawthornpin::wire::Grant> disownGrant();
+  inline bool hasNode();
+#if !CAPNP_LITE
+  inline  ::hawthornpin::wire::Node::Client getNode();
+  inline void setNode( ::hawthornpin::wire::Node::Client&& value);
+  inline void setNode( ::hawthornpin::wire::Node::Client& value);
+  inline void adoptNode(::capnp::Orphan< ::hawthornpin::wire::Node>&& value);
+  inline ::capnp::Orphan< ::hawthornpin::wire::Node> disownNode();
+#endif  // !CAPNP_LITE
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4370,15 +4428,15 @@
 };
 
 #if !CAPNP_LITE
-class Node::RunParams::Pipeline {
+class Authenticator::AuthenticateResults::Pipeline {
 public:
-  typedef RunParams Pipelines;
+  typedef AuthenticateResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::hawthornpin::wire::Grant::Pipeline getGrant();
+  inline  ::hawthornpin::wire::Node::Client getNode();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4387,30 +4445,161 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::RunResults::Reader {
+#if !CAPNP_LITE
+class Node::Client
+    : public virtual ::capnp::Capability::Client {
 public:
-  typedef RunResults Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  typedef Node Calls;
+  typedef Node Reads;
 
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
 
-  inline bool hasEnd() const;
-  inline  ::hawthornpin::wire::TaskEnd::Reader getEnd() const;
+  ::capnp::Request< ::hawthornpin::wire::Node::SubmitParams,  ::hawthornpin::wire::Node::SubmitResults> submitRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::hawthornpin::wire::Node::FetchParams,  ::hawthornpin::wire::Node::FetchResults> fetchRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::hawthornpin::wire::Node::CancelParams,  ::hawthornpin::wire::Node::CancelResults> cancelRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::hawthornpin::wire::Node::RunParams,  ::hawthornpin::wire::Node::RunResults> runRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::hawthornpin::wire::Node::RevokeParams,  ::hawthornpin::wire::Node::RevokeResults> revokeRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::hawthornpin::wire::Node::IdleParams,  ::hawthornpin::wire::Node::IdleResults> idleRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::hawthornpin::wire::Node::AnnounceParams,  ::hawthornpin::wire::Node::AnnounceResults> announceRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::hawthornpin::wire::Node::ExchangeParams,  ::hawthornpin::wire::Node::ExchangeResults> exchangeRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::hawthornpin::wire::Node::OrderParams,  ::hawthornpin::wire::Node::OrderResults> orderRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::hawthornpin::wire::Node::ReportParams,  ::hawthornpin::wire::Node::ReportResults> reportRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::hawthornpin::wire::Node::PresentParams,  ::hawthornpin::wire::Node::PresentResults> presentRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::hawthornpin::wire::Node::ShareParams,  ::hawthornpin::wire::Node::ShareResults> shareRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::hawthornpin::wire::Node::AttendParams,  ::hawthornpin::wire::Node::AttendResults> attendRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::hawthornpin::wire::Node::HandInParams,  ::hawthornpin::wire::Node::HandInResults> handInRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
-  inline bool hasLoad() const;
-  inline  ::hawthornpin::wire::Load::Reader getLoad() const;
+protected:
+  Client() = default;
+};
 
-  inline  ::uint64_t getSeen() const;
+class Node::Server
+    : public virtual ::capnp::Capability::Server {
+public:
+  typedef Node Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef  ::hawthornpin::wire::Node::SubmitParams SubmitParams;
+  typedef  ::hawthornpin::wire::Node::SubmitResults SubmitResults;
+  typedef ::capnp::CallContext<SubmitParams, SubmitResults> SubmitContext;
+  virtual ::kj::Promise<void> submit(SubmitContext context);
+  typedef  ::hawthornpin::wire::Node::FetchParams FetchParams;
+  typedef  ::hawthornpin::wire::Node::FetchResults FetchResults;
+  typedef ::capnp::CallContext<FetchParams, FetchResults> FetchContext;
+  virtual ::kj::Promise<void> fetch(FetchContext context);
+  typedef  ::hawthornpin::wire::Node::CancelParams CancelParams;
+  typedef  ::hawthornpin::wire::Node::CancelResults CancelResults;
+  typedef ::capnp::CallContext<CancelParams, CancelResults> CancelContext;
+  virtual ::kj::Promise<void> cancel(CancelContext context);
+  typedef  ::hawthornpin::wire::Node::RunParams RunParams;
+  typedef  ::hawthornpin::wire::Node::RunResults RunResults;
+  typedef ::capnp::CallContext<RunParams, RunResults> RunContext;
+  virtual ::kj::Promise<void> run(RunContext context);
+  typedef  ::hawthornpin::wire::Node::RevokeParams RevokeParams;
+  typedef  ::hawthornpin::wire::Node::RevokeResults RevokeResults;
+  typedef ::capnp::CallContext<RevokeParams, RevokeResults> RevokeContext;
+  virtual ::kj::Promise<void> revoke(RevokeContext context);
+  typedef  ::hawthornpin::wire::Node::IdleParams IdleParams;
+  typedef  ::hawthornpin::wire::Node::IdleResults IdleResults;
+  typedef ::capnp::CallContext<IdleParams, IdleResults> IdleContext;
+  virtual ::kj::Promise<void> idle(IdleContext context);
+  typedef  ::hawthornpin::wire::Node::AnnounceParams AnnounceParams;
+  typedef  ::hawthornpin::wire::Node::AnnounceResults AnnounceResults;
+  typedef ::capnp::CallContext<AnnounceParams, AnnounceResults> AnnounceContext;
+  virtual ::kj::Promise<void> announce(AnnounceContext context);
+  typedef  ::hawthornpin::wire::Node::ExchangeParams ExchangeParams;
+  typedef  ::hawthornpin::wire::Node::ExchangeResults ExchangeResults;
+  typedef ::capnp::CallContext<ExchangeParams, ExchangeResults> ExchangeContext;
+  virtual ::kj::Promise<void> exchange(ExchangeContext context);
+  typedef  ::hawthornpin::wire::Node::OrderParams OrderParams;
+  typedef  ::hawthornpin::wire::Node::OrderResults OrderResults;
+  typedef ::capnp::CallContext<OrderParams, OrderResults> OrderContext;
+  virtual ::kj::Promise<void> order(OrderContext context);
+  typedef  ::hawthornpin::wire::Node::ReportParams ReportParams;
+  typedef  ::hawthornpin::wire::Node::ReportResults ReportResults;
+  typedef ::capnp::CallContext<ReportParams, ReportResults> ReportContext;
+  virtual ::kj::Promise<void> report(ReportContext context);
+  typedef  ::hawthornpin::wire::Node::PresentParams PresentParams;
+  typedef  ::hawthornpin::wire::Node::PresentResults PresentResults;
+  typedef ::capnp::CallContext<PresentParams, PresentResults> PresentContext;
+  virtual ::kj::Promise<void> present(PresentContext context);
+  typedef  ::hawthornpin::wire::Node::ShareParams ShareParams;
+  typedef  ::hawthornpin::wire::Node::ShareResults ShareResults;
+  typedef ::capnp::CallContext<ShareParams, ShareResults> ShareContext;
+  virtual ::kj::Promise<void> share(ShareContext context);
+  typedef  ::hawthornpin::wire::Node::AttendParams AttendParams;
+  typedef  ::hawthornpin::wire::Node::AttendResults AttendResults;
+  typedef ::capnp::CallContext<AttendParams, AttendResults> AttendContext;
+  virtual ::kj::Promise<void> attend(AttendContext context);
+  typedef  ::hawthornpin::wire::Node::HandInParams HandInParams;
+  typedef  ::hawthornpin::wire::Node::HandInResults HandInResults;
+  typedef ::capnp::CallContext<HandInParams, HandInResults> HandInContext;
+  virtual ::kj::Promise<void> handIn(HandInContext context);
+
+  inline  ::hawthornpin::wire::Node::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::hawthornpin::wire::Node>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+class Node::SubmitParams::Reader {
+public:
+  typedef SubmitParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSubmission() const;
+  inline  ::hawthornpin::wire::Submission::Reader getSubmission() const;
+
+  inline bool hasFrom() const;
+  inline  ::capnp::Text::Reader getFrom() const;
+
+  inline  ::uint64_t getSent() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4424,9 +4613,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::RunResults::Builder {
+class Node::SubmitParams::Builder {
 public:
-  typedef RunResults Builds;
+  typedef SubmitParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4440,22 +4629,22 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasEnd();
-  inline  ::hawthornpin::wire::TaskEnd::Builder getEnd();
-  inline void setEnd( ::hawthornpin::wire::TaskEnd::Reader value);
-  inline  ::hawthornpin::wire::TaskEnd::Builder initEnd();
-  inline void adoptEnd(::capnp::Orphan< ::hawthornpin::wire::TaskEnd>&& value);
-  inline ::capnp::Orphan< ::hawthornpin::wire::TaskEnd> disownEnd();
+  inline bool hasSubmission();
+  inline  ::hawthornpin::wire::Submission::Builder getSubmission();
+  inline void setSubmission( ::hawthornpin::wire::Submission::Reader value);
+  inline  ::hawthornpin::wire::Submission::Builder initSubmission();
+  inline void adoptSubmission(::capnp::Orphan< ::hawthornpin::wire::Submission>&& value);
+  inline ::capnp::Orphan< ::hawthornpin::wire::Submission> disownSubmission();
 
-  inline bool hasLoad();
-  inline  ::hawthornpin::wire::Load::Builder getLoad();
-  inline void setLoad( ::hawthornpin::wire::Load::Reader value);
-  inline  ::hawthornpin::wire::Load::Builder initLoad();
-  inline void adoptLoad(::capnp::Orphan< ::hawthornpin::wire::Load>&& value);
-  inline ::capnp::Orphan< ::hawthornpin::wire::Load> disownLoad();
+  inline bool hasFrom();
+  inline  ::capnp::Text::Builder getFrom();
+  inline void setFrom( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initFrom(unsigned int size);
+  inline void adoptFrom(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownFrom();
 
-  inline  ::uint64_t getSeen();
-  inline void setSeen( ::uint64_t value);
+  inline  ::uint64_t getSent();
+  inline void setSent( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4467,16 +4656,15 @@
 };
 
 #if !CAPNP_LITE
-class Node::RunResults::Pipeline {
+class Node::SubmitParams::Pipeline {
 public:
-  typedef RunResults Pipelines;
+  typedef SubmitParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::hawthornpin::wire::TaskEnd::Pipeline getEnd();
-  inline  ::hawthornpin::wire::Load::Pipeline getLoad();
+  inline  ::hawthornpin::wire::Submission::Pipeline getSubmission();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4485,9 +4673,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::RevokeParams::Reader {
+class Node::SubmitResults::Reader {
 public:
-  typedef RevokeParams Reads;
+  typedef SubmitResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4502,10 +4690,13 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasId() const;
-  inline  ::hawthornpin::wire::GrantId::Reader getId() const;
+  inline bool hasAnswer() const;
+  inline  ::hawthornpin::wire::JobAnswer::Reader getAnswer() const;
 
-  inline  ::uint32_t getValidForMs() const;
+  inline bool hasLoad() const;
+  inline  ::hawthornpin::wire::Load::Reader getLoad() const;
+
+  inline  ::uint64_t getSeen() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4519,9 +4710,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::RevokeParams::Builder {
+class Node::SubmitResults::Builder {
 public:
-  typedef RevokeParams Builds;
+  typedef SubmitResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4535,15 +4726,22 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasId();
-  inline  ::hawthornpin::wire::GrantId::Builder getId();
-  inline void setId( ::hawthornpin::wire::GrantId::Reader value);
-  inline  ::hawthornpin::wire::GrantId::Builder initId();
-  inline void adoptId(::capnp::Orphan< ::hawthornpin::wire::GrantId>&& value);
-  inline ::capnp::Orphan< ::hawthornpin::wire::GrantId> disownId();
+  inline bool hasAnswer();
+  inline  ::hawthornpin::wire::JobAnswer::Builder getAnswer();
+  inline void setAnswer( ::hawthornpin::wire::JobAnswer::Reader value);
+  inline  ::hawthornpin::wire::JobAnswer::Builder initAnswer();
+  inline void adoptAnswer(::capnp::Orphan< ::hawthornpin::wire::JobAnswer>&& value);
+  inline ::capnp::Orphan< ::hawthornpin::wire::JobAnswer> disownAnswer();
 
-  inline  ::uint32_t getValidForMs();
-  inline void setValidForMs( ::uint32_t value);
+  inline bool hasLoad();
+  inline  ::hawthornpin::wire::Load::Builder getLoad();
+  inline void setLoad( ::hawthornpin::wire::Load::Reader value);
+  inline  ::hawthornpin::wire::Load::Builder initLoad();
+  inline void adoptLoad(::capnp::Orphan< ::hawthornpin::wire::Load>&& value);
+  inline ::capnp::Orphan< ::hawthornpin::wire::Load> disownLoad();
+
+  inline  ::uint64_t getSeen();
+  inline void setSeen( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4555,15 +4753,16 @@
 };
 
 #if !CAPNP_LITE
-class Node::RevokeParams::Pipeline {
+class Node::SubmitResults::Pipeline {
 public:
-  typedef RevokeParams Pipelines;
+  typedef SubmitResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::hawthornpin::wire::GrantId::Pipeline getId();
+  inline  ::hawthornpin::wire::JobAnswer::Pipeline getAnswer();
+  inline  ::hawthornpin::wire::Load::Pipeline getLoad();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4572,9 +4771,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::RevokeResults::Reader {
+class Node::FetchParams::Reader {
 public:
-  typedef RevokeResults Reads;
+  typedef FetchParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4589,8 +4788,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasOutcome() const;
-  inline  ::hawthornpin::wire::Outcome::Reader getOutcome() const;
+  inline bool hasTicket() const;
+  inline  ::hawthornpin::wire::Ticket::Reader getTicket() const;
+
+  inline  ::uint32_t getWaitMs() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4604,9 +4805,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::RevokeResults::Builder {
+class Node::FetchParams::Builder {
 public:
-  typedef RevokeResults Builds;
+  typedef FetchParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4620,12 +4821,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasOutcome();
-  inline  ::hawthornpin::wire::Outcome::Builder getOutcome();
-  inline void setOutcome( ::hawthornpin::wire::Outcome::Reader value);
-  inline  ::hawthornpin::wire::Outcome::Builder initOutcome();
-  inline void adoptOutcome(::capnp::Orphan< ::hawthornpin::wire::Outcome>&& value);
-  inline ::capnp::Orphan< ::hawthornpin::wire::Outcome> disownOutcome();
+  inline bool hasTicket();
+  inline  ::hawthornpin::wire::Ticket::Builder getTicket();
+  inline void setTicket( ::hawthornpin::wire::Ticket::Reader value);
+  inline  ::hawthornpin::wire::Ticket::Builder initTicket();
+  inline void adoptTicket(::capnp::Orphan< ::hawthornpin::wire::Ticket>&& value);
+  inline ::capnp::Orphan< ::hawthornpin::wire::Ticket> disownTicket();
+
+  inline  ::uint32_t getWaitMs();
+  inline void setWaitMs( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4637,15 +4841,15 @@
 };
 
 #if !CAPNP_LITE
-class Node::RevokeResults::Pipeline {
+class Node::FetchParams::Pipeline {
 public:
-  typedef RevokeResults Pipelines;
+  typedef FetchParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::hawthornpin::wire::Outcome::Pipeline getOutcome();
+  inline  ::hawthornpin::wire::Ticket::Pipeline getTicket();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4654,9 +4858,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::IdleParams::Reader {
+class Node::FetchResults::Reader {
 public:
-  typedef IdleParams Reads;
+  typedef FetchResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4671,8 +4875,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasIdentity() const;
-  inline  ::hawthornpin::wire::AgentIdentity::Reader getIdentity() const;
+  inline bool hasAnswer() const;
+  inline  ::hawthornpin::wire::JobAnswer::Reader getAnswer() const;
 
   inline bool hasLoad() const;
   inline  ::hawthornpin::wire::Load::Reader getLoad() const;
@@ -4689,9 +4893,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::IdleParams::Builder {
+class Node::FetchResults::Builder {
 public:
-  typedef IdleParams Builds;
+  typedef FetchResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4705,12 +4909,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasIdentity();
-  inline  ::hawthornpin::wire::AgentIdentity::Builder getIdentity();
-  inline void setIdentity( ::hawthornpin::wire::AgentIdentity::Reader value);
-  inline  ::hawthornpin::wire::AgentIdentity::Builder initIdentity();
-  inline void adoptIdentity(::capnp::Orphan< ::hawthornpin::wire::AgentIdentity>&& value);
-  inline ::capnp::Orphan< ::hawthornpin::wire::AgentIdentity> disownIdentity();
+  inline bool hasAnswer();
+  inline  ::hawthornpin::wire::JobAnswer::Builder getAnswer();
+  inline void setAnswer( ::hawthornpin::wire::JobAnswer::Reader value);
+  inline  ::hawthornpin::wire::JobAnswer::Builder initAnswer();
+  inline void adoptAnswer(::capnp::Orphan< ::hawthornpin::wire::JobAnswer>&& value);
+  inline ::capnp::Orphan< ::hawthornpin::wire::JobAnswer> disownAnswer();
 
   inline bool hasLoad();
   inline  ::hawthornpin::wire::Load::Builder getLoad();
@@ -4729,15 +4933,15 @@
 };
 
 #if !CAPNP_LITE
-class Node::IdleParams::Pipeline {
+class Node::FetchResults::Pipeline {
 public:
-  typedef IdleParams Pipelines;
+  typedef FetchResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::hawthornpin::wire::AgentIdentity::Pipeline getIdentity();
+  inline  ::hawthornpin::wire::JobAnswer::Pipeline getAnswer();
   inline  ::hawthornpin::wire::Load::Pipeline getLoad();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
@@ -4747,9 +4951,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::IdleResults::Reader {
+class Node::CancelParams::Reader {
 public:
-  typedef IdleResults Reads;
+  typedef CancelParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4764,6 +4968,9 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasTicket() const;
+  inline  ::hawthornpin::wire::Ticket::Reader getTicket() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4776,9 +4983,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::IdleResults::Builder {
+class Node::CancelParams::Builder {
 public:
-  typedef IdleResults Builds;
+  typedef CancelParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4792,6 +4999,13 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasTicket();
+  inline  ::hawthornpin::wire::Ticket::Builder getTicket();
+  inline void setTicket( ::hawthornpin::wire::Ticket::Reader value);
+  inline  ::hawthornpin::wire::Ticket::Builder initTicket();
+  inline void adoptTicket(::capnp::Orphan< ::hawthornpin::wire::Ticket>&& value);
+  inline ::capnp::Orphan< ::hawthornpin::wire::Ticket> disownTicket();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4802,14 +5016,15 @@
 };
 
 #if !CAPNP_LITE
-class Node::IdleResults::Pipeline {
+class Node::CancelParams::Pipeline {
 public:
-  typedef IdleResults Pipelines;
+  typedef CancelParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::hawthornpin::wire::Ticket::Pipeline getTicket();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4818,9 +5033,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::AnnounceParams::Reader {
+class Node::CancelResults::Reader {
 public:
-  typedef AnnounceParams Reads;
+  typedef CancelResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4835,14 +5050,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAnnouncement() const;
-  inline  ::hawthornpin::wire::Announcement::Reader getAnnouncement() const;
-
-  inline  ::uint64_t getConfigVersion() const;
-
-  inline  ::uint64_t getSeen() const;
-
-  inline bool getWantsPeers() const;
+  inline bool hasOutcome() const;
+  inline  ::hawthornpin::wire::Outcome::Reader getOutcome() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4856,9 +5065,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::AnnounceParams::Builder {
+class Node::CancelResults::Builder {
 public:
-  typedef AnnounceParams Builds;
+  typedef CancelResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4872,21 +5081,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAnnouncement();
-  inline  ::hawthornpin::wire::Announcement::Builder getAnnouncement();
-  inline void setAnnouncement( ::hawthornpin::wire::Announcement::Reader value);
-  inline  ::hawthornpin::wire::Announcement::Builder initAnnouncement();
-  inline void adoptAnnouncement(::capnp::Orphan< ::hawthornpin::wire::Announcement>&& value);
-  inline ::capnp::Orphan< ::hawthornpin::wire::Announcement> disownAnnouncement();
-
-  inline  ::uint64_t getConfigVersion();
-  inline void setConfigVersion( ::uint64_t value);
-
-  inline  ::uint64_t getSeen();
-  inline void setSeen( ::uint64_t value);
-
-  inline bool getWantsPeers();
-  inline void setWantsPeers(bool value);
+  inline bool hasOutcome();
+  inline  ::hawthornpin::wire::Outcome::Builder getOutcome();
+  inline void setOutcome( ::hawthornpin::wire::Outcome::Reader value);
+  inline  ::hawthornpin::wire::Outcome::Builder initOutcome();
+  inline void adoptOutcome(::capnp::Orphan< ::hawthornpin::wire::Outcome>&& value);
+  inline ::capnp::Orphan< ::hawthornpin::wire::Outcome> disownOutcome();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -4898,15 +5098,15 @@
 };
 
 #if !CAPNP_LITE
-class Node::AnnounceParams::Pipeline {
+class Node::CancelResults::Pipeline {
 public:
-  typedef AnnounceParams Pipelines;
+  typedef CancelResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::hawthornpin::wire::Announcement::Pipeline getAnnouncement();
+  inline  ::hawthornpin::wire::Outcome::Pipeline getOutcome();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4915,9 +5115,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::AnnounceResults::Reader {
+class Node::RunParams::Reader {
 public:
-  typedef AnnounceResults Reads;
+  typedef RunParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -4932,21 +5132,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getSupersededBy() const;
-
-  inline bool hasEntries() const;
-  inline  ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>::Reader getEntries() const;
-
-  inline  ::uint64_t getChanges() const;
-
-  inline bool hasMembers() const;
-  inline  ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Reader getMembers() const;
-
-  inline bool hasPeers() const;
-  inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Reader getPeers() const;
-
-  inline bool hasConfig() const;
-  inline  ::hawthornpin::wire::ConfigUpdate::Reader getConfig() const;
+  inline bool hasGrant() const;
+  inline  ::hawthornpin::wire::Grant::Reader getGrant() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -4960,9 +5147,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::AnnounceResults::Builder {
+class Node::RunParams::Builder {
 public:
-  typedef AnnounceResults Builds;
+  typedef RunParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -4976,39 +5163,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getSupersededBy();
-  inline void setSupersededBy( ::uint64_t value);
-
-  inline bool hasEntries();
-  inline  ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>::Builder getEntries();
-  inline void setEntries( ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>::Builder initEntries(unsigned int size);
-  inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>> disownEntries();
-
-  inline  ::uint64_t getChanges();
-  inline void setChanges( ::uint64_t value);
-
-  inline bool hasMembers();
-  inline  ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Builder getMembers();
-  inline void setMembers( ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Builder initMembers(unsigned int size);
-  inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>> disownMembers();
-
-  inline bool hasPeers();
-  inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Builder getPeers();
-  inline void setPeers( ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Builder initPeers(unsigned int size);
-  inline void adoptPeers(::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>> disownPeers();
-
-  inline bool hasConfig();
-  inline  ::hawthornpin::wire::ConfigUpdate::Builder getConfig();
-  inline void setConfig( ::hawthornpin::wire::ConfigUpdate::Reader value);
-  inline  ::hawthornpin::wire::ConfigUpdate::Builder initConfig();
-  inline void adoptConfig(::capnp::Orphan< ::hawthornpin::wire::ConfigUpdate>&& value);
-  inline ::capnp::Orphan< ::hawthornpin::wire::ConfigUpdate> disownConfig();
+  inline bool hasGrant();
+  inline  ::hawthornpin::wire::Grant::Builder getGrant();
+  inline void setGrant( ::hawthornpin::wire::Grant::Reader value);
+  inline  ::hawthornpin::wire::Grant::Builder initGrant();
+  inline void adoptGrant(::capnp::Orphan< ::hawthornpin::wire::Grant>&& value);
+  inline ::capnp::Orphan< ::hawthornpin::wire::Grant> disownGrant();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -5020,15 +5180,15 @@
 };
 
 #if !CAPNP_LITE
-class Node::AnnounceResults::Pipeline {
+class Node::RunParams::Pipeline {
 public:
-  typedef AnnounceResults Pipelines;
+  typedef RunParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::hawthornpin::wire::ConfigUpdate::Pipeline getConfig();
+  inline  ::hawthornpin::wire::Grant::Pipeline getGrant();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -5037,9 +5197,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::ExchangeParams::Reader {
+class Node::RunResults::Reader {
 public:
-  typedef ExchangeParams Reads;
+  typedef RunResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -5054,21 +5214,14 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasFrom() const;
-  inline  ::hawthornpin::wire::EntryInfo::Reader getFrom() const;
-
-  inline bool hasMembers() const;
-  inline  ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Reader getMembers() const;
+  inline bool hasEnd() const;
+  inline  ::hawthornpin::wire::TaskEnd::Reader getEnd() const;
 
-  inline bool hasHeartbeats() const;
-  inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Reader getHeartbeats() const;
+  inline bool hasLoad() const;
+  inline  ::hawthornpin::wire::Load::Reader getLoad() const;
 
   inline  ::uint64_t getSeen() const;
 
-  inline  ::uint64_t getConfigVersion() const;
-
-  inline bool getWantsCheckpoint() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -5081,9 +5234,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::ExchangeParams::Builder {
+class Node::RunResults::Builder {
 public:
-  typedef ExchangeParams Builds;
+  typedef RunResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -5097,36 +5250,23 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasFrom();
-  inline  ::hawthornpin::wire::EntryInfo::Builder getFrom();
-  inline void setFrom( ::hawthornpin::wire::EntryInfo::Reader value);
-  inline  ::hawthornpin::wire::EntryInfo::Builder initFrom();
-  inline void adoptFrom(::capnp::Orphan< ::hawthornpin::wire::EntryInfo>&& value);
-  inline ::capnp::Orphan< ::hawthornpin::wire::EntryInfo> disownFrom();
-
-  inline bool hasMembers();
-  inline  ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Builder getMembers();
-  inline void setMembers( ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Builder initMembers(unsigned int size);
-  inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>> disownMembers();
+  inline bool hasEnd();
+  inline  ::hawthornpin::wire::TaskEnd::Builder getEnd();
+  inline void setEnd( ::hawthornpin::wire::TaskEnd::Reader value);
+  inline  ::hawthornpin::wire::TaskEnd::Builder initEnd();
+  inline void adoptEnd(::capnp::Orphan< ::hawthornpin::wire::TaskEnd>&& value);
+  inline ::capnp::Orphan< ::hawthornpin::wire::TaskEnd> disownEnd();
 
-  inline bool hasHeartbeats();
-  inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Builder getHeartbeats();
-  inline void setHeartbeats( ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Builder initHeartbeats(unsigned int size);
-  inline void adoptHeartbeats(::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>> disownHeartbeats();
+  inline bool hasLoad();
+  inline  ::hawthornpin::wire::Load::Builder getLoad();
+  inline void setLoad( ::hawthornpin::wire::Load::Reader value);
+  inline  ::hawthornpin::wire::Load::Builder initLoad();
+  inline void adoptLoad(::capnp::Orphan< ::hawthornpin::wire::Load>&& value);
+  inline ::capnp::Orphan< ::hawthornpin::wire::Load> disownLoad();
 
   inline  ::uint64_t getSeen();
   inline void setSeen( ::uint64_t value);
 
-  inline  ::uint64_t getConfigVersion();
-  inline void setConfigVersion( ::uint64_t value);
-
-  inline bool getWantsCheckpoint();
-  inline void setWantsCheckpoint(bool value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5137,15 +5277,16 @@
 };
 
 #if !CAPNP_LITE
-class Node::ExchangeParams::Pipeline {
+class Node::RunResults::Pipeline {
 public:
-  typedef ExchangeParams Pipelines;
+  typedef RunResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::hawthornpin::wire::EntryInfo::Pipeline getFrom();
+  inline  ::hawthornpin::wire::TaskEnd::Pipeline getEnd();
+  inline  ::hawthornpin::wire::Load::Pipeline getLoad();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -5154,9 +5295,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::ExchangeResults::Reader {
+class Node::RevokeParams::Reader {
 public:
-  typedef ExchangeResults Reads;
+  typedef RevokeParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -5172,25 +5313,9 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasId() const;
-  inline  ::capnp::Text::Reader getId() const;
-
-  inline  ::uint64_t getChanges() const;
-
-  inline bool hasEntries() const;
-  inline  ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>::Reader getEntries() const;
-
-  inline bool hasMembers() const;
-  inline  ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Reader getMembers() const;
-
-  inline bool hasHeartbeats() const;
-  inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Reader getHeartbeats() const;
-
-  inline bool getIsMissingMembers() const;
-
-  inline  ::uint64_t getConfigVersion() const;
+  inline  ::hawthornpin::wire::GrantId::Reader getId() const;
 
-  inline bool hasCheckpoint() const;
-  inline  ::capnp::Text::Reader getCheckpoint() const;
+  inline  ::uint32_t getValidForMs() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -5204,9 +5329,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::ExchangeResults::Builder {
+class Node::RevokeParams::Builder {
 public:
-  typedef ExchangeResults Builds;
+  typedef RevokeParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -5221,48 +5346,14 @@
 #endif  // !CAPNP_LITE
 
   inline bool hasId();
-  inline  ::capnp::Text::Builder getId();
-  inline void setId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initId(unsigned int size);
-  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownId();
-
-  inline  ::uint64_t getChanges();
-  inline void setChanges( ::uint64_t value);
-
-  inline bool hasEntries();
-  inline  ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>::Builder getEntries();
-  inline void setEntries( ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>::Builder initEntries(unsigned int size);
-  inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>> disownEntries();
-
-  inline bool hasMembers();
-  inline  ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Builder getMembers();
-  inline void setMembers( ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Builder initMembers(unsigned int size);
-  inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>> disownMembers();
-
-  inline bool hasHeartbeats();
-  inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Builder getHeartbeats();
-  inline void setHeartbeats( ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Builder initHeartbeats(unsigned int size);
-  inline void adoptHeartbeats(::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>> disownHeartbeats();
-
-  inline bool getIsMissingMembers();
-  inline void setIsMissingMembers(bool value);
-
-  inline  ::uint64_t getConfigVersion();
-  inline void setConfigVersion( ::uint64_t value);
+  inline  ::hawthornpin::wire::GrantId::Builder getId();
+  inline void setId( ::hawthornpin::wire::GrantId::Reader value);
+  inline  ::hawthornpin::wire::GrantId::Builder initId();
+  inline void adoptId(::capnp::Orphan< ::hawthornpin::wire::GrantId>&& value);
+  inline ::capnp::Orphan< ::hawthornpin::wire::GrantId> disownId();
 
-  inline bool hasCheckpoint();
-  inline  ::capnp::Text::Builder getCheckpoint();
-  inline void setCheckpoint( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initCheckpoint(unsigned int size);
-  inline void adoptCheckpoint(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownCheckpoint();
+  inline  ::uint32_t getValidForMs();
+  inline void setValidForMs( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -5274,14 +5365,15 @@
 };
 
 #if !CAPNP_LITE
-class Node::ExchangeResults::Pipeline {
+class Node::RevokeParams::Pipeline {
 public:
-  typedef ExchangeResults Pipelines;
+  typedef RevokeParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::hawthornpin::wire::GrantId::Pipeline getId();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -5290,9 +5382,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::OrderParams::Reader {
+class Node::RevokeResults::Reader {
 public:
-  typedef OrderParams Reads;
+  typedef RevokeResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -5307,8 +5399,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasBatch() const;
-  inline  ::hawthornpin::wire::OrderBatch::Reader getBatch() const;
+  inline bool hasOutcome() const;
+  inline  ::hawthornpin::wire::Outcome::Reader getOutcome() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -5322,9 +5414,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::OrderParams::Builder {
+class Node::RevokeResults::Builder {
 public:
-  typedef OrderParams Builds;
+  typedef RevokeResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -5338,12 +5430,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasBatch();
-  inline  ::hawthornpin::wire::OrderBatch::Builder getBatch();
-  inline void setBatch( ::hawthornpin::wire::OrderBatch::Reader value);
-  inline  ::hawthornpin::wire::OrderBatch::Builder initBatch();
-  inline void adoptBatch(::capnp::Orphan< ::hawthornpin::wire::OrderBatch>&& value);
-  inline ::capnp::Orphan< ::hawthornpin::wire::OrderBatch> disownBatch();
+  inline bool hasOutcome();
+  inline  ::hawthornpin::wire::Outcome::Builder getOutcome();
+  inline void setOutcome( ::hawthornpin::wire::Outcome::Reader value);
+  inline  ::hawthornpin::wire::Outcome::Builder initOutcome();
+  inline void adoptOutcome(::capnp::Orphan< ::hawthornpin::wire::Outcome>&& value);
+  inline ::capnp::Orphan< ::hawthornpin::wire::Outcome> disownOutcome();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -5355,15 +5447,15 @@
 };
 
 #if !CAPNP_LITE
-class Node::OrderParams::Pipeline {
+class Node::RevokeResults::Pipeline {
 public:
-  typedef OrderParams Pipelines;
+  typedef RevokeResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::hawthornpin::wire::OrderBatch::Pipeline getBatch();
+  inline  ::hawthornpin::wire::Outcome::Pipeline getOutcome();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -5372,9 +5464,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::OrderResults::Reader {
+class Node::IdleParams::Reader {
 public:
-  typedef OrderResults Reads;
+  typedef IdleParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -5389,8 +5481,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasStatus() const;
-  inline  ::hawthornpin::wire::AgentStatus::Reader getStatus() const;
+  inline bool hasIdentity() const;
+  inline  ::hawthornpin::wire::AgentIdentity::Reader getIdentity() const;
+
+  inline bool hasLoad() const;
+  inline  ::hawthornpin::wire::Load::Reader getLoad() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -5404,9 +5499,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::OrderResults::Builder {
+class Node::IdleParams::Builder {
 public:
-  typedef OrderResults Builds;
+  typedef IdleParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -5420,12 +5515,19 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasStatus();
-  inline  ::hawthornpin::wire::AgentStatus::Builder getStatus();
-  inline void setStatus( ::hawthornpin::wire::AgentStatus::Reader value);
-  inline  ::hawthornpin::wire::AgentStatus::Builder initStatus();
-  inline void adoptStatus(::capnp::Orphan< ::hawthornpin::wire::AgentStatus>&& value);
-  inline ::capnp::Orphan< ::hawthornpin::wire::AgentStatus> disownStatus();
+  inline bool hasIdentity();
+  inline  ::hawthornpin::wire::AgentIdentity::Builder getIdentity();
+  inline void setIdentity( ::hawthornpin::wire::AgentIdentity::Reader value);
+  inline  ::hawthornpin::wire::AgentIdentity::Builder initIdentity();
+  inline void adoptIdentity(::capnp::Orphan< ::hawthornpin::wire::AgentIdentity>&& value);
+  inline ::capnp::Orphan< ::hawthornpin::wire::AgentIdentity> disownIdentity();
+
+  inline bool hasLoad();
+  inline  ::hawthornpin::wire::Load::Builder getLoad();
+  inline void setLoad( ::hawthornpin::wire::Load::Reader value);
+  inline  ::hawthornpin::wire::Load::Builder initLoad();
+  inline void adoptLoad(::capnp::Orphan< ::hawthornpin::wire::Load>&& value);
+  inline ::capnp::Orphan< ::hawthornpin::wire::Load> disownLoad();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -5437,15 +5539,16 @@
 };
 
 #if !CAPNP_LITE
-class Node::OrderResults::Pipeline {
+class Node::IdleParams::Pipeline {
 public:
-  typedef OrderResults Pipelines;
+  typedef IdleParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::hawthornpin::wire::AgentStatus::Pipeline getStatus();
+  inline  ::hawthornpin::wire::AgentIdentity::Pipeline getIdentity();
+  inline  ::hawthornpin::wire::Load::Pipeline getLoad();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -5454,9 +5557,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::ReportParams::Reader {
+class Node::IdleResults::Reader {
 public:
-  typedef ReportParams Reads;
+  typedef IdleResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -5471,12 +5574,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasStatus() const;
-  inline  ::hawthornpin::wire::AgentStatus::Reader getStatus() const;
-
-  inline bool hasOutcomes() const;
-  inline  ::capnp::List< ::hawthornpin::wire::RunOutcome,  ::capnp::Kind::STRUCT>::Reader getOutcomes() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -5489,9 +5586,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::ReportParams::Builder {
+class Node::IdleResults::Builder {
 public:
-  typedef ReportParams Builds;
+  typedef IdleResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -5505,20 +5602,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasStatus();
-  inline  ::hawthornpin::wire::AgentStatus::Builder getStatus();
-  inline void setStatus( ::hawthornpin::wire::AgentStatus::Reader value);
-  inline  ::hawthornpin::wire::AgentStatus::Builder initStatus();
-  inline void adoptStatus(::capnp::Orphan< ::hawthornpin::wire::AgentStatus>&& value);
-  inline ::capnp::Orphan< ::hawthornpin::wire::AgentStatus> disownStatus();
-
-  inline bool hasOutcomes();
-  inline  ::capnp::List< ::hawthornpin::wire::RunOutcome,  ::capnp::Kind::STRUCT>::Builder getOutcomes();
-  inline void setOutcomes( ::capnp::List< ::hawthornpin::wire::RunOutcome,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::hawthornpin::wire::RunOutcome,  ::capnp::Kind::STRUCT>::Builder initOutcomes(unsigned int size);
-  inline void adoptOutcomes(::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::RunOutcome,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::RunOutcome,  ::capnp::Kind::STRUCT>> disownOutcomes();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5529,15 +5612,14 @@
 };
 
 #if !CAPNP_LITE
-class Node::ReportParams::Pipeline {
+class Node::IdleResults::Pipeline {
 public:
-  typedef ReportParams Pipelines;
+  typedef IdleResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::hawthornpin::wire::AgentStatus::Pipeline getStatus();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -5546,9 +5628,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::ReportResults::Reader {
+class Node::AnnounceParams::Reader {
 public:
-  typedef ReportResults Reads;
+  typedef AnnounceParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -5563,6 +5645,15 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasAnnouncement() const;
+  inline  ::hawthornpin::wire::Announcement::Reader getAnnouncement() const;
+
+  inline  ::uint64_t getConfigVersion() const;
+
+  inline  ::uint64_t getSeen() const;
+
+  inline bool getWantsPeers() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -5575,9 +5666,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::ReportResults::Builder {
+class Node::AnnounceParams::Builder {
 public:
-  typedef ReportResults Builds;
+  typedef AnnounceParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -5591,6 +5682,22 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasAnnouncement();
+  inline  ::hawthornpin::wire::Announcement::Builder getAnnouncement();
+  inline void setAnnouncement( ::hawthornpin::wire::Announcement::Reader value);
+  inline  ::hawthornpin::wire::Announcement::Builder initAnnouncement();
+  inline void adoptAnnouncement(::capnp::Orphan< ::hawthornpin::wire::Announcement>&& value);
+  inline ::capnp::Orphan< ::hawthornpin::wire::Announcement> disownAnnouncement();
+
+  inline  ::uint64_t getConfigVersion();
+  inline void setConfigVersion( ::uint64_t value);
+
+  inline  ::uint64_t getSeen();
+  inline void setSeen( ::uint64_t value);
+
+  inline bool getWantsPeers();
+  inline void setWantsPeers(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5601,14 +5708,15 @@
 };
 
 #if !CAPNP_LITE
-class Node::ReportResults::Pipeline {
+class Node::AnnounceParams::Pipeline {
 public:
-  typedef ReportResults Pipelines;
+  typedef AnnounceParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::hawthornpin::wire::Announcement::Pipeline getAnnouncement();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -5617,9 +5725,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::PresentParams::Reader {
+class Node::AnnounceResults::Reader {
 public:
-  typedef PresentParams Reads;
+  typedef AnnounceResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -5634,8 +5742,21 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasStatus() const;
-  inline  ::hawthornpin::wire::AgentStatus::Reader getStatus() const;
+  inline  ::uint64_t getSupersededBy() const;
+
+  inline bool hasEntries() const;
+  inline  ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>::Reader getEntries() const;
+
+  inline  ::uint64_t getChanges() const;
+
+  inline bool hasMembers() const;
+  inline  ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Reader getMembers() const;
+
+  inline bool hasPeers() const;
+  inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Reader getPeers() const;
+
+  inline bool hasConfig() const;
+  inline  ::hawthornpin::wire::ConfigUpdate::Reader getConfig() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -5649,9 +5770,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::PresentParams::Builder {
+class Node::AnnounceResults::Builder {
 public:
-  typedef PresentParams Builds;
+  typedef AnnounceResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -5665,32 +5786,59 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasStatus();
-  inline  ::hawthornpin::wire::AgentStatus::Builder getStatus();
-  inline void setStatus( ::hawthornpin::wire::AgentStatus::Reader value);
-  inline  ::hawthornpin::wire::AgentStatus::Builder initStatus();
-  inline void adoptStatus(::capnp::Orphan< ::hawthornpin::wire::AgentStatus>&& value);
-  inline ::capnp::Orphan< ::hawthornpin::wire::AgentStatus> disownStatus();
+  inline  ::uint64_t getSupersededBy();
+  inline void setSupersededBy( ::uint64_t value);
 
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
+  inline bool hasEntries();
+  inline  ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>::Builder getEntries();
+  inline void setEntries( ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>::Builder initEntries(unsigned int size);
+  inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>> disownEntries();
 
-#if !CAPNP_LITE
-class Node::PresentParams::Pipeline {
-public:
-  typedef PresentParams Pipelines;
+  inline  ::uint64_t getChanges();
+  inline void setChanges( ::uint64_t value);
 
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
+  inline bool hasMembers();
+  inline  ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Builder getMembers();
+  inline void setMembers( ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Builder initMembers(unsigned int size);
+  inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>> disownMembers();
 
-  inline  ::hawthornpin::wire::AgentStatus::Pipeline getStatus();
+  inline bool hasPeers();
+  inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Builder getPeers();
+  inline void setPeers( ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Builder initPeers(unsigned int size);
+  inline void adoptPeers(::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>> disownPeers();
+
+  inline bool hasConfig();
+  inline  ::hawthornpin::wire::ConfigUpdate::Builder getConfig();
+  inline void setConfig( ::hawthornpin::wire::ConfigUpdate::Reader value);
+  inline  ::hawthornpin::wire::ConfigUpdate::Builder initConfig();
+  inline void adoptConfig(::capnp::Orphan< ::hawthornpin::wire::ConfigUpdate>&& value);
+  inline ::capnp::Orphan< ::hawthornpin::wire::ConfigUpdate> disownConfig();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Node::AnnounceResults::Pipeline {
+public:
+  typedef AnnounceResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::hawthornpin::wire::ConfigUpdate::Pipeline getConfig();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -5699,9 +5847,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::PresentResults::Reader {
+class Node::ExchangeParams::Reader {
 public:
-  typedef PresentResults Reads;
+  typedef ExchangeParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -5716,8 +5864,20 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasEntries() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getEntries() const;
+  inline bool hasFrom() const;
+  inline  ::hawthornpin::wire::EntryInfo::Reader getFrom() const;
+
+  inline bool hasMembers() const;
+  inline  ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Reader getMembers() const;
+
+  inline bool hasHeartbeats() const;
+  inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Reader getHeartbeats() const;
+
+  inline  ::uint64_t getSeen() const;
+
+  inline  ::uint64_t getConfigVersion() const;
+
+  inline bool getWantsCheckpoint() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -5731,9 +5891,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::PresentResults::Builder {
+class Node::ExchangeParams::Builder {
 public:
-  typedef PresentResults Builds;
+  typedef ExchangeParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -5747,13 +5907,35 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasEntries();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getEntries();
-  inline void setEntries( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setEntries(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initEntries(unsigned int size);
-  inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownEntries();
+  inline bool hasFrom();
+  inline  ::hawthornpin::wire::EntryInfo::Builder getFrom();
+  inline void setFrom( ::hawthornpin::wire::EntryInfo::Reader value);
+  inline  ::hawthornpin::wire::EntryInfo::Builder initFrom();
+  inline void adoptFrom(::capnp::Orphan< ::hawthornpin::wire::EntryInfo>&& value);
+  inline ::capnp::Orphan< ::hawthornpin::wire::EntryInfo> disownFrom();
+
+  inline bool hasMembers();
+  inline  ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Builder getMembers();
+  inline void setMembers( ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Builder initMembers(unsigned int size);
+  inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>> disownMembers();
+
+  inline bool hasHeartbeats();
+  inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Builder getHeartbeats();
+  inline void setHeartbeats( ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Builder initHeartbeats(unsigned int size);
+  inline void adoptHeartbeats(::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>> disownHeartbeats();
+
+  inline  ::uint64_t getSeen();
+  inline void setSeen( ::uint64_t value);
+
+  inline  ::uint64_t getConfigVersion();
+  inline void setConfigVersion( ::uint64_t value);
+
+  inline bool getWantsCheckpoint();
+  inline void setWantsCheckpoint(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -5765,14 +5947,15 @@
 };
 
 #if !CAPNP_LITE
-class Node::PresentResults::Pipeline {
+class Node::ExchangeParams::Pipeline {
 public:
-  typedef PresentResults Pipelines;
+  typedef ExchangeParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::hawthornpin::wire::EntryInfo::Pipeline getFrom();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -5781,9 +5964,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::ShareParams::Reader {
+class Node::ExchangeResults::Reader {
 public:
-  typedef ShareParams Reads;
+  typedef ExchangeResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -5798,13 +5981,26 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAddress() const;
-  inline  ::capnp::Text::Reader getAddress() const;
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
+
+  inline  ::uint64_t getChanges() const;
 
   inline bool hasEntries() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getEntries() const;
+  inline  ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>::Reader getEntries() const;
 
-  inline  ::int64_t getVersion() const;
+  inline bool hasMembers() const;
+  inline  ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Reader getMembers() const;
+
+  inline bool hasHeartbeats() const;
+  inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Reader getHeartbeats() const;
+
+  inline bool getIsMissingMembers() const;
+
+  inline  ::uint64_t getConfigVersion() const;
+
+  inline bool hasCheckpoint() const;
+  inline  ::capnp::Text::Reader getCheckpoint() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -5818,9 +6014,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::ShareParams::Builder {
+class Node::ExchangeResults::Builder {
 public:
-  typedef ShareParams Builds;
+  typedef ExchangeResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -5834,23 +6030,49 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasAddress();
-  inline  ::capnp::Text::Builder getAddress();
-  inline void setAddress( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAddress(unsigned int size);
-  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
+
+  inline  ::uint64_t getChanges();
+  inline void setChanges( ::uint64_t value);
 
   inline bool hasEntries();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getEntries();
-  inline void setEntries( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setEntries(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initEntries(unsigned int size);
-  inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownEntries();
+  inline  ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>::Builder getEntries();
+  inline void setEntries( ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>::Builder initEntries(unsigned int size);
+  inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::EntryInfo,  ::capnp::Kind::STRUCT>> disownEntries();
 
-  inline  ::int64_t getVersion();
-  inline void setVersion( ::int64_t value);
+  inline bool hasMembers();
+  inline  ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Builder getMembers();
+  inline void setMembers( ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>::Builder initMembers(unsigned int size);
+  inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Announcement,  ::capnp::Kind::STRUCT>> disownMembers();
+
+  inline bool hasHeartbeats();
+  inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Builder getHeartbeats();
+  inline void setHeartbeats( ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>::Builder initHeartbeats(unsigned int size);
+  inline void adoptHeartbeats(::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::Heartbeat,  ::capnp::Kind::STRUCT>> disownHeartbeats();
+
+  inline bool getIsMissingMembers();
+  inline void setIsMissingMembers(bool value);
+
+  inline  ::uint64_t getConfigVersion();
+  inline void setConfigVersion( ::uint64_t value);
+
+  inline bool hasCheckpoint();
+  inline  ::capnp::Text::Builder getCheckpoint();
+  inline void setCheckpoint( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCheckpoint(unsigned int size);
+  inline void adoptCheckpoint(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCheckpoint();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -5862,9 +6084,9 @@
 };
 
 #if !CAPNP_LITE
-class Node::ShareParams::Pipeline {
+class Node::ExchangeResults::Pipeline {
 public:
-  typedef ShareParams Pipelines;
+  typedef ExchangeResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -5878,9 +6100,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Node::ShareResults::Reader {
+class Node::OrderParams::Reader {
 public:
-  typedef ShareResults Reads;
+  typedef OrderParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -5895,13 +6117,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasEntries() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getEntries() const;
-
-  inline  ::int64_t getVersion() const;
-
-  inline bool hasDirectory() const;
-  inline  ::capnp::Text::Reader getDirectory() const;
+  inline bool hasBatch() const;
+  inline  ::hawthornpin::wire::OrderBatch::Reader getBatch() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -5915,9 +6132,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Node::ShareResults::Builder {
+class Node::OrderParams::Builder {
 public:
-  typedef ShareResults Builds;
+  typedef OrderParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -5931,23 +6148,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasEntries();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getEntries();
-  inline void setEntries( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setEntries(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initEntries(unsigned int size);
-  inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownEntries();
-
-  inline  ::int64_t getVersion();
-  inline void setVersion( ::int64_t value);
-
-  inline bool hasDirectory();
-  inline  ::capnp::Text::Builder getDirectory();
-  inline void setDirectory( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initDirectory(unsigned int size);
-  inline void adoptDirectory(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownDirectory();
+  inline bool hasBatch();
+  inline  ::hawthornpin::wire::OrderBatch::Builder getBatch();
+  inline void setBatch( ::hawthornpin::wire::OrderBatch::Reader value);
+  inline  ::hawthornpin::wire::OrderBatch::Builder initBatch();
+  inline void adoptBatch(::capnp::Orphan< ::hawthornpin::wire::OrderBatch>&& value);
+  inline ::capnp::Orphan< ::hawthornpin::wire::OrderBatch> disownBatch();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -5959,14 +6165,15 @@
 };
 
 #if !CAPNP_LITE
-class Node::ShareResults::Pipeline {
+class Node::OrderParams::Pipeline {
 public:
-  typedef ShareResults Pipelines;
+  typedef OrderParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::hawthornpin::wire::OrderBatch::Pipeline getBatch();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
