@@ -5975,2614 +6182,4231 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class Node::OrderResults::Reader {
+public:
+  typedef OrderResults Reads;
 
-inline bool AgentIdentity::Reader::hasId() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool AgentIdentity::Builder::hasId() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader AgentIdentity::Reader::getId() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder AgentIdentity::Builder::getId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void AgentIdentity::Builder::setId( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder AgentIdentity::Builder::initId(unsigned int size) {
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasStatus() const;
+  inline  ::hawthornpin::wire::AgentStatus::Reader getStatus() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Node::OrderResults::Builder {
+public:
+  typedef OrderResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasStatus();
+  inline  ::hawthornpin::wire::AgentStatus::Builder getStatus();
+  inline void setStatus( ::hawthornpin::wire::AgentStatus::Reader value);
+  inline  ::hawthornpin::wire::AgentStatus::Builder initStatus();
+  inline void adoptStatus(::capnp::Orphan< ::hawthornpin::wire::AgentStatus>&& value);
+  inline ::capnp::Orphan< ::hawthornpin::wire::AgentStatus> disownStatus();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Node::OrderResults::Pipeline {
+public:
+  typedef OrderResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::hawthornpin::wire::AgentStatus::Pipeline getStatus();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Node::ReportParams::Reader {
+public:
+  typedef ReportParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasStatus() const;
+  inline  ::hawthornpin::wire::AgentStatus::Reader getStatus() const;
+
+  inline bool hasOutcomes() const;
+  inline  ::capnp::List< ::hawthornpin::wire::RunOutcome,  ::capnp::Kind::STRUCT>::Reader getOutcomes() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Node::ReportParams::Builder {
+public:
+  typedef ReportParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasStatus();
+  inline  ::hawthornpin::wire::AgentStatus::Builder getStatus();
+  inline void setStatus( ::hawthornpin::wire::AgentStatus::Reader value);
+  inline  ::hawthornpin::wire::AgentStatus::Builder initStatus();
+  inline void adoptStatus(::capnp::Orphan< ::hawthornpin::wire::AgentStatus>&& value);
+  inline ::capnp::Orphan< ::hawthornpin::wire::AgentStatus> disownStatus();
+
+  inline bool hasOutcomes();
+  inline  ::capnp::List< ::hawthornpin::wire::RunOutcome,  ::capnp::Kind::STRUCT>::Builder getOutcomes();
+  inline void setOutcomes( ::capnp::List< ::hawthornpin::wire::RunOutcome,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::hawthornpin::wire::RunOutcome,  ::capnp::Kind::STRUCT>::Builder initOutcomes(unsigned int size);
+  inline void adoptOutcomes(::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::RunOutcome,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::RunOutcome,  ::capnp::Kind::STRUCT>> disownOutcomes();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Node::ReportParams::Pipeline {
+public:
+  typedef ReportParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::hawthornpin::wire::AgentStatus::Pipeline getStatus();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Node::ReportResults::Reader {
+public:
+  typedef ReportResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Node::ReportResults::Builder {
+public:
+  typedef ReportResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Node::ReportResults::Pipeline {
+public:
+  typedef ReportResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Node::PresentParams::Reader {
+public:
+  typedef PresentParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasStatus() const;
+  inline  ::hawthornpin::wire::AgentStatus::Reader getStatus() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Node::PresentParams::Builder {
+public:
+  typedef PresentParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasStatus();
+  inline  ::hawthornpin::wire::AgentStatus::Builder getStatus();
+  inline void setStatus( ::hawthornpin::wire::AgentStatus::Reader value);
+  inline  ::hawthornpin::wire::AgentStatus::Builder initStatus();
+  inline void adoptStatus(::capnp::Orphan< ::hawthornpin::wire::AgentStatus>&& value);
+  inline ::capnp::Orphan< ::hawthornpin::wire::AgentStatus> disownStatus();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Node::PresentParams::Pipeline {
+public:
+  typedef PresentParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::hawthornpin::wire::AgentStatus::Pipeline getStatus();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Node::PresentResults::Reader {
+public:
+  typedef PresentResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEntries() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getEntries() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Node::PresentResults::Builder {
+public:
+  typedef PresentResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEntries();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getEntries();
+  inline void setEntries( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setEntries(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initEntries(unsigned int size);
+  inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownEntries();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Node::PresentResults::Pipeline {
+public:
+  typedef PresentResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Node::ShareParams::Reader {
+public:
+  typedef ShareParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
+
+  inline bool hasEntries() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getEntries() const;
+
+  inline  ::int64_t getVersion() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Node::ShareParams::Builder {
+public:
+  typedef ShareParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+
+  inline bool hasEntries();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getEntries();
+  inline void setEntries( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setEntries(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initEntries(unsigned int size);
+  inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownEntries();
+
+  inline  ::int64_t getVersion();
+  inline void setVersion( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Node::ShareParams::Pipeline {
+public:
+  typedef ShareParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Node::ShareResults::Reader {
+public:
+  typedef ShareResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEntries() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getEntries() const;
+
+  inline  ::int64_t getVersion() const;
+
+  inline bool hasDirectory() const;
+  inline  ::capnp::Text::Reader getDirectory() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Node::ShareResults::Builder {
+public:
+  typedef ShareResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEntries();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getEntries();
+  inline void setEntries( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setEntries(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initEntries(unsigned int size);
+  inline void adoptEntries(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownEntries();
+
+  inline  ::int64_t getVersion();
+  inline void setVersion( ::int64_t value);
+
+  inline bool hasDirectory();
+  inline  ::capnp::Text::Builder getDirectory();
+  inline void setDirectory( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDirectory(unsigned int size);
+  inline void adoptDirectory(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDirectory();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Node::ShareResults::Pipeline {
+public:
+  typedef ShareResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Node::AttendParams::Reader {
+public:
+  typedef AttendParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasPresence() const;
+  inline  ::hawthornpin::wire::EntryPresence::Reader getPresence() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Node::AttendParams::Builder {
+public:
+  typedef AttendParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasPresence();
+  inline  ::hawthornpin::wire::EntryPresence::Builder getPresence();
+  inline void setPresence( ::hawthornpin::wire::EntryPresence::Reader value);
+  inline  ::hawthornpin::wire::EntryPresence::Builder initPresence();
+  inline void adoptPresence(::capnp::Orphan< ::hawthornpin::wire::EntryPresence>&& value);
+  inline ::capnp::Orphan< ::hawthornpin::wire::EntryPresence> disownPresence();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Node::AttendParams::Pipeline {
+public:
+  typedef AttendParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::hawthornpin::wire::EntryPresence::Pipeline getPresence();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Node::AttendResults::Reader {
+public:
+  typedef AttendResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasStatus() const;
+  inline  ::hawthornpin::wire::HomeStatus::Reader getStatus() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Node::AttendResults::Builder {
+public:
+  typedef AttendResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasStatus();
+  inline  ::hawthornpin::wire::HomeStatus::Builder getStatus();
+  inline void setStatus( ::hawthornpin::wire::HomeStatus::Reader value);
+  inline  ::hawthornpin::wire::HomeStatus::Builder initStatus();
+  inline void adoptStatus(::capnp::Orphan< ::hawthornpin::wire::HomeStatus>&& value);
+  inline ::capnp::Orphan< ::hawthornpin::wire::HomeStatus> disownStatus();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Node::AttendResults::Pipeline {
+public:
+  typedef AttendResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::hawthornpin::wire::HomeStatus::Pipeline getStatus();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Node::HandInParams::Reader {
+public:
+  typedef HandInParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasPresence() const;
+  inline  ::hawthornpin::wire::EntryPresence::Reader getPresence() const;
+
+  inline bool hasWork() const;
+  inline  ::hawthornpin::wire::WorkRequest::Reader getWork() const;
+
+  inline bool hasQueue() const;
+  inline  ::hawthornpin::wire::QueueContract::Reader getQueue() const;
+
+  inline  ::uint32_t getPatienceMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Node::HandInParams::Builder {
+public:
+  typedef HandInParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasPresence();
+  inline  ::hawthornpin::wire::EntryPresence::Builder getPresence();
+  inline void setPresence( ::hawthornpin::wire::EntryPresence::Reader value);
+  inline  ::hawthornpin::wire::EntryPresence::Builder initPresence();
+  inline void adoptPresence(::capnp::Orphan< ::hawthornpin::wire::EntryPresence>&& value);
+  inline ::capnp::Orphan< ::hawthornpin::wire::EntryPresence> disownPresence();
+
+  inline bool hasWork();
+  inline  ::hawthornpin::wire::WorkRequest::Builder getWork();
+  inline void setWork( ::hawthornpin::wire::WorkRequest::Reader value);
+  inline  ::hawthornpin::wire::WorkRequest::Builder initWork();
+  inline void adoptWork(::capnp::Orphan< ::hawthornpin::wire::WorkRequest>&& value);
+  inline ::capnp::Orphan< ::hawthornpin::wire::WorkRequest> disownWork();
+
+  inline bool hasQueue();
+  inline  ::hawthornpin::wire::QueueContract::Builder getQueue();
+  inline void setQueue( ::hawthornpin::wire::QueueContract::Reader value);
+  inline  ::hawthornpin::wire::QueueContract::Builder initQueue();
+  inline void adoptQueue(::capnp::Orphan< ::hawthornpin::wire::QueueContract>&& value);
+  inline ::capnp::Orphan< ::hawthornpin::wire::QueueContract> disownQueue();
+
+  inline  ::uint32_t getPatienceMs();
+  inline void setPatienceMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Node::HandInParams::Pipeline {
+public:
+  typedef HandInParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::hawthornpin::wire::EntryPresence::Pipeline getPresence();
+  inline  ::hawthornpin::wire::WorkRequest::Pipeline getWork();
+  inline  ::hawthornpin::wire::QueueContract::Pipeline getQueue();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Node::HandInResults::Reader {
+public:
+  typedef HandInResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEnd() const;
+  inline  ::hawthornpin::wire::JobEnd::Reader getEnd() const;
+
+  inline bool hasStatus() const;
+  inline  ::hawthornpin::wire::HomeStatus::Reader getStatus() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Node::HandInResults::Builder {
+public:
+  typedef HandInResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEnd();
+  inline  ::hawthornpin::wire::JobEnd::Builder getEnd();
+  inline void setEnd( ::hawthornpin::wire::JobEnd::Reader value);
+  inline  ::hawthornpin::wire::JobEnd::Builder initEnd();
+  inline void adoptEnd(::capnp::Orphan< ::hawthornpin::wire::JobEnd>&& value);
+  inline ::capnp::Orphan< ::hawthornpin::wire::JobEnd> disownEnd();
+
+  inline bool hasStatus();
+  inline  ::hawthornpin::wire::HomeStatus::Builder getStatus();
+  inline void setStatus( ::hawthornpin::wire::HomeStatus::Reader value);
+  inline  ::hawthornpin::wire::HomeStatus::Builder initStatus();
+  inline void adoptStatus(::capnp::Orphan< ::hawthornpin::wire::HomeStatus>&& value);
+  inline ::capnp::Orphan< ::hawthornpin::wire::HomeStatus> disownStatus();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Node::HandInResults::Pipeline {
+public:
+  typedef HandInResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::hawthornpin::wire::JobEnd::Pipeline getEnd();
+  inline  ::hawthornpin::wire::HomeStatus::Pipeline getStatus();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline bool AgentIdentity::Reader::hasId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool AgentIdentity::Builder::hasId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader AgentIdentity::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder AgentIdentity::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void AgentIdentity::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder AgentIdentity::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void AgentIdentity::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> AgentIdentity::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t AgentIdentity::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t AgentIdentity::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void AgentIdentity::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t TicketId::Reader::getHigh() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TicketId::Builder::getHigh() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void TicketId::Builder::setHigh( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t TicketId::Reader::getLow() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TicketId::Builder::getLow() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void TicketId::Builder::setLow( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Ticket::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Ticket::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Ticket::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Ticket::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Ticket::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Ticket::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Ticket::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Ticket::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Ticket::Reader::hasHome() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Ticket::Builder::hasHome() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::hawthornpin::wire::AgentIdentity::Reader Ticket::Reader::getHome() const {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentIdentity>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::hawthornpin::wire::AgentIdentity::Builder Ticket::Builder::getHome() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentIdentity>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::hawthornpin::wire::AgentIdentity::Pipeline Ticket::Pipeline::getHome() {
+  return  ::hawthornpin::wire::AgentIdentity::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void Ticket::Builder::setHome( ::hawthornpin::wire::AgentIdentity::Reader value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentIdentity>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::hawthornpin::wire::AgentIdentity::Builder Ticket::Builder::initHome() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentIdentity>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Ticket::Builder::adoptHome(
+    ::capnp::Orphan< ::hawthornpin::wire::AgentIdentity>&& value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentIdentity>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::hawthornpin::wire::AgentIdentity> Ticket::Builder::disownHome() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentIdentity>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Ticket::Reader::hasId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Ticket::Builder::hasId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::hawthornpin::wire::TicketId::Reader Ticket::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::TicketId>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::hawthornpin::wire::TicketId::Builder Ticket::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::TicketId>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::hawthornpin::wire::TicketId::Pipeline Ticket::Pipeline::getId() {
+  return  ::hawthornpin::wire::TicketId::Pipeline(_typeless.getPointerField(2));
+}
+#endif  // !CAPNP_LITE
+inline void Ticket::Builder::setId( ::hawthornpin::wire::TicketId::Reader value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::TicketId>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::hawthornpin::wire::TicketId::Builder Ticket::Builder::initId() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::TicketId>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Ticket::Builder::adoptId(
+    ::capnp::Orphan< ::hawthornpin::wire::TicketId>&& value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::TicketId>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::hawthornpin::wire::TicketId> Ticket::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::TicketId>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t Ticket::Reader::getExpiryMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Ticket::Builder::getExpiryMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Ticket::Builder::setExpiryMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool GrantId::Reader::hasTicket() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool GrantId::Builder::hasTicket() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::hawthornpin::wire::TicketId::Reader GrantId::Reader::getTicket() const {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::TicketId>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::hawthornpin::wire::TicketId::Builder GrantId::Builder::getTicket() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::TicketId>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::hawthornpin::wire::TicketId::Pipeline GrantId::Pipeline::getTicket() {
+  return  ::hawthornpin::wire::TicketId::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void GrantId::Builder::setTicket( ::hawthornpin::wire::TicketId::Reader value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::TicketId>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::hawthornpin::wire::TicketId::Builder GrantId::Builder::initTicket() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::TicketId>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void GrantId::Builder::adoptTicket(
+    ::capnp::Orphan< ::hawthornpin::wire::TicketId>&& value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::TicketId>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::hawthornpin::wire::TicketId> GrantId::Builder::disownTicket() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::TicketId>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t GrantId::Reader::getTask() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t GrantId::Builder::getTask() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void GrantId::Builder::setTask( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t Outcome::Reader::getVerdict() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t Outcome::Builder::getVerdict() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Outcome::Builder::setVerdict( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t Outcome::Reader::getReason() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Outcome::Builder::getReason() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Outcome::Builder::setReason( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Outcome::Reader::getTicketOpen() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline bool Outcome::Builder::getTicketOpen() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void Outcome::Builder::setTicketOpen(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Load::Reader::getRunning() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Load::Builder::getRunning() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setRunning( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Load::Reader::getQueued() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Load::Builder::getQueued() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setQueued( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Load::Reader::getEstimatedWaitMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Load::Builder::getEstimatedWaitMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setEstimatedWaitMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t Load::Reader::getFailuresPerMille() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Load::Builder::getFailuresPerMille() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setFailuresPerMille( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Load::Reader::getStopped() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<112>() * ::capnp::ELEMENTS);
+}
+
+inline bool Load::Builder::getStopped() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<112>() * ::capnp::ELEMENTS);
+}
+inline void Load::Builder::setStopped(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<112>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Submission::Reader::hasTicket() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Submission::Builder::hasTicket() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::hawthornpin::wire::Ticket::Reader Submission::Reader::getTicket() const {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Ticket>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::hawthornpin::wire::Ticket::Builder Submission::Builder::getTicket() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Ticket>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::hawthornpin::wire::Ticket::Pipeline Submission::Pipeline::getTicket() {
+  return  ::hawthornpin::wire::Ticket::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Submission::Builder::setTicket( ::hawthornpin::wire::Ticket::Reader value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::Ticket>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::hawthornpin::wire::Ticket::Builder Submission::Builder::initTicket() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Ticket>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Submission::Builder::adoptTicket(
+    ::capnp::Orphan< ::hawthornpin::wire::Ticket>&& value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::Ticket>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::hawthornpin::wire::Ticket> Submission::Builder::disownTicket() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Ticket>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Submission::Reader::hasTeam() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Submission::Builder::hasTeam() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Submission::Reader::getTeam() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Submission::Builder::getTeam() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Submission::Builder::setTeam( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Submission::Builder::initTeam(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Submission::Builder::adoptTeam(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Submission::Builder::disownTeam() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Submission::Reader::hasDigest() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Submission::Builder::hasDigest() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Submission::Reader::getDigest() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Submission::Builder::getDigest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Submission::Builder::setDigest( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Submission::Builder::initDigest(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void AgentIdentity::Builder::adoptId(
+inline void Submission::Builder::adoptDigest(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> AgentIdentity::Builder::disownId() {
+inline ::capnp::Orphan< ::capnp::Text> Submission::Builder::disownDigest() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t AgentIdentity::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::uint32_t Submission::Reader::getBudgetMs() const {
+  return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t AgentIdentity::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::uint32_t Submission::Builder::getBudgetMs() {
+  return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void AgentIdentity::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void Submission::Builder::setBudgetMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t TicketId::Reader::getHigh() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::uint32_t Submission::Reader::getMemoryMib() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Submission::Builder::getMemoryMib() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Submission::Builder::setMemoryMib( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Submission::Reader::getAccelerators() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Submission::Builder::getAccelerators() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Submission::Builder::setAccelerators( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Submission::Reader::hasPayloads() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Submission::Builder::hasPayloads() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Submission::Reader::getPayloads() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Submission::Builder::getPayloads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Submission::Builder::setPayloads( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline void Submission::Builder::setPayloads(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Submission::Builder::initPayloads(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Submission::Builder::adoptPayloads(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Submission::Builder::disownPayloads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool JobAnswer::Reader::hasOutcome() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool JobAnswer::Builder::hasOutcome() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::hawthornpin::wire::Outcome::Reader JobAnswer::Reader::getOutcome() const {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Outcome>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::hawthornpin::wire::Outcome::Builder JobAnswer::Builder::getOutcome() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Outcome>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::hawthornpin::wire::Outcome::Pipeline JobAnswer::Pipeline::getOutcome() {
+  return  ::hawthornpin::wire::Outcome::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void JobAnswer::Builder::setOutcome( ::hawthornpin::wire::Outcome::Reader value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::Outcome>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::hawthornpin::wire::Outcome::Builder JobAnswer::Builder::initOutcome() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Outcome>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void JobAnswer::Builder::adoptOutcome(
+    ::capnp::Orphan< ::hawthornpin::wire::Outcome>&& value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::Outcome>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::hawthornpin::wire::Outcome> JobAnswer::Builder::disownOutcome() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Outcome>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool JobAnswer::Reader::hasAnswers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool JobAnswer::Builder::hasAnswers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader JobAnswer::Reader::getAnswers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder JobAnswer::Builder::getAnswers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void JobAnswer::Builder::setAnswers( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void JobAnswer::Builder::setAnswers(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder JobAnswer::Builder::initAnswers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void JobAnswer::Builder::adoptAnswers(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> JobAnswer::Builder::disownAnswers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t JobAnswer::Reader::getRetryAfterMs() const {
+  return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t TicketId::Builder::getHigh() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::uint32_t JobAnswer::Builder::getRetryAfterMs() {
+  return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void TicketId::Builder::setHigh( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void JobAnswer::Builder::setRetryAfterMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t TicketId::Reader::getLow() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool JobAnswer::Reader::getPending() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t TicketId::Builder::getLow() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool JobAnswer::Builder::getPending() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
 }
-inline void TicketId::Builder::setLow( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void JobAnswer::Builder::setPending(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Ticket::Reader::hasService() const {
+inline bool Grant::Reader::hasHome() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Ticket::Builder::hasService() {
+inline bool Grant::Builder::hasHome() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Ticket::Reader::getService() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::hawthornpin::wire::AgentIdentity::Reader Grant::Reader::getHome() const {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentIdentity>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Ticket::Builder::getService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::hawthornpin::wire::AgentIdentity::Builder Grant::Builder::getHome() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentIdentity>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Ticket::Builder::setService( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::hawthornpin::wire::AgentIdentity::Pipeline Grant::Pipeline::getHome() {
+  return  ::hawthornpin::wire::AgentIdentity::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Grant::Builder::setHome( ::hawthornpin::wire::AgentIdentity::Reader value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentIdentity>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Ticket::Builder::initService(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::hawthornpin::wire::AgentIdentity::Builder Grant::Builder::initHome() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentIdentity>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Ticket::Builder::adoptService(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void Grant::Builder::adoptHome(
+    ::capnp::Orphan< ::hawthornpin::wire::AgentIdentity>&& value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentIdentity>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Ticket::Builder::disownService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::hawthornpin::wire::AgentIdentity> Grant::Builder::disownHome() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentIdentity>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Ticket::Reader::hasHome() const {
+inline bool Grant::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Ticket::Builder::hasHome() {
+inline bool Grant::Builder::hasId() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::hawthornpin::wire::AgentIdentity::Reader Ticket::Reader::getHome() const {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentIdentity>::get(_reader.getPointerField(
+inline  ::hawthornpin::wire::GrantId::Reader Grant::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::GrantId>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::hawthornpin::wire::AgentIdentity::Builder Ticket::Builder::getHome() {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentIdentity>::get(_builder.getPointerField(
+inline  ::hawthornpin::wire::GrantId::Builder Grant::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::GrantId>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::hawthornpin::wire::AgentIdentity::Pipeline Ticket::Pipeline::getHome() {
-  return  ::hawthornpin::wire::AgentIdentity::Pipeline(_typeless.getPointerField(1));
+inline  ::hawthornpin::wire::GrantId::Pipeline Grant::Pipeline::getId() {
+  return  ::hawthornpin::wire::GrantId::Pipeline(_typeless.getPointerField(1));
 }
 #endif  // !CAPNP_LITE
-inline void Ticket::Builder::setHome( ::hawthornpin::wire::AgentIdentity::Reader value) {
-  ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentIdentity>::set(_builder.getPointerField(
+inline void Grant::Builder::setId( ::hawthornpin::wire::GrantId::Reader value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::GrantId>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::hawthornpin::wire::AgentIdentity::Builder Ticket::Builder::initHome() {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentIdentity>::init(_builder.getPointerField(
+inline  ::hawthornpin::wire::GrantId::Builder Grant::Builder::initId() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::GrantId>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Ticket::Builder::adoptHome(
-    ::capnp::Orphan< ::hawthornpin::wire::AgentIdentity>&& value) {
-  ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentIdentity>::adopt(_builder.getPointerField(
+inline void Grant::Builder::adoptId(
+    ::capnp::Orphan< ::hawthornpin::wire::GrantId>&& value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::GrantId>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::hawthornpin::wire::AgentIdentity> Ticket::Builder::disownHome() {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentIdentity>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::hawthornpin::wire::GrantId> Grant::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::GrantId>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Ticket::Reader::hasId() const {
+inline  ::uint32_t Grant::Reader::getAttempt() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Grant::Builder::getAttempt() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Grant::Builder::setAttempt( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Grant::Reader::hasTeam() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Ticket::Builder::hasId() {
+inline bool Grant::Builder::hasTeam() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::hawthornpin::wire::TicketId::Reader Ticket::Reader::getId() const {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::TicketId>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader Grant::Reader::getTeam() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::hawthornpin::wire::TicketId::Builder Ticket::Builder::getId() {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::TicketId>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder Grant::Builder::getTeam() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::hawthornpin::wire::TicketId::Pipeline Ticket::Pipeline::getId() {
-  return  ::hawthornpin::wire::TicketId::Pipeline(_typeless.getPointerField(2));
-}
-#endif  // !CAPNP_LITE
-inline void Ticket::Builder::setId( ::hawthornpin::wire::TicketId::Reader value) {
-  ::capnp::_::PointerHelpers< ::hawthornpin::wire::TicketId>::set(_builder.getPointerField(
+inline void Grant::Builder::setTeam( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::hawthornpin::wire::TicketId::Builder Ticket::Builder::initId() {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::TicketId>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Grant::Builder::initTeam(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Ticket::Builder::adoptId(
-    ::capnp::Orphan< ::hawthornpin::wire::TicketId>&& value) {
-  ::capnp::_::PointerHelpers< ::hawthornpin::wire::TicketId>::adopt(_builder.getPointerField(
+inline void Grant::Builder::adoptTeam(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::hawthornpin::wire::TicketId> Ticket::Builder::disownId() {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::TicketId>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::Text> Grant::Builder::disownTeam() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t Ticket::Reader::getExpiryMs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t Ticket::Builder::getExpiryMs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Ticket::Builder::setExpiryMs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool GrantId::Reader::hasTicket() const {
+inline bool Grant::Reader::hasPayload() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool GrantId::Builder::hasTicket() {
+inline bool Grant::Builder::hasPayload() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::hawthornpin::wire::TicketId::Reader GrantId::Reader::getTicket() const {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::TicketId>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::hawthornpin::wire::TicketId::Builder GrantId::Builder::getTicket() {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::TicketId>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Grant::Reader::getPayload() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::hawthornpin::wire::TicketId::Pipeline GrantId::Pipeline::getTicket() {
-  return  ::hawthornpin::wire::TicketId::Pipeline(_typeless.getPointerField(0));
+inline  ::capnp::Text::Builder Grant::Builder::getPayload() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-#endif  // !CAPNP_LITE
-inline void GrantId::Builder::setTicket( ::hawthornpin::wire::TicketId::Reader value) {
-  ::capnp::_::PointerHelpers< ::hawthornpin::wire::TicketId>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void Grant::Builder::setPayload( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::hawthornpin::wire::TicketId::Builder GrantId::Builder::initTicket() {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::TicketId>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Grant::Builder::initPayload(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void GrantId::Builder::adoptTicket(
-    ::capnp::Orphan< ::hawthornpin::wire::TicketId>&& value) {
-  ::capnp::_::PointerHelpers< ::hawthornpin::wire::TicketId>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void Grant::Builder::adoptPayload(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::hawthornpin::wire::TicketId> GrantId::Builder::disownTicket() {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::TicketId>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Grant::Builder::disownPayload() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t GrantId::Reader::getTask() const {
+inline  ::uint32_t Grant::Reader::getBudgetMs() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t GrantId::Builder::getTask() {
+inline  ::uint32_t Grant::Builder::getBudgetMs() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void GrantId::Builder::setTask( ::uint32_t value) {
+inline void Grant::Builder::setBudgetMs( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint8_t Outcome::Reader::getVerdict() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint32_t Grant::Reader::getEstimatedMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t Outcome::Builder::getVerdict() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint32_t Grant::Builder::getEstimatedMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Outcome::Builder::setVerdict( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void Grant::Builder::setEstimatedMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint16_t Outcome::Reader::getReason() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint32_t Grant::Reader::getValidForMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t Outcome::Builder::getReason() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint32_t Grant::Builder::getValidForMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void Outcome::Builder::setReason( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void Grant::Builder::setValidForMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Outcome::Reader::getTicketOpen() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Grant::Reader::getSent() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline bool Outcome::Builder::getTicketOpen() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Grant::Builder::getSent() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Outcome::Builder::setTicketOpen(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+inline void Grant::Builder::setSent( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Load::Reader::getRunning() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool TaskEnd::Reader::hasOutcome() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint32_t Load::Builder::getRunning() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool TaskEnd::Builder::hasOutcome() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void Load::Builder::setRunning( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::hawthornpin::wire::Outcome::Reader TaskEnd::Reader::getOutcome() const {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Outcome>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t Load::Reader::getQueued() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::hawthornpin::wire::Outcome::Builder TaskEnd::Builder::getOutcome() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Outcome>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::hawthornpin::wire::Outcome::Pipeline TaskEnd::Pipeline::getOutcome() {
+  return  ::hawthornpin::wire::Outcome::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void TaskEnd::Builder::setOutcome( ::hawthornpin::wire::Outcome::Reader value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::Outcome>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint32_t Load::Builder::getQueued() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::hawthornpin::wire::Outcome::Builder TaskEnd::Builder::initOutcome() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Outcome>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Load::Builder::setQueued( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void TaskEnd::Builder::adoptOutcome(
+    ::capnp::Orphan< ::hawthornpin::wire::Outcome>&& value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::Outcome>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-
-inline  ::uint32_t Load::Reader::getEstimatedWaitMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline ::capnp::Orphan< ::hawthornpin::wire::Outcome> TaskEnd::Builder::disownOutcome() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Outcome>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t Load::Builder::getEstimatedWaitMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool TaskEnd::Reader::hasAnswer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void Load::Builder::setEstimatedWaitMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline bool TaskEnd::Builder::hasAnswer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint16_t Load::Reader::getFailuresPerMille() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Reader TaskEnd::Reader::getAnswer() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline  ::uint16_t Load::Builder::getFailuresPerMille() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder TaskEnd::Builder::getAnswer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Load::Builder::setFailuresPerMille( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+inline void TaskEnd::Builder::setAnswer( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-
-inline bool Load::Reader::getStopped() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<112>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder TaskEnd::Builder::initAnswer(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-
-inline bool Load::Builder::getStopped() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<112>() * ::capnp::ELEMENTS);
+inline void TaskEnd::Builder::adoptAnswer(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Load::Builder::setStopped(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<112>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::Text> TaskEnd::Builder::disownAnswer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Submission::Reader::hasTicket() const {
+inline bool Announcement::Reader::hasIdentity() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Submission::Builder::hasTicket() {
+inline bool Announcement::Builder::hasIdentity() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::hawthornpin::wire::Ticket::Reader Submission::Reader::getTicket() const {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Ticket>::get(_reader.getPointerField(
+inline  ::hawthornpin::wire::AgentIdentity::Reader Announcement::Reader::getIdentity() const {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentIdentity>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::hawthornpin::wire::Ticket::Builder Submission::Builder::getTicket() {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Ticket>::get(_builder.getPointerField(
+inline  ::hawthornpin::wire::AgentIdentity::Builder Announcement::Builder::getIdentity() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentIdentity>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::hawthornpin::wire::Ticket::Pipeline Submission::Pipeline::getTicket() {
-  return  ::hawthornpin::wire::Ticket::Pipeline(_typeless.getPointerField(0));
+inline  ::hawthornpin::wire::AgentIdentity::Pipeline Announcement::Pipeline::getIdentity() {
+  return  ::hawthornpin::wire::AgentIdentity::Pipeline(_typeless.getPointerField(0));
 }
 #endif  // !CAPNP_LITE
-inline void Submission::Builder::setTicket( ::hawthornpin::wire::Ticket::Reader value) {
-  ::capnp::_::PointerHelpers< ::hawthornpin::wire::Ticket>::set(_builder.getPointerField(
+inline void Announcement::Builder::setIdentity( ::hawthornpin::wire::AgentIdentity::Reader value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentIdentity>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::hawthornpin::wire::Ticket::Builder Submission::Builder::initTicket() {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Ticket>::init(_builder.getPointerField(
+inline  ::hawthornpin::wire::AgentIdentity::Builder Announcement::Builder::initIdentity() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentIdentity>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Submission::Builder::adoptTicket(
-    ::capnp::Orphan< ::hawthornpin::wire::Ticket>&& value) {
-  ::capnp::_::PointerHelpers< ::hawthornpin::wire::Ticket>::adopt(_builder.getPointerField(
+inline void Announcement::Builder::adoptIdentity(
+    ::capnp::Orphan< ::hawthornpin::wire::AgentIdentity>&& value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentIdentity>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::hawthornpin::wire::Ticket> Submission::Builder::disownTicket() {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Ticket>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::hawthornpin::wire::AgentIdentity> Announcement::Builder::disownIdentity() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentIdentity>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Submission::Reader::hasTeam() const {
+inline bool Announcement::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Submission::Builder::hasTeam() {
+inline bool Announcement::Builder::hasService() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Submission::Reader::getTeam() const {
+inline  ::capnp::Text::Reader Announcement::Reader::getService() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Submission::Builder::getTeam() {
+inline  ::capnp::Text::Builder Announcement::Builder::getService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Submission::Builder::setTeam( ::capnp::Text::Reader value) {
+inline void Announcement::Builder::setService( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Submission::Builder::initTeam(unsigned int size) {
+inline  ::capnp::Text::Builder Announcement::Builder::initService(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Submission::Builder::adoptTeam(
+inline void Announcement::Builder::adoptService(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Submission::Builder::disownTeam() {
+inline ::capnp::Orphan< ::capnp::Text> Announcement::Builder::disownService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Submission::Reader::hasDigest() const {
+inline bool Announcement::Reader::hasRegion() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Submission::Builder::hasDigest() {
+inline bool Announcement::Builder::hasRegion() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Submission::Reader::getDigest() const {
+inline  ::capnp::Text::Reader Announcement::Reader::getRegion() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Submission::Builder::getDigest() {
+inline  ::capnp::Text::Builder Announcement::Builder::getRegion() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Submission::Builder::setDigest( ::capnp::Text::Reader value) {
+inline void Announcement::Builder::setRegion( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Submission::Builder::initDigest(unsigned int size) {
+inline  ::capnp::Text::Builder Announcement::Builder::initRegion(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Submission::Builder::adoptDigest(
+inline void Announcement::Builder::adoptRegion(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Submission::Builder::disownDigest() {
+inline ::capnp::Orphan< ::capnp::Text> Announcement::Builder::disownRegion() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t Submission::Reader::getBudgetMs() const {
-  return _reader.getDataField< ::uint32_t>(
+inline bool Announcement::Reader::hasZone() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Announcement::Builder::hasZone() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Announcement::Reader::getZone() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Announcement::Builder::getZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Announcement::Builder::setZone( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Announcement::Builder::initZone(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Announcement::Builder::adoptZone(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Announcement::Builder::disownZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool Announcement::Reader::hasRack() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool Announcement::Builder::hasRack() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Announcement::Reader::getRack() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Announcement::Builder::getRack() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void Announcement::Builder::setRack( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Announcement::Builder::initRack(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void Announcement::Builder::adoptRack(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Announcement::Builder::disownRack() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool Announcement::Reader::hasAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool Announcement::Builder::hasAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Announcement::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Announcement::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void Announcement::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Announcement::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void Announcement::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Announcement::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline  ::uint16_t Announcement::Reader::getSlots() const {
+  return _reader.getDataField< ::uint16_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Submission::Builder::getBudgetMs() {
-  return _builder.getDataField< ::uint32_t>(
+inline  ::uint16_t Announcement::Builder::getSlots() {
+  return _builder.getDataField< ::uint16_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Submission::Builder::setBudgetMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
+inline void Announcement::Builder::setSlots( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Submission::Reader::getMemoryMib() const {
+inline  ::uint32_t Announcement::Reader::getMemoryMib() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Submission::Builder::getMemoryMib() {
+inline  ::uint32_t Announcement::Builder::getMemoryMib() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Submission::Builder::setMemoryMib( ::uint32_t value) {
+inline void Announcement::Builder::setMemoryMib( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Submission::Reader::getAccelerators() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint16_t Announcement::Reader::getAccelerators() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Submission::Builder::getAccelerators() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint16_t Announcement::Builder::getAccelerators() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Submission::Builder::setAccelerators( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void Announcement::Builder::setAccelerators( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Submission::Reader::hasPayloads() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+inline  ::uint64_t Announcement::Reader::getGeneration() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline bool Submission::Builder::hasPayloads() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+
+inline  ::uint64_t Announcement::Builder::getGeneration() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Submission::Reader::getPayloads() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline void Announcement::Builder::setGeneration( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Submission::Builder::getPayloads() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+
+inline  ::uint64_t Announcement::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Submission::Builder::setPayloads( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+
+inline  ::uint64_t Announcement::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void Submission::Builder::setPayloads(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline void Announcement::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Submission::Builder::initPayloads(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+
+inline  ::uint8_t Announcement::Reader::getState() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<24>() * ::capnp::ELEMENTS);
 }
-inline void Submission::Builder::adoptPayloads(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint8_t Announcement::Builder::getState() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<24>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Submission::Builder::disownPayloads() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline void Announcement::Builder::setState( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<24>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool JobAnswer::Reader::hasOutcome() const {
+inline bool Announcement::Reader::hasLoad() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline bool JobAnswer::Builder::hasOutcome() {
+inline bool Announcement::Builder::hasLoad() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline  ::hawthornpin::wire::Outcome::Reader JobAnswer::Reader::getOutcome() const {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Outcome>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::hawthornpin::wire::Load::Reader Announcement::Reader::getLoad() const {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Load>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline  ::hawthornpin::wire::Outcome::Builder JobAnswer::Builder::getOutcome() {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Outcome>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::hawthornpin::wire::Load::Builder Announcement::Builder::getLoad() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Load>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::hawthornpin::wire::Outcome::Pipeline JobAnswer::Pipeline::getOutcome() {
-  return  ::hawthornpin::wire::Outcome::Pipeline(_typeless.getPointerField(0));
+inline  ::hawthornpin::wire::Load::Pipeline Announcement::Pipeline::getLoad() {
+  return  ::hawthornpin::wire::Load::Pipeline(_typeless.getPointerField(6));
 }
 #endif  // !CAPNP_LITE
-inline void JobAnswer::Builder::setOutcome( ::hawthornpin::wire::Outcome::Reader value) {
-  ::capnp::_::PointerHelpers< ::hawthornpin::wire::Outcome>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::hawthornpin::wire::Outcome::Builder JobAnswer::Builder::initOutcome() {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Outcome>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void JobAnswer::Builder::adoptOutcome(
-    ::capnp::Orphan< ::hawthornpin::wire::Outcome>&& value) {
-  ::capnp::_::PointerHelpers< ::hawthornpin::wire::Outcome>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::hawthornpin::wire::Outcome> JobAnswer::Builder::disownOutcome() {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Outcome>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool JobAnswer::Reader::hasAnswers() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool JobAnswer::Builder::hasAnswers() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader JobAnswer::Reader::getAnswers() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder JobAnswer::Builder::getAnswers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void JobAnswer::Builder::setAnswers( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline void JobAnswer::Builder::setAnswers(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void Announcement::Builder::setLoad( ::hawthornpin::wire::Load::Reader value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::Load>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder JobAnswer::Builder::initAnswers(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline  ::hawthornpin::wire::Load::Builder Announcement::Builder::initLoad() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Load>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline void JobAnswer::Builder::adoptAnswers(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void Announcement::Builder::adoptLoad(
+    ::capnp::Orphan< ::hawthornpin::wire::Load>&& value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::Load>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> JobAnswer::Builder::disownAnswers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::hawthornpin::wire::Load> Announcement::Builder::disownLoad() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Load>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t JobAnswer::Reader::getRetryAfterMs() const {
+inline  ::uint32_t Announcement::Reader::getAgeMs() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t JobAnswer::Builder::getRetryAfterMs() {
+inline  ::uint32_t Announcement::Builder::getAgeMs() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
 }
-inline void JobAnswer::Builder::setRetryAfterMs( ::uint32_t value) {
+inline void Announcement::Builder::setAgeMs( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool JobAnswer::Reader::getPending() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
-}
-
-inline bool JobAnswer::Builder::getPending() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
-}
-inline void JobAnswer::Builder::setPending(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Grant::Reader::hasHome() const {
+inline bool Heartbeat::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Grant::Builder::hasHome() {
+inline bool Heartbeat::Builder::hasId() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::hawthornpin::wire::AgentIdentity::Reader Grant::Reader::getHome() const {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentIdentity>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader Heartbeat::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::hawthornpin::wire::AgentIdentity::Builder Grant::Builder::getHome() {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentIdentity>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder Heartbeat::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::hawthornpin::wire::AgentIdentity::Pipeline Grant::Pipeline::getHome() {
-  return  ::hawthornpin::wire::AgentIdentity::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Grant::Builder::setHome( ::hawthornpin::wire::AgentIdentity::Reader value) {
-  ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentIdentity>::set(_builder.getPointerField(
+inline void Heartbeat::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::hawthornpin::wire::AgentIdentity::Builder Grant::Builder::initHome() {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentIdentity>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Heartbeat::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Grant::Builder::adoptHome(
-    ::capnp::Orphan< ::hawthornpin::wire::AgentIdentity>&& value) {
-  ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentIdentity>::adopt(_builder.getPointerField(
+inline void Heartbeat::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::hawthornpin::wire::AgentIdentity> Grant::Builder::disownHome() {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentIdentity>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Heartbeat::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Heartbeat::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Heartbeat::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Heartbeat::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Heartbeat::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Grant::Reader::hasId() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+inline  ::uint16_t Heartbeat::Reader::getRunning() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline bool Grant::Builder::hasId() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+
+inline  ::uint16_t Heartbeat::Builder::getRunning() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline  ::hawthornpin::wire::GrantId::Reader Grant::Reader::getId() const {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::GrantId>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void Heartbeat::Builder::setRunning( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
-inline  ::hawthornpin::wire::GrantId::Builder Grant::Builder::getId() {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::GrantId>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+
+inline  ::uint16_t Heartbeat::Reader::getFailuresPerMille() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
 }
-#if !CAPNP_LITE
-inline  ::hawthornpin::wire::GrantId::Pipeline Grant::Pipeline::getId() {
-  return  ::hawthornpin::wire::GrantId::Pipeline(_typeless.getPointerField(1));
+
+inline  ::uint16_t Heartbeat::Builder::getFailuresPerMille() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
 }
-#endif  // !CAPNP_LITE
-inline void Grant::Builder::setId( ::hawthornpin::wire::GrantId::Reader value) {
-  ::capnp::_::PointerHelpers< ::hawthornpin::wire::GrantId>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void Heartbeat::Builder::setFailuresPerMille( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
 }
-inline  ::hawthornpin::wire::GrantId::Builder Grant::Builder::initId() {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::GrantId>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+
+inline  ::uint32_t Heartbeat::Reader::getQueued() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void Grant::Builder::adoptId(
-    ::capnp::Orphan< ::hawthornpin::wire::GrantId>&& value) {
-  ::capnp::_::PointerHelpers< ::hawthornpin::wire::GrantId>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint32_t Heartbeat::Builder::getQueued() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::hawthornpin::wire::GrantId> Grant::Builder::disownId() {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::GrantId>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void Heartbeat::Builder::setQueued( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Grant::Reader::getAttempt() const {
+inline  ::uint32_t Heartbeat::Reader::getEstimatedWaitMs() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Grant::Builder::getAttempt() {
+inline  ::uint32_t Heartbeat::Builder::getEstimatedWaitMs() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
-inline void Grant::Builder::setAttempt( ::uint32_t value) {
+inline void Heartbeat::Builder::setEstimatedWaitMs( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Grant::Reader::hasTeam() const {
+inline  ::uint16_t Heartbeat::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Heartbeat::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setAgeMs( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Heartbeat::Reader::getStopped() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<240>() * ::capnp::ELEMENTS);
+}
+
+inline bool Heartbeat::Builder::getStopped() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<240>() * ::capnp::ELEMENTS);
+}
+inline void Heartbeat::Builder::setStopped(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<240>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool EntryInfo::Reader::hasId() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Grant::Builder::hasTeam() {
+inline bool EntryInfo::Builder::hasId() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Grant::Reader::getTeam() const {
+inline  ::capnp::Text::Reader EntryInfo::Reader::getId() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Grant::Builder::getTeam() {
+inline  ::capnp::Text::Builder EntryInfo::Builder::getId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Grant::Builder::setTeam( ::capnp::Text::Reader value) {
+inline void EntryInfo::Builder::setId( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Grant::Builder::initTeam(unsigned int size) {
+inline  ::capnp::Text::Builder EntryInfo::Builder::initId(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Grant::Builder::adoptTeam(
+inline void EntryInfo::Builder::adoptId(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Grant::Builder::disownTeam() {
+inline ::capnp::Orphan< ::capnp::Text> EntryInfo::Builder::disownId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Grant::Reader::hasPayload() const {
+inline bool EntryInfo::Reader::hasAddress() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Grant::Builder::hasPayload() {
+inline bool EntryInfo::Builder::hasAddress() {
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Grant::Reader::getPayload() const {
+inline  ::capnp::Text::Reader EntryInfo::Reader::getAddress() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Grant::Builder::getPayload() {
+inline  ::capnp::Text::Builder EntryInfo::Builder::getAddress() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Grant::Builder::setPayload( ::capnp::Text::Reader value) {
+inline void EntryInfo::Builder::setAddress( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Grant::Builder::initPayload(unsigned int size) {
+inline  ::capnp::Text::Builder EntryInfo::Builder::initAddress(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Grant::Builder::adoptPayload(
+inline void EntryInfo::Builder::adoptAddress(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Grant::Builder::disownPayload() {
+inline ::capnp::Orphan< ::capnp::Text> EntryInfo::Builder::disownAddress() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-
-inline  ::uint32_t Grant::Reader::getBudgetMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t Grant::Builder::getBudgetMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void Grant::Builder::setBudgetMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint32_t Grant::Reader::getEstimatedMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t Grant::Builder::getEstimatedMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void Grant::Builder::setEstimatedMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t Grant::Reader::getValidForMs() const {
+inline  ::uint32_t EntryInfo::Reader::getAgeMs() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Grant::Builder::getValidForMs() {
+inline  ::uint32_t EntryInfo::Builder::getAgeMs() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Grant::Builder::setValidForMs( ::uint32_t value) {
+inline void EntryInfo::Builder::setAgeMs( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t Grant::Reader::getSent() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t Grant::Builder::getSent() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void Grant::Builder::setSent( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool TaskEnd::Reader::hasOutcome() const {
+inline bool ConfigFile::Reader::hasPath() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool TaskEnd::Builder::hasOutcome() {
+inline bool ConfigFile::Builder::hasPath() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::hawthornpin::wire::Outcome::Reader TaskEnd::Reader::getOutcome() const {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Outcome>::get(_reader.getPointerField(
+inline  ::capnp::Text::Reader ConfigFile::Reader::getPath() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::hawthornpin::wire::Outcome::Builder TaskEnd::Builder::getOutcome() {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Outcome>::get(_builder.getPointerField(
+inline  ::capnp::Text::Builder ConfigFile::Builder::getPath() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::hawthornpin::wire::Outcome::Pipeline TaskEnd::Pipeline::getOutcome() {
-  return  ::hawthornpin::wire::Outcome::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void TaskEnd::Builder::setOutcome( ::hawthornpin::wire::Outcome::Reader value) {
-  ::capnp::_::PointerHelpers< ::hawthornpin::wire::Outcome>::set(_builder.getPointerField(
+inline void ConfigFile::Builder::setPath( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::hawthornpin::wire::Outcome::Builder TaskEnd::Builder::initOutcome() {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Outcome>::init(_builder.getPointerField(
+inline  ::capnp::Text::Builder ConfigFile::Builder::initPath(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ConfigFile::Builder::adoptPath(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ConfigFile::Builder::disownPath() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void TaskEnd::Builder::adoptOutcome(
-    ::capnp::Orphan< ::hawthornpin::wire::Outcome>&& value) {
-  ::capnp::_::PointerHelpers< ::hawthornpin::wire::Outcome>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint64_t ConfigFile::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::hawthornpin::wire::Outcome> TaskEnd::Builder::disownOutcome() {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Outcome>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+
+inline  ::uint64_t ConfigFile::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ConfigFile::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool TaskEnd::Reader::hasAnswer() const {
+inline bool ConfigFile::Reader::hasContent() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool TaskEnd::Builder::hasAnswer() {
+inline bool ConfigFile::Builder::hasContent() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader TaskEnd::Reader::getAnswer() const {
+inline  ::capnp::Text::Reader ConfigFile::Reader::getContent() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder TaskEnd::Builder::getAnswer() {
+inline  ::capnp::Text::Builder ConfigFile::Builder::getContent() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void TaskEnd::Builder::setAnswer( ::capnp::Text::Reader value) {
+inline void ConfigFile::Builder::setContent( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder TaskEnd::Builder::initAnswer(unsigned int size) {
+inline  ::capnp::Text::Builder ConfigFile::Builder::initContent(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void TaskEnd::Builder::adoptAnswer(
+inline void ConfigFile::Builder::adoptContent(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> TaskEnd::Builder::disownAnswer() {
+inline ::capnp::Orphan< ::capnp::Text> ConfigFile::Builder::disownContent() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Announcement::Reader::hasIdentity() const {
+inline bool ConfigFile::Reader::getRemoved() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool ConfigFile::Builder::getRemoved() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void ConfigFile::Builder::setRemoved(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ConfigUpdate::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ConfigUpdate::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ConfigUpdate::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ConfigUpdate::Reader::hasFiles() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Announcement::Builder::hasIdentity() {
+inline bool ConfigUpdate::Builder::hasFiles() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::hawthornpin::wire::AgentIdentity::Reader Announcement::Reader::getIdentity() const {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentIdentity>::get(_reader.getPointerField(
+inline  ::capnp::List< ::hawthornpin::wire::ConfigFile,  ::capnp::Kind::STRUCT>::Reader ConfigUpdate::Reader::getFiles() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::ConfigFile,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::hawthornpin::wire::AgentIdentity::Builder Announcement::Builder::getIdentity() {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentIdentity>::get(_builder.getPointerField(
+inline  ::capnp::List< ::hawthornpin::wire::ConfigFile,  ::capnp::Kind::STRUCT>::Builder ConfigUpdate::Builder::getFiles() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::ConfigFile,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-#if !CAPNP_LITE
-inline  ::hawthornpin::wire::AgentIdentity::Pipeline Announcement::Pipeline::getIdentity() {
-  return  ::hawthornpin::wire::AgentIdentity::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void Announcement::Builder::setIdentity( ::hawthornpin::wire::AgentIdentity::Reader value) {
-  ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentIdentity>::set(_builder.getPointerField(
+inline void ConfigUpdate::Builder::setFiles( ::capnp::List< ::hawthornpin::wire::ConfigFile,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::ConfigFile,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::hawthornpin::wire::AgentIdentity::Builder Announcement::Builder::initIdentity() {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentIdentity>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::hawthornpin::wire::ConfigFile,  ::capnp::Kind::STRUCT>::Builder ConfigUpdate::Builder::initFiles(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::ConfigFile,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Announcement::Builder::adoptIdentity(
-    ::capnp::Orphan< ::hawthornpin::wire::AgentIdentity>&& value) {
-  ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentIdentity>::adopt(_builder.getPointerField(
+inline void ConfigUpdate::Builder::adoptFiles(
+    ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::ConfigFile,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::ConfigFile,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::hawthornpin::wire::AgentIdentity> Announcement::Builder::disownIdentity() {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::AgentIdentity>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::ConfigFile,  ::capnp::Kind::STRUCT>> ConfigUpdate::Builder::disownFiles() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::ConfigFile,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Announcement::Reader::hasService() const {
+inline bool RunRef::Reader::hasJob() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Announcement::Builder::hasService() {
+inline bool RunRef::Builder::hasJob() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Announcement::Reader::getService() const {
+inline  ::capnp::Text::Reader RunRef::Reader::getJob() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Announcement::Builder::getService() {
+inline  ::capnp::Text::Builder RunRef::Builder::getJob() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Announcement::Builder::setService( ::capnp::Text::Reader value) {
+inline void RunRef::Builder::setJob( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Announcement::Builder::initService(unsigned int size) {
+inline  ::capnp::Text::Builder RunRef::Builder::initJob(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Announcement::Builder::adoptService(
+inline void RunRef::Builder::adoptJob(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Announcement::Builder::disownService() {
+inline ::capnp::Orphan< ::capnp::Text> RunRef::Builder::disownJob() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Announcement::Reader::hasRegion() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+inline  ::uint32_t RunRef::Reader::getOccurrence() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline bool Announcement::Builder::hasRegion() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+
+inline  ::uint32_t RunRef::Builder::getOccurrence() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::Text::Reader Announcement::Reader::getRegion() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline void RunRef::Builder::setOccurrence( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::Text::Builder Announcement::Builder::getRegion() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+
+inline  ::uint32_t RunRef::Reader::getStep() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Announcement::Builder::setRegion( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+
+inline  ::uint32_t RunRef::Builder::getStep() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::Text::Builder Announcement::Builder::initRegion(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline void RunRef::Builder::setStep( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
-inline void Announcement::Builder::adoptRegion(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint32_t RunRef::Reader::getIndex() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> Announcement::Builder::disownRegion() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+
+inline  ::uint32_t RunRef::Builder::getIndex() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void RunRef::Builder::setIndex( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Announcement::Reader::hasZone() const {
+inline  ::uint32_t RunRef::Reader::getNumber() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RunRef::Builder::getNumber() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void RunRef::Builder::setNumber( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Resources::Reader::getCpuMilli() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Resources::Builder::getCpuMilli() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Resources::Builder::setCpuMilli( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Resources::Reader::getMemoryMib() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Resources::Builder::getMemoryMib() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Resources::Builder::setMemoryMib( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int32_t Resources::Reader::getAccelerators() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int32_t Resources::Builder::getAccelerators() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Resources::Builder::setAccelerators( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RunOrders::Reader::hasRuns() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Announcement::Builder::hasZone() {
+inline bool RunOrders::Builder::hasRuns() {
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Announcement::Reader::getZone() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::hawthornpin::wire::RunRef,  ::capnp::Kind::STRUCT>::Reader RunOrders::Reader::getRuns() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::RunRef,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Announcement::Builder::getZone() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::hawthornpin::wire::RunRef,  ::capnp::Kind::STRUCT>::Builder RunOrders::Builder::getRuns() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::RunRef,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Announcement::Builder::setZone( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline void RunOrders::Builder::setRuns( ::capnp::List< ::hawthornpin::wire::RunRef,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::RunRef,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Announcement::Builder::initZone(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::hawthornpin::wire::RunRef,  ::capnp::Kind::STRUCT>::Builder RunOrders::Builder::initRuns(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::RunRef,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Announcement::Builder::adoptZone(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+inline void RunOrders::Builder::adoptRuns(
+    ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::RunRef,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::RunRef,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Announcement::Builder::disownZone() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::RunRef,  ::capnp::Kind::STRUCT>> RunOrders::Builder::disownRuns() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::RunRef,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Announcement::Reader::hasRack() const {
+inline bool RunOrders::Reader::hasSpecification() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Announcement::Builder::hasRack() {
+inline bool RunOrders::Builder::hasSpecification() {
   return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Announcement::Reader::getRack() const {
+inline  ::capnp::Text::Reader RunOrders::Reader::getSpecification() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Announcement::Builder::getRack() {
+inline  ::capnp::Text::Builder RunOrders::Builder::getSpecification() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Announcement::Builder::setRack( ::capnp::Text::Reader value) {
+inline void RunOrders::Builder::setSpecification( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Announcement::Builder::initRack(unsigned int size) {
+inline  ::capnp::Text::Builder RunOrders::Builder::initSpecification(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Announcement::Builder::adoptRack(
+inline void RunOrders::Builder::adoptSpecification(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Announcement::Builder::disownRack() {
+inline ::capnp::Orphan< ::capnp::Text> RunOrders::Builder::disownSpecification() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Announcement::Reader::hasAddress() const {
+inline bool RunOrders::Reader::hasNeeds() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Announcement::Builder::hasAddress() {
+inline bool RunOrders::Builder::hasNeeds() {
   return !_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Announcement::Reader::getAddress() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline  ::hawthornpin::wire::Resources::Reader RunOrders::Reader::getNeeds() const {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Resources>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Announcement::Builder::getAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline  ::hawthornpin::wire::Resources::Builder RunOrders::Builder::getNeeds() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Resources>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Announcement::Builder::setAddress( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+#if !CAPNP_LITE
+inline  ::hawthornpin::wire::Resources::Pipeline RunOrders::Pipeline::getNeeds() {
+  return  ::hawthornpin::wire::Resources::Pipeline(_typeless.getPointerField(2));
 }
-inline  ::capnp::Text::Builder Announcement::Builder::initAddress(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+#endif  // !CAPNP_LITE
+inline void RunOrders::Builder::setNeeds( ::hawthornpin::wire::Resources::Reader value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::Resources>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline void Announcement::Builder::adoptAddress(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::hawthornpin::wire::Resources::Builder RunOrders::Builder::initNeeds() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Resources>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline ::capnp::Orphan< ::capnp::Text> Announcement::Builder::disownAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS));
+inline void RunOrders::Builder::adoptNeeds(
+    ::capnp::Orphan< ::hawthornpin::wire::Resources>&& value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::Resources>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::hawthornpin::wire::Resources> RunOrders::Builder::disownNeeds() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Resources>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint16_t Announcement::Reader::getSlots() const {
-  return _reader.getDataField< ::uint16_t>(
+inline  ::uint32_t RunOrders::Reader::getEstimateMs() const {
+  return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t Announcement::Builder::getSlots() {
-  return _builder.getDataField< ::uint16_t>(
+inline  ::uint32_t RunOrders::Builder::getEstimateMs() {
+  return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Announcement::Builder::setSlots( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
+inline void RunOrders::Builder::setEstimateMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Announcement::Reader::getMemoryMib() const {
+inline  ::uint32_t RunOrders::Reader::getStartWithinMs() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Announcement::Builder::getMemoryMib() {
+inline  ::uint32_t RunOrders::Builder::getStartWithinMs() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Announcement::Builder::setMemoryMib( ::uint32_t value) {
+inline void RunOrders::Builder::setStartWithinMs( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint16_t Announcement::Reader::getAccelerators() const {
-  return _reader.getDataField< ::uint16_t>(
+inline  ::int64_t RunOrders::Reader::getSlackMs() const {
+  return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t Announcement::Builder::getAccelerators() {
-  return _builder.getDataField< ::uint16_t>(
+inline  ::int64_t RunOrders::Builder::getSlackMs() {
+  return _builder.getDataField< ::int64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Announcement::Builder::setAccelerators( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
+inline void RunOrders::Builder::setSlackMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Announcement::Reader::getGeneration() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool Life::Reader::hasId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t Announcement::Builder::getGeneration() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool Life::Builder::hasId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void Announcement::Builder::setGeneration( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Reader Life::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t Announcement::Reader::getSequence() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::capnp::Text::Builder Life::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t Announcement::Builder::getSequence() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline void Life::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void Announcement::Builder::setSequence( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::Text::Builder Life::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Life::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Life::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint8_t Announcement::Reader::getState() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<24>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Life::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint8_t Announcement::Builder::getState() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<24>() * ::capnp::ELEMENTS);
+inline  ::uint64_t Life::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Announcement::Builder::setState( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<24>() * ::capnp::ELEMENTS, value);
+inline void Life::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Announcement::Reader::hasLoad() const {
+inline bool OrderBatch::Reader::hasHome() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Announcement::Builder::hasLoad() {
+inline bool OrderBatch::Builder::hasHome() {
   return !_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::hawthornpin::wire::Load::Reader Announcement::Reader::getLoad() const {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Load>::get(_reader.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+inline  ::hawthornpin::wire::Life::Reader OrderBatch::Reader::getHome() const {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Life>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::hawthornpin::wire::Load::Builder Announcement::Builder::getLoad() {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Load>::get(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+inline  ::hawthornpin::wire::Life::Builder OrderBatch::Builder::getHome() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Life>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 #if !CAPNP_LITE
-inline  ::hawthornpin::wire::Load::Pipeline Announcement::Pipeline::getLoad() {
-  return  ::hawthornpin::wire::Load::Pipeline(_typeless.getPointerField(6));
-}
-#endif  // !CAPNP_LITE
-inline void Announcement::Builder::setLoad( ::hawthornpin::wire::Load::Reader value) {
-  ::capnp::_::PointerHelpers< ::hawthornpin::wire::Load>::set(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
-}
-inline  ::hawthornpin::wire::Load::Builder Announcement::Builder::initLoad() {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Load>::init(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
-}
-inline void Announcement::Builder::adoptLoad(
-    ::capnp::Orphan< ::hawthornpin::wire::Load>&& value) {
-  ::capnp::_::PointerHelpers< ::hawthornpin::wire::Load>::adopt(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::hawthornpin::wire::Life::Pipeline OrderBatch::Pipeline::getHome() {
+  return  ::hawthornpin::wire::Life::Pipeline(_typeless.getPointerField(0));
 }
-inline ::capnp::Orphan< ::hawthornpin::wire::Load> Announcement::Builder::disownLoad() {
-  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Load>::disown(_builder.getPointerField(
-      ::capnp::bounded<6>() * ::capnp::POINTERS));
+#endif  // !CAPNP_LITE
+inline void OrderBatch::Builder::setHome( ::hawthornpin::wire::Life::Reader value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::Life>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-
-inline  ::uint32_t Announcement::Reader::getAgeMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+inline  ::hawthornpin::wire::Life::Builder OrderBatch::Builder::initHome() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Life>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline  ::uint32_t Announcement::Builder::getAgeMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+inline void OrderBatch::Builder::adoptHome(
+    ::capnp::Orphan< ::hawthornpin::wire::Life>&& value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::Life>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Announcement::Builder::setAgeMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::hawthornpin::wire::Life> OrderBatch::Builder::disownHome() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Life>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Heartbeat::Reader::hasId() const {
+inline bool OrderBatch::Reader::hasHomeAddress() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Heartbeat::Builder::hasId() {
+inline bool OrderBatch::Builder::hasHomeAddress() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Heartbeat::Reader::getId() const {
+inline  ::capnp::Text::Reader OrderBatch::Reader::getHomeAddress() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Heartbeat::Builder::getId() {
+inline  ::capnp::Text::Builder OrderBatch::Builder::getHomeAddress() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Heartbeat::Builder::setId( ::capnp::Text::Reader value) {
+inline void OrderBatch::Builder::setHomeAddress( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Heartbeat::Builder::initId(unsigned int size) {
+inline  ::capnp::Text::Builder OrderBatch::Builder::initHomeAddress(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Heartbeat::Builder::adoptId(
+inline void OrderBatch::Builder::adoptHomeAddress(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Heartbeat::Builder::disownId() {
+inline ::capnp::Orphan< ::capnp::Text> OrderBatch::Builder::disownHomeAddress() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Heartbeat::Reader::getIncarnation() const {
+inline  ::uint64_t OrderBatch::Reader::getClockSeen() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Heartbeat::Builder::getIncarnation() {
+inline  ::uint64_t OrderBatch::Builder::getClockSeen() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Heartbeat::Builder::setIncarnation( ::uint64_t value) {
+inline void OrderBatch::Builder::setClockSeen( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t Heartbeat::Reader::getSequence() const {
+inline  ::uint64_t OrderBatch::Reader::getNumber() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t Heartbeat::Builder::getSequence() {
+inline  ::uint64_t OrderBatch::Builder::getNumber() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Heartbeat::Builder::setSequence( ::uint64_t value) {
+inline void OrderBatch::Builder::setNumber( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint16_t Heartbeat::Reader::getRunning() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint16_t Heartbeat::Builder::getRunning() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
-}
-inline void Heartbeat::Builder::setRunning( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint16_t Heartbeat::Reader::getFailuresPerMille() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint16_t Heartbeat::Builder::getFailuresPerMille() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
-}
-inline void Heartbeat::Builder::setFailuresPerMille( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint32_t Heartbeat::Reader::getQueued() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t Heartbeat::Builder::getQueued() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
-}
-inline void Heartbeat::Builder::setQueued( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint32_t Heartbeat::Reader::getEstimatedWaitMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t Heartbeat::Builder::getEstimatedWaitMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+inline bool OrderBatch::Reader::hasStarts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline void Heartbeat::Builder::setEstimatedWaitMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+inline bool OrderBatch::Builder::hasStarts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint16_t Heartbeat::Reader::getAgeMs() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::hawthornpin::wire::RunOrders,  ::capnp::Kind::STRUCT>::Reader OrderBatch::Reader::getStarts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::RunOrders,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-
-inline  ::uint16_t Heartbeat::Builder::getAgeMs() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::hawthornpin::wire::RunOrders,  ::capnp::Kind::STRUCT>::Builder OrderBatch::Builder::getStarts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::RunOrders,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Heartbeat::Builder::setAgeMs( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<14>() * ::capnp::ELEMENTS, value);
+inline void OrderBatch::Builder::setStarts( ::capnp::List< ::hawthornpin::wire::RunOrders,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::RunOrders,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-
-inline bool Heartbeat::Reader::getStopped() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<240>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::hawthornpin::wire::RunOrders,  ::capnp::Kind::STRUCT>::Builder OrderBatch::Builder::initStarts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::RunOrders,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-
-inline bool Heartbeat::Builder::getStopped() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<240>() * ::capnp::ELEMENTS);
+inline void OrderBatch::Builder::adoptStarts(
+    ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::RunOrders,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::RunOrders,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline void Heartbeat::Builder::setStopped(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<240>() * ::capnp::ELEMENTS, value);
+inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::RunOrders,  ::capnp::Kind::STRUCT>> OrderBatch::Builder::disownStarts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::RunOrders,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool EntryInfo::Reader::hasId() const {
+inline bool OrderBatch::Reader::hasStops() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool EntryInfo::Builder::hasId() {
+inline bool OrderBatch::Builder::hasStops() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader EntryInfo::Reader::getId() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::hawthornpin::wire::RunRef,  ::capnp::Kind::STRUCT>::Reader OrderBatch::Reader::getStops() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::RunRef,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder EntryInfo::Builder::getId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::hawthornpin::wire::RunRef,  ::capnp::Kind::STRUCT>::Builder OrderBatch::Builder::getStops() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::RunRef,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void EntryInfo::Builder::setId( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void OrderBatch::Builder::setStops( ::capnp::List< ::hawthornpin::wire::RunRef,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::RunRef,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder EntryInfo::Builder::initId(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::List< ::hawthornpin::wire::RunRef,  ::capnp::Kind::STRUCT>::Builder OrderBatch::Builder::initStops(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::RunRef,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void EntryInfo::Builder::adoptId(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void OrderBatch::Builder::adoptStops(
+    ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::RunRef,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::RunRef,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> EntryInfo::Builder::disownId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::RunRef,  ::capnp::Kind::STRUCT>> OrderBatch::Builder::disownStops() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::RunRef,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool EntryInfo::Reader::hasAddress() const {
+inline bool OrderBatch::Reader::hasEntries() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline bool EntryInfo::Builder::hasAddress() {
+inline bool OrderBatch::Builder::hasEntries() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader EntryInfo::Reader::getAddress() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader OrderBatch::Reader::getEntries() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder EntryInfo::Builder::getAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder OrderBatch::Builder::getEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void EntryInfo::Builder::setAddress( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+inline void OrderBatch::Builder::setEntries( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder EntryInfo::Builder::initAddress(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+inline void OrderBatch::Builder::setEntries(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline void EntryInfo::Builder::adoptAddress(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder OrderBatch::Builder::initEntries(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-inline ::capnp::Orphan< ::capnp::Text> EntryInfo::Builder::disownAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void OrderBatch::Builder::adoptEntries(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> OrderBatch::Builder::disownEntries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t EntryInfo::Reader::getAgeMs() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t OrderBatch::Reader::getAgentIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t EntryInfo::Builder::getAgeMs() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t OrderBatch::Builder::getAgentIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void EntryInfo::Builder::setAgeMs( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void OrderBatch::Builder::setAgentIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool ConfigFile::Reader::hasPath() const {
+inline bool AgentStatus::Reader::hasLife() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool ConfigFile::Builder::hasPath() {
+inline bool AgentStatus::Builder::hasLife() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ConfigFile::Reader::getPath() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::hawthornpin::wire::Life::Reader AgentStatus::Reader::getLife() const {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Life>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ConfigFile::Builder::getPath() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::hawthornpin::wire::Life::Builder AgentStatus::Builder::getLife() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Life>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ConfigFile::Builder::setPath( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::hawthornpin::wire::Life::Pipeline AgentStatus::Pipeline::getLife() {
+  return  ::hawthornpin::wire::Life::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void AgentStatus::Builder::setLife( ::hawthornpin::wire::Life::Reader value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::Life>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ConfigFile::Builder::initPath(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::hawthornpin::wire::Life::Builder AgentStatus::Builder::initLife() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Life>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void ConfigFile::Builder::adoptPath(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void AgentStatus::Builder::adoptLife(
+    ::capnp::Orphan< ::hawthornpin::wire::Life>&& value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::Life>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ConfigFile::Builder::disownPath() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::hawthornpin::wire::Life> AgentStatus::Builder::disownLife() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Life>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t ConfigFile::Reader::getVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t ConfigFile::Builder::getVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void ConfigFile::Builder::setVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool ConfigFile::Reader::hasContent() const {
+inline bool AgentStatus::Reader::hasAddress() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool ConfigFile::Builder::hasContent() {
+inline bool AgentStatus::Builder::hasAddress() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ConfigFile::Reader::getContent() const {
+inline  ::capnp::Text::Reader AgentStatus::Reader::getAddress() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ConfigFile::Builder::getContent() {
+inline  ::capnp::Text::Builder AgentStatus::Builder::getAddress() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void ConfigFile::Builder::setContent( ::capnp::Text::Reader value) {
+inline void AgentStatus::Builder::setAddress( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ConfigFile::Builder::initContent(unsigned int size) {
+inline  ::capnp::Text::Builder AgentStatus::Builder::initAddress(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void ConfigFile::Builder::adoptContent(
+inline void AgentStatus::Builder::adoptAddress(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ConfigFile::Builder::disownContent() {
+inline ::capnp::Orphan< ::capnp::Text> AgentStatus::Builder::disownAddress() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool ConfigFile::Reader::getRemoved() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
-}
-
-inline bool ConfigFile::Builder::getRemoved() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
-}
-inline void ConfigFile::Builder::setRemoved(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t ConfigUpdate::Reader::getVersion() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t ConfigUpdate::Builder::getVersion() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void ConfigUpdate::Builder::setVersion( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool ConfigUpdate::Reader::hasFiles() const {
+inline bool AgentStatus::Reader::hasZone() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool ConfigUpdate::Builder::hasFiles() {
+inline bool AgentStatus::Builder::hasZone() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::hawthornpin::wire::ConfigFile,  ::capnp::Kind::STRUCT>::Reader ConfigUpdate::Reader::getFiles() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::ConfigFile,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader AgentStatus::Reader::getZone() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::hawthornpin::wire::ConfigFile,  ::capnp::Kind::STRUCT>::Builder ConfigUpdate::Builder::getFiles() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::ConfigFile,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder AgentStatus::Builder::getZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void ConfigUpdate::Builder::setFiles( ::capnp::List< ::hawthornpin::wire::ConfigFile,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::ConfigFile,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void AgentStatus::Builder::setZone( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::hawthornpin::wire::ConfigFile,  ::capnp::Kind::STRUCT>::Builder ConfigUpdate::Builder::initFiles(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::ConfigFile,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder AgentStatus::Builder::initZone(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void ConfigUpdate::Builder::adoptFiles(
-    ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::ConfigFile,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::ConfigFile,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline void AgentStatus::Builder::adoptZone(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::hawthornpin::wire::ConfigFile,  ::capnp::Kind::STRUCT>> ConfigUpdate::Builder::disownFiles() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::hawthornpin::wire::ConfigFile,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> AgentStatus::Builder::disownZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool RunRef::Reader::hasJob() const {
+inline bool AgentStatus::Reader::hasService() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool RunRef::Builder::hasJob() {
+inline bool AgentStatus::Builder::hasService() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader RunRef::Reader::getJob() const {
