--- a/core/event_loop.cpp
+++ b/core/event_loop.cpp
@@ -63,24 +63,30 @@
 }
 
 gboolean glib_event_port::dispatch(GSource* source, GSourceFunc /*callback*/, gpointer /*data*/)
+{
+    reinterpret_cast<turn_source*>(source)->m_port->run_turns();
+    return G_SOURCE_CONTINUE;
+}
+
+void glib_event_port::run_turns()
 {
     // Bounds the turns so that timers and new connections are served under a flood of calls.
     constexpr uint max_turns = 1000;
-    glib_event_port* port = reinterpret_cast<turn_source*>(source)->m_port;
-    if (port->m_loop != nullptr)
-        port->m_loop->run(max_turns);
-    return G_SOURCE_CONTINUE;
+    if (m_loop != nullptr && m_is_runnable)
+        m_loop->run(max_turns);
 }
 
 event_loop::event_loop()
     : m_loop(std::make_unique<kj::EventLoop>(m_port)), m_main_loop(g_main_loop_new(nullptr, FALSE))
 {
     m_port.attach(*m_loop);
+    reactor::instance().set_turn([this] { m_port.run_turns(); });
     m_wait_scope = std::make_unique<kj::WaitScope>(*m_loop);
 }
 
 event_loop::~event_loop()
 {
+    reactor::instance().set_turn({});
     g_main_loop_unref(m_main_loop);
 }
 
--- a/core/event_loop.h
+++ b/core/event_loop.h
@@ -21,6 +21,9 @@
     // Connects the loop whose turns this port schedules. Must be called before the loop has work.
     void attach(kj::EventLoop& loop) { m_loop = &loop; }
 
+    // Runs what is runnable.
+    void run_turns();
+
     bool wait() override;
     bool poll() override;
     void setRunnable(bool runnable) override;
--- a/core/reactor.cpp
+++ b/core/reactor.cpp
@@ -71,6 +71,8 @@
     polled->m_reactor->fire_timers();
     if (g_source_query_unix_fd(source, polled->m_poll_tag) != 0)
         polled->m_reactor->dispatch_events();
+    if (polled->m_reactor->m_turn)
+        polled->m_reactor->m_turn();
     return G_SOURCE_CONTINUE;
 }
 
@@ -99,12 +101,14 @@
     }
 }
 
-descriptor_watch::descriptor_watch(int descriptor) : m_descriptor(descriptor)
+descriptor_watch::descriptor_watch(int descriptor, interest wanted) : m_descriptor(descriptor)
 {
     reactor& owner = reactor::instance();
     owner.m_watches[descriptor] = this;
     epoll_event event{};
-    event.events = EPOLLIN | EPOLLOUT | EPOLLRDHUP | EPOLLET;
+    event.events = EPOLLIN | EPOLLRDHUP | EPOLLET;
+    if (wanted == interest::both)
+        event.events |= EPOLLOUT;
     event.data.fd = descriptor;
     ::epoll_ctl(owner.m_poll_descriptor, EPOLL_CTL_ADD, descriptor, &event);
 }
@@ -112,7 +116,11 @@
 descriptor_watch::~descriptor_watch()
 {
     reactor& owner = reactor::instance();
-    owner.m_watches.erase(m_descriptor);
+    const auto own = owner.m_watches.find(m_descriptor);
+    // A library may have closed the descriptor, and its number may be another connection's by now.
+    if (own == owner.m_watches.end() || own->second != this)
+        return;
+    owner.m_watches.erase(own);
     ::epoll_ctl(owner.m_poll_descriptor, EPOLL_CTL_DEL, m_descriptor, nullptr);
 }
 
--- a/core/reactor.h
+++ b/core/reactor.h
@@ -10,16 +10,18 @@
 #include <kj/async.h>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 
 namespace hawthornpin {
 
-// Readiness of one descriptor, which stays the caller's and must outlive the watch. Edge-triggered: wait only
+// Readiness of one descriptor, which stays the caller's. Nothing is reported once it is closed. Edge-triggered: wait only
 // after a call on the descriptor would have blocked.
 class descriptor_watch {
 public:
-    explicit descriptor_watch(int descriptor);
+    enum class interest { reading, both };
+    explicit descriptor_watch(int descriptor, interest wanted = interest::both);
     ~descriptor_watch();
     descriptor_watch(const descriptor_watch&) = delete;
     descriptor_watch& operator=(const descriptor_watch&) = delete;
@@ -67,6 +69,10 @@
 public:
     static reactor& instance();
 
+    // Called after each dispatch: runs what the fulfilled promises made runnable, which saves a turn of GLib's
+    // loop.
+    void set_turn(std::function<void()> turn) { m_turn = std::move(turn); }
+
     reactor(const reactor&) = delete;
     reactor& operator=(const reactor&) = delete;
 
@@ -89,6 +95,7 @@
     int m_poll_descriptor;
     poll_source* m_source;
     timer_map m_timers;
+    std::function<void()> m_turn;
     // Watches by descriptor: an event that was fetched before its watch was destroyed finds nothing.
     std::map<int, descriptor_watch*> m_watches;
 };
--- a/dispatch/entry_leases.cpp
+++ b/dispatch/entry_leases.cpp
@@ -15,6 +15,14 @@
 
 } // namespace
 
+entry_lease_limits make_entry_lease_limits(milliseconds resubmit_after)
+{
+    constexpr std::int64_t share = 4;
+    entry_lease_limits limits;
+    limits.m_entry_lease = std::min(limits.m_entry_lease, resubmit_after / share);
+    return limits;
+}
+
 bool is_recent(const entry_leases& leases, const entry_presence& presence, instant now)
 {
     return lease_end(leases, presence) >= now;
--- a/dispatch/entry_leases.h
+++ b/dispatch/entry_leases.h
@@ -17,6 +17,9 @@
     milliseconds m_entry_lease{300};
 };
 
+// The longest lease that leaves the larger part of `resubmit_after` to the leases that follow it.
+entry_lease_limits make_entry_lease_limits(milliseconds resubmit_after);
+
 struct entry_leases {
     entry_lease_limits m_limits;
     // Until when each session lasts.
--- a/dispatch/run_guard.cpp
+++ b/dispatch/run_guard.cpp
@@ -179,11 +179,9 @@
 {
     // With heartbeats of 100 ms, either lease survives the loss of one.
     constexpr milliseconds longest_home_lease{380};
-    constexpr std::int64_t entry_share = 4;
     constexpr std::int64_t home_share = 3;
     run_guard_limits limits;
-    const milliseconds entry_lease =
-        std::min(entry_lease_limits().m_entry_lease, resubmit_after / entry_share);
+    const milliseconds entry_lease = make_entry_lease_limits(resubmit_after).m_entry_lease;
     limits.m_home_lease = std::min(longest_home_lease, resubmit_after / home_share);
     // Home and agent each notice the end of a lease up to one tick late.
     const milliseconds rest =
--- a/http/api_server.cpp
+++ b/http/api_server.cpp
@@ -2,10 +2,13 @@
 
 #include "http/api_server.h"
 
+#include "core/reactor.h"
+
 #include <gio/gio.h>
 #include <sys/socket.h>
 
 #include <cerrno>
+#include <optional>
 
 namespace hawthornpin {
 
@@ -169,7 +172,6 @@
     }
     ~exchange()
     {
-        stop_watching();
         g_signal_handler_disconnect(m_message, m_finished);
         g_object_unref(m_message);
         --m_server.m_in_progress;
@@ -186,36 +188,29 @@
         GSocket* socket = soup_server_message_get_socket(m_message);
         if (socket == nullptr)
             return;
-        m_watch =
-            g_socket_create_source(socket, static_cast<GIOCondition>(G_IO_IN | G_IO_HUP | G_IO_ERR), nullptr);
-        g_source_set_callback(m_watch, G_SOURCE_FUNC(on_socket_event), this, nullptr);
-        g_source_attach(m_watch, nullptr);
+        m_watch.emplace(g_socket_get_fd(socket), descriptor_watch::interest::reading);
+        m_closed = watch_for_close(g_socket_get_fd(socket)).eagerlyEvaluate(nullptr);
     }
-    void stop_watching()
+    // Ends when the client has closed the connection, or has sent its next request, which is read after this
+    // one's response.
+    kj::Promise<void> watch_for_close(int descriptor)
     {
-        if (m_watch == nullptr)
-            return;
-        g_source_destroy(m_watch);
-        g_source_unref(m_watch);
-        m_watch = nullptr;
-    }
-    static gboolean on_socket_event(GSocket* socket, GIOCondition /*condition*/, gpointer data)
-    {
-        auto* self = static_cast<exchange*>(data);
-        char byte = 0;
-        const ssize_t size = ::recv(g_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        const bool is_open = size > 0 || (size < 0 && (errno == EAGAIN || errno == EINTR));
-        if (!is_open)
-            self->m_gone.fulfiller->fulfill();
-        // The next request of an impatient client; it is read after this one's response.
-        if (size > 0 || !is_open)
-            self->stop_watching();
-        return G_SOURCE_CONTINUE;
+        return m_watch->when_readable().then([this, descriptor]() -> kj::Promise<void> {
+            char byte = 0;
+            const ssize_t size = ::recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+            const bool is_spurious = size < 0 && (errno == EAGAIN || errno == EINTR);
+            if (is_spurious)
+                return watch_for_close(descriptor);
+            if (size <= 0)
+                m_gone.fulfiller->fulfill();
+            return kj::READY_NOW;
+        });
     }
 
     api_server& m_server;
     SoupServerMessage* m_message;
-    GSource* m_watch = nullptr;
+    std::optional<descriptor_watch> m_watch;
+    kj::Promise<void> m_closed = nullptr;
     kj::PromiseFulfillerPair<void> m_gone = kj::newPromiseAndFulfiller<void>();
     gulong m_finished = 0;
     // Set when the client went away before the response.
--- a/main/platform_agent.cpp
+++ b/main/platform_agent.cpp
@@ -92,6 +92,7 @@
       m_home(place, draw_unpredictable(), m_links, m_metrics,
              [this](const job_answer_event& answer) { on_hosted_job_end(answer); })
 {
+    m_entry_leases.m_limits = make_entry_lease_limits(place.m_resubmit_after);
     m_home.scheduler().m_knows_all_agents = false;
     m_home.scheduler().m_is_dormant = true;
     m_guard.m_limits = make_run_guard_limits(place.m_max_lease, place.m_stop_time, place.m_resubmit_after);
--- a/main/platform_entry.cpp
+++ b/main/platform_entry.cpp
@@ -148,7 +148,7 @@
     m_home.scheduler().m_entries = list_live(m_entries, now);
     m_home.scheduler().m_homes_per_agent =
         1 + static_cast<std::uint32_t>(m_home.scheduler().m_entries.size());
-    std::erase_if(m_kept_answers, [now](const auto& item) { return item.second.m_forget_at < now; });
+    forget_answers(now);
     share_with_entries();
     choose_service_homes();
     attend_homes();
@@ -157,6 +157,16 @@
     return true;
 }
 
+void platform_entry::forget_answers(instant now)
+{
+    // Far shorter than answers are kept; a look at all of them in each tick would cost more than the calls.
+    constexpr milliseconds forget_pause{1'000};
+    if (m_answers_forgotten_at + forget_pause > now)
+        return;
+    m_answers_forgotten_at = now;
+    std::erase_if(m_kept_answers, [now](const auto& item) { return item.second.m_forget_at < now; });
+}
+
 void platform_entry::finish_if_idle()
 {
     if (!m_leaving_since)
--- a/main/platform_entry.h
+++ b/main/platform_entry.h
@@ -85,6 +85,7 @@
     void share_with(const std::string& address);
     void publish_address();
     void learn_entries_from_store();
+    void forget_answers(instant now);
     void finish_if_idle();
     bool is_ready() const;
 
@@ -109,6 +110,7 @@
     std::unique_ptr<timer> m_tick;
     std::map<std::string, std::vector<fulfiller>> m_waiters;
     std::map<std::string, kept_answer> m_kept_answers;
+    instant m_answers_forgotten_at;
     // When the jobs that are not answered yet came in.
     std::map<std::string, instant> m_arrivals;
     bool m_was_store_connected = false;
--- /dev/null
+++ b/tests/dispatch/entry_leases_test.cpp
@@ -0,0 +1,55 @@
+// Sessions of entries at a home.
+
+#include "dispatch/entry_leases.h"
+
+#include <doctest/doctest.h>
+
+namespace hawthornpin {
+
+namespace {
+
+instant at_ms(long long ms)
+{
+    return instant(milliseconds(ms));
+}
+
+entry_presence make_presence(std::uint64_t session, long long clock_ms)
+{
+    return {{"entry-1", session}, static_cast<std::uint64_t>(clock_ms) * 1'000, 6};
+}
+
+} // namespace
+
+TEST_CASE("a session lasts as long as its entry shows recent values of the home's clock")
+{
+    entry_leases leases;
+    const long long lease_ms = leases.m_limits.m_entry_lease.count();
+    note_presence(leases, make_presence(1, 1'000), at_ms(1'010));
+    CHECK(end_sessions(leases, at_ms(1'000 + lease_ms)).empty());
+    note_presence(leases, make_presence(1, 1'200), at_ms(1'210));
+    CHECK(end_sessions(leases, at_ms(1'200 + lease_ms)).empty());
+    CHECK(end_sessions(leases, at_ms(1'201 + lease_ms)) == std::vector<home_identity>{{"entry-1", 1}});
+    CHECK(end_sessions(leases, at_ms(5'000)).empty());
+}
+
+TEST_CASE("messages that were held up begin or lengthen no session")
+{
+    entry_leases leases;
+    const long long lease_ms = leases.m_limits.m_entry_lease.count();
+    note_presence(leases, make_presence(1, 1'000), at_ms(1'001 + lease_ms));
+    CHECK(leases.m_sessions.empty());
+    note_presence(leases, make_presence(2, 2'000), at_ms(2'010));
+    // Overtaken by the newer one.
+    note_presence(leases, make_presence(2, 1'900), at_ms(2'020));
+    CHECK(end_sessions(leases, at_ms(2'000 + lease_ms)).empty());
+}
+
+TEST_CASE("an entry's new session ends by itself, whatever the old one does")
+{
+    entry_leases leases;
+    note_presence(leases, make_presence(1, 1'000), at_ms(1'010));
+    note_presence(leases, make_presence(2, 1'300), at_ms(1'300));
+    CHECK(end_sessions(leases, at_ms(1'310)) == std::vector<home_identity>{{"entry-1", 1}});
+}
+
+} // namespace hawthornpin
--- a/tests/dispatch/run_guard_test.cpp
+++ b/tests/dispatch/run_guard_test.cpp
@@ -2,6 +2,8 @@
 
 #include "dispatch/run_guard.h"
 
+#include "dispatch/entry_leases.h"
+
 #include <doctest/doctest.h>
 
 namespace hawthornpin {
@@ -316,13 +318,18 @@
     CHECK(results() == std::vector<run_result>{run_result::not_started});
 }
 
-TEST_CASE("the leases of home and worker and a stop fit before the caller hands the job in again")
+TEST_CASE("the leases of entry, home and worker and a stop fit before the caller hands the job in again")
 {
     for (const long long resubmit_after : {600, 1'300, 5'000}) {
         const auto limits =
             make_run_guard_limits(milliseconds(1'000), milliseconds(50), milliseconds(resubmit_after));
+        const auto entry_lease = make_entry_lease_limits(milliseconds(resubmit_after)).m_entry_lease;
         const auto slow_lease = limits.m_worker_lease * 102 / 100;
-        CHECK(limits.m_home_lease + slow_lease + milliseconds(50) <= milliseconds(resubmit_after));
+        const auto noticed = 2 * decision_tick;
+        CHECK(entry_lease + limits.m_home_lease + slow_lease + noticed + milliseconds(50) <=
+              milliseconds(resubmit_after));
+        // What a home takes a silent agent's runs to last covers the leases that follow its last message.
+        CHECK(runs_over_after(limits) >= limits.m_home_lease + slow_lease + noticed + milliseconds(50));
     }
 }
 
--- /dev/null
+++ b/tests/membership/home_choice_test.cpp
@@ -0,0 +1,76 @@
+// Which agents are homes, as agents come and go.
+
+#include "membership/home_choice.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <map>
+
+namespace hawthornpin {
+
+namespace {
+
+std::vector<home_candidate> make_agents(std::size_t count)
+{
+    std::vector<home_candidate> agents;
+    for (std::size_t index = 0; index < count; ++index)
+        agents.push_back({"side-" + std::to_string(index), "10.1.0." + std::to_string(index) + ":7720"});
+    return agents;
+}
+
+bool contains(const std::vector<home_candidate>& homes, const home_candidate& home)
+{
+    return std::find(homes.begin(), homes.end(), home) != homes.end();
+}
+
+} // namespace
+
+TEST_CASE("a small service has no homes among its agents, a large one a share of them")
+{
+    const home_choice_limits limits;
+    CHECK(choose_homes(make_agents(limits.m_most_agents_without_homes), limits).empty());
+    CHECK(choose_homes(make_agents(60), limits).size() == 20);
+}
+
+TEST_CASE("the order in which agents were heard does not matter")
+{
+    auto agents = make_agents(60);
+    const auto homes = choose_homes(agents, {});
+    std::reverse(agents.begin(), agents.end());
+    CHECK(choose_homes(agents, {}) == homes);
+}
+
+TEST_CASE("an agent that leaves changes at most two homes")
+{
+    const home_choice_limits limits;
+    const auto agents = make_agents(60);
+    const auto homes = choose_homes(agents, limits);
+    for (std::size_t left = 0; left < agents.size(); ++left) {
+        auto fewer = agents;
+        fewer.erase(fewer.begin() + static_cast<std::ptrdiff_t>(left));
+        const auto changed = choose_homes(fewer, limits);
+        const auto kept = std::count_if(homes.begin(), homes.end(), [&changed](const home_candidate& home) {
+            return contains(changed, home);
+        });
+        CHECK(kept + 2 >= static_cast<std::ptrdiff_t>(homes.size()));
+    }
+}
+
+TEST_CASE("no home works with more than three times its share of the agents, and each has some")
+{
+    const home_choice_limits limits;
+    const auto agents = make_agents(60);
+    const auto homes = choose_homes(agents, limits);
+    std::map<std::string, std::size_t> agents_by_home;
+    for (const home_candidate& agent : agents) {
+        for (const home_candidate& home : nearest_homes(homes, agent.m_id, limits.m_homes_per_agent))
+            ++agents_by_home[home.m_id];
+    }
+    const std::size_t share = limits.m_agents_per_home * limits.m_homes_per_agent;
+    CHECK(agents_by_home.size() == homes.size());
+    for (const auto& [home, count] : agents_by_home)
+        CHECK(count <= 3 * share);
+}
+
+} // namespace hawthornpin
--- /dev/null
+++ b/tests/routing/home_table_test.cpp
@@ -0,0 +1,92 @@
+// The entry's view of homes: sessions, silence and choice.
+
+#include "routing/home_table.h"
+
+#include <doctest/doctest.h>
+
+namespace hawthornpin {
+
+namespace {
+
+instant at_ms(long long ms)
+{
+    return instant(milliseconds(ms));
+}
+
+// Two homes that have answered at 1,000 ms.
+class home_table_fixture {
+public:
+    home_table_fixture()
+    {
+        m_table.m_self = "entry-1";
+        m_table.m_homes_per_agent = 6;
+        m_table.m_random.seed(7);
+        set_chosen_homes(m_table, {{"a", "10.0.0.1:1"}, {"b", "10.0.0.2:1"}});
+        answer("a", 1'000);
+        answer("b", 1'000);
+    }
+
+    void answer(const std::string& home, long long now, home_status status = {0, 18, false})
+    {
+        status.m_clock = static_cast<std::uint64_t>(now) * 1'000;
+        note_home_status(m_table, home, m_table.m_homes.at(home).m_session, status, at_ms(now));
+    }
+
+    home_table m_table;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(home_table_fixture, "jobs go to homes that answer, have agents and stay")
+{
+    REQUIRE(choose_home(m_table, {}, at_ms(1'010)));
+    CHECK(choose_home(m_table, {"a"}, at_ms(1'010)) == "b");
+    CHECK_FALSE(choose_home(m_table, {"a", "b"}, at_ms(1'010)));
+    answer("a", 1'020, {0, 0, false});
+    CHECK(choose_home(m_table, {}, at_ms(1'030)) == "b");
+    answer("b", 1'030, {0, 18, true});
+    CHECK_FALSE(choose_home(m_table, {}, at_ms(1'040)));
+    answer("a", 1'050);
+    CHECK(choose_home(m_table, {}, at_ms(1'060)) == "a");
+    const long long silent_ms = m_table.m_limits.m_suspect_after.count() + 1;
+    CHECK_FALSE(choose_home(m_table, {}, at_ms(1'050 + silent_ms)));
+}
+
+TEST_CASE_FIXTURE(home_table_fixture, "heartbeats are due at their pace, one at a time")
+{
+    CHECK(take_home_calls(m_table, at_ms(1'100)).size() == 2);
+    CHECK(take_home_calls(m_table, at_ms(1'300)).empty());
+    answer("a", 1'310);
+    note_home_call_lost(m_table, "b", m_table.m_homes.at("b").m_session);
+    CHECK(take_home_calls(m_table, at_ms(1'310)).size() == 2);
+}
+
+TEST_CASE_FIXTURE(home_table_fixture, "a home that falls silent is given up, and met in a new session")
+{
+    note_handed_on(m_table, "a", "job");
+    const long long silent_ms = m_table.m_limits.m_give_up_after.count();
+    CHECK(list_silent_homes(m_table, at_ms(1'000 + silent_ms)).empty());
+    // The other one has no jobs to lose.
+    CHECK(list_silent_homes(m_table, at_ms(1'001 + silent_ms)) == std::vector<std::string>{"a"});
+    const entry_presence before = make_presence(m_table, "a");
+    CHECK(give_up_home(m_table, "a") == std::set<std::string>{"job"});
+    const entry_presence after = make_presence(m_table, "a");
+    CHECK(before.m_session != after.m_session);
+    // No clock value of the old session keeps the new one alive, nor the other way round.
+    CHECK(after.m_clock_seen == 0);
+    note_home_status(m_table, "a", before.m_session.m_incarnation, {2'000'000, 18, false}, at_ms(2'000));
+    CHECK(make_presence(m_table, "a").m_clock_seen == 0);
+}
+
+TEST_CASE_FIXTURE(home_table_fixture, "a home that is chosen no more keeps its jobs until they are back")
+{
+    note_handed_on(m_table, "a", "job");
+    set_chosen_homes(m_table, {{"b", "10.0.0.2:1"}});
+    CHECK(m_table.m_homes.contains("a"));
+    CHECK(choose_home(m_table, {}, at_ms(1'010)) == "b");
+    note_handed_back(m_table, "a", "job");
+    set_chosen_homes(m_table, {{"b", "10.0.0.2:1"}});
+    CHECK_FALSE(m_table.m_homes.contains("a"));
+}
+
+} // namespace hawthornpin
