--- a/main/platform_entry.h
+++ b/main/platform_entry.h
@@ -103,6 +103,7 @@
     home_choice_limits m_home_limits;
     home_table m_home_table;
     instant m_homes_chosen_at;
+    instant m_homes_checked_at;
     std::unique_ptr<directory_follower> m_follower;
     std::unique_ptr<api_server> m_caller_server;
     std::unique_ptr<api_server> m_ready_server;
--- a/main/platform_entry_homes.cpp
+++ b/main/platform_entry_homes.cpp
@@ -3,6 +3,7 @@
 #include "main/platform_entry.h"
 
 #include "core/logging.h"
+#include "dispatch/run_guard.h"
 
 namespace hawthornpin {
 
@@ -15,6 +16,9 @@
 // Homes that are tried for one job before it is refused; a leaving home refuses.
 constexpr std::size_t most_tries = 3;
 
+// Ticks that follow each other by more than this show that the process was held up.
+constexpr milliseconds longest_tick = 3 * decision_tick;
+
 bool is_candidate(const agent_view& agent, instant now)
 {
     return agent.m_status.m_state == agent_state::serving && agent.m_heard_at + candidate_within >= now;
@@ -123,8 +127,13 @@
 void platform_entry::attend_homes()
 {
     const instant now = boot_now();
-    for (const std::string& home : list_silent_homes(m_home_table, now))
-        lose_home(home);
+    // After a tick that came late, answers may wait unread: the silence was this process's own.
+    const bool was_held_up = m_homes_checked_at + longest_tick < now;
+    m_homes_checked_at = now;
+    if (!was_held_up) {
+        for (const std::string& home : list_silent_homes(m_home_table, now))
+            lose_home(home);
+    }
     for (const home_call& due : take_home_calls(m_home_table, now)) {
         const std::uint64_t session = due.m_presence.m_session.m_incarnation;
         m_tasks.add(m_links.attend(due.m_address, due.m_presence, m_home_table.m_limits.m_answer_timeout)
