Model: entries that hand their jobs on to homes, their faults, and a defect that must be noticed

Cause: the leases between entries and homes were held by unit tests and the soak only. Change: the model plays the same faults a second time with entries that hand on (kills, freezes, cuts, lost and late messages between them and the homes); HAWTHORNPIN_MODEL_SCHEDULES plays more than the 150 schedules of each kind.

--- /dev/null
+++ b/tests/model/model_processes.h
@@ -0,0 +1,72 @@
+// The processes of the model. Not for use outside of it.
+
+#pragma once
+
+#include "routing/home_table.h"
+#include "tests/model/platform_model.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace hawthornpin::model {
+
+inline constexpr long long start_ms = 100'000;
+inline constexpr long long step_every_ms = 10;
+inline constexpr long long resubmit_after_ms = 1'300;
+inline constexpr long long caller_patience_ms = 1'500;
+inline constexpr long long call_timeout_ms = 250;
+inline constexpr long long worker_timeout_ms = 80;
+inline constexpr long long report_every_ms = 500;
+inline constexpr long long strike_every_ms = 100;
+inline constexpr int entry_count = 2;
+inline constexpr int agent_count = 3;
+
+struct platform_model::process {
+    bool m_is_up = true;
+    long long m_frozen_until = 0;
+    // Counts lives; a message to an earlier one is lost.
+    std::uint64_t m_life = 0;
+};
+
+struct platform_model::entry_process : process {
+    std::string m_id;
+    job_scheduler m_scheduler;
+    // Jobs whose callers wait here, with the number of their attempt.
+    std::map<std::string, int> m_callers;
+    // As a home of jobs that entries hand on: their leases, and who waits for each job.
+    entry_leases m_leases;
+    std::map<std::string, std::vector<std::pair<home_identity, front_process*>>> m_hosted;
+};
+
+// An entry that hands jobs on.
+struct platform_model::front_process : process {
+    std::string m_id;
+    home_table m_homes;
+    // Jobs whose callers wait here: the number of the attempt.
+    std::map<std::string, int> m_callers;
+};
+
+struct platform_model::agent_process : process {
+    std::string m_id;
+    run_guard m_guard;
+    std::unique_ptr<model_worker> m_worker;
+    std::uint64_t m_sequence = 0;
+    std::set<home_identity> m_reporting;
+    bool m_is_worker_call_held = false;
+};
+
+// What the model knows of a job from outside.
+struct platform_model::job_fate {
+    work_request m_request;
+    bool m_has_started = false;
+    bool m_is_refused = false;
+    int m_answers = 0;
+    // Attempts that ended without a refusal: the job may run.
+    int m_open_attempts = 0;
+};
+
+} // namespace hawthornpin::model
--- a/tests/model/platform_model.cpp
+++ b/tests/model/platform_model.cpp
@@ -2,58 +2,12 @@
 
 #include "tests/model/platform_model.h"
 
+#include "tests/model/model_processes.h"
+
 #include <algorithm>
 
 namespace hawthornpin::model {
 
-namespace {
-
-constexpr long long start_ms = 100'000;
-constexpr long long step_every_ms = 10;
-constexpr long long resubmit_after_ms = 1'300;
-constexpr long long caller_patience_ms = 1'500;
-constexpr long long call_timeout_ms = 250;
-constexpr long long worker_timeout_ms = 80;
-constexpr long long report_every_ms = 500;
-constexpr long long strike_every_ms = 100;
-constexpr int entry_count = 2;
-constexpr int agent_count = 3;
-
-} // namespace
-
-struct platform_model::process {
-    bool m_is_up = true;
-    long long m_frozen_until = 0;
-    // Counts lives; a message to an earlier one is lost.
-    std::uint64_t m_life = 0;
-};
-
-struct platform_model::entry_process : process {
-    std::string m_id;
-    job_scheduler m_scheduler;
-    // Jobs whose callers wait here, with the number of their attempt.
-    std::map<std::string, int> m_callers;
-};
-
-struct platform_model::agent_process : process {
-    std::string m_id;
-    run_guard m_guard;
-    std::unique_ptr<model_worker> m_worker;
-    std::uint64_t m_sequence = 0;
-    std::set<home_identity> m_reporting;
-    bool m_is_worker_call_held = false;
-};
-
-// What the model knows of a job from outside.
-struct platform_model::job_fate {
-    work_request m_request;
-    bool m_has_started = false;
-    bool m_is_refused = false;
-    int m_answers = 0;
-    // Attempts that ended without a refusal: the job may run.
-    int m_open_attempts = 0;
-};
-
 platform_model::platform_model(const model_settings& settings)
     : m_settings(settings), m_random(settings.m_seed)
 {
@@ -69,6 +23,11 @@
         m_entries.back()->m_id = "entry-" + std::to_string(index);
         start_entry(*m_entries.back());
     }
+    for (int index = 0; m_settings.m_is_handing_on && index < entry_count; ++index) {
+        m_fronts.push_back(std::make_unique<front_process>());
+        m_fronts.back()->m_id = "front-" + std::to_string(index);
+        start_front(*m_fronts.back());
+    }
 }
 
 platform_model::~platform_model() = default;
@@ -147,6 +106,9 @@
     entry.m_is_up = true;
     entry.m_frozen_until = 0;
     entry.m_scheduler = job_scheduler();
+    entry.m_leases = entry_leases();
+    entry.m_leases.m_limits = make_entry_lease_limits(milliseconds(resubmit_after_ms));
+    entry.m_hosted.clear();
     entry.m_scheduler.m_self = {entry.m_id, entry.m_life};
     entry.m_scheduler.m_agents.m_started = now();
     entry.m_scheduler.m_agents.m_random.seed(m_settings.m_seed);
@@ -328,6 +290,7 @@
                     note_batch_lost(entry.m_scheduler, id, number, now());
             });
     }
+    end_silent_sessions(entry);
     take_answers(entry);
     deliver(entry, step_every_ms, [this, &entry] { step_entry(entry); });
 }
@@ -335,6 +298,10 @@
 void platform_model::take_answers(entry_process& entry)
 {
     for (const job_answer_event& answer : std::exchange(entry.m_scheduler.m_answers, {})) {
+        if (m_settings.m_is_handing_on) {
+            return_answer(entry, answer);
+            continue;
+        }
         job_fate& fate = m_fates.at(answer.m_job);
         entry.m_callers.erase(answer.m_job);
         if (answer.m_end == job_end::refused) {
@@ -356,13 +323,7 @@
     const bool is_received = entry.m_is_up && entry.m_frozen_until <= m_now;
     if (is_received) {
         ++fate.m_open_attempts;
-        queue_contract queue;
-        queue.m_name = "r";
-        queue.m_service = "svc";
-        queue.m_max_attempts = 2;
-        queue.m_stretch = 1.6;
-        queue.m_latency_target = milliseconds(60);
-        submit_job(entry.m_scheduler, fate.m_request, queue, milliseconds(caller_patience_ms), now());
+        submit_job(entry.m_scheduler, fate.m_request, make_queue(), milliseconds(caller_patience_ms), now());
     }
     if (is_received)
         entry.m_callers[job] = attempt;
@@ -370,15 +331,32 @@
         resubmit(job, attempt);
 }
 
+void platform_model::submit_anywhere(const std::string& job, int attempt)
+{
+    if (m_settings.m_is_handing_on)
+        hand_on(*m_fronts.at(draw_below(m_random, m_fronts.size())), job, attempt);
+    else
+        submit(*m_entries.at(draw_below(m_random, m_entries.size())), job, attempt);
+}
+
+queue_contract platform_model::make_queue()
+{
+    queue_contract queue;
+    queue.m_name = "r";
+    queue.m_service = "svc";
+    queue.m_max_attempts = 2;
+    queue.m_stretch = 1.6;
+    queue.m_latency_target = milliseconds(60);
+    return queue;
+}
+
 // A caller whose connection broke before the answer hands the job in again later, at any entry.
 void platform_model::resubmit(const std::string& job, int attempt)
 {
     constexpr int most_attempts = 3;
     if (attempt >= most_attempts || m_fates.at(job).m_answers > 0)
         return;
-    at(m_now + resubmit_after_ms, [this, job, attempt] {
-        submit(*m_entries.at(draw_below(m_random, m_entries.size())), job, attempt + 1);
-    });
+    at(m_now + resubmit_after_ms, [this, job, attempt] { submit_anywhere(job, attempt + 1); });
 }
 
 void platform_model::kill(process& victim, long long down_ms)
@@ -434,6 +412,7 @@
         if (draw(faults.m_freeze_entry))
             entry->m_frozen_until = m_now + some_time();
     }
+    strike_fronts();
     at(m_now + strike_every_ms, [this] { strike(); });
 }
 
@@ -485,7 +464,7 @@
             step.m_estimate_ms = 150;
             request.m_steps = {step};
             m_fates[id].m_request = request;
-            submit(*m_entries.at(draw_below(m_random, m_entries.size())), id, 1);
+            submit_anywhere(id, 1);
         }
         check();
     }
--- a/tests/model/platform_model.h
+++ b/tests/model/platform_model.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "core/random.h"
+#include "dispatch/entry_leases.h"
 #include "dispatch/job_scheduler.h"
 #include "dispatch/run_guard.h"
 #include "tests/model/model_worker.h"
@@ -45,6 +46,8 @@
     ignores_foreign_runs,
     // An agent does not stop the runs of a silent home.
     keeps_runs_of_silent_homes,
+    // A home does not end the jobs of a silent entry.
+    keeps_jobs_of_silent_entries,
 };
 
 struct model_settings {
@@ -54,6 +57,9 @@
     long long m_arrival_ms = 50;
     model_faults m_faults;
     model_mutant m_mutant = model_mutant::none;
+    // Callers wait at entries that hand their jobs on to homes, as in a large service; otherwise at the
+    // homes.
+    bool m_is_handing_on = false;
 };
 
 struct model_result {
@@ -77,6 +83,7 @@
     struct process;
     struct entry_process;
     struct agent_process;
+    struct front_process;
     struct job_fate;
 
     bool draw(int thousandths);
@@ -103,6 +110,22 @@
     void take_answers(entry_process& entry);
     agent_status make_status(agent_process& agent, const home_identity* home);
 
+    // Entries that hand their callers' jobs on; see platform_model_fronts.cpp.
+    void start_front(front_process& front);
+    void step_front(front_process& front);
+    void kill_front(front_process& front, long long down_ms);
+    void hand_on(front_process& front, const std::string& job, int attempt);
+    void host(entry_process& home, front_process& front, const entry_presence& presence,
+              const std::string& job);
+    void return_answer(entry_process& home, const job_answer_event& answer);
+    void take_answer(front_process& front, const std::string& home, std::uint64_t session,
+                     const job_answer_event& answer);
+    void lose_home(front_process& front, const std::string& home);
+    void end_silent_sessions(entry_process& home);
+    void strike_fronts();
+    void submit_anywhere(const std::string& job, int attempt);
+    static queue_contract make_queue();
+
     void check();
     void fail(const std::string& rule);
     instant now() const { return instant(milliseconds(m_now)); }
@@ -113,6 +136,7 @@
     std::multimap<long long, std::function<void()>> m_events;
     std::vector<std::unique_ptr<entry_process>> m_entries;
     std::vector<std::unique_ptr<agent_process>> m_agents;
+    std::vector<std::unique_ptr<front_process>> m_fronts;
     std::map<std::string, job_fate> m_fates;
     std::set<std::pair<process*, process*>> m_cuts;
     model_result m_result;
--- /dev/null
+++ b/tests/model/platform_model_fronts.cpp
@@ -0,0 +1,194 @@
+// Entries of the model that hand their callers' jobs on to homes.
+
+#include "tests/model/model_processes.h"
+
+#include <algorithm>
+
+namespace hawthornpin::model {
+
+void platform_model::start_front(front_process& front)
+{
+    ++front.m_life;
+    front.m_is_up = true;
+    front.m_frozen_until = 0;
+    front.m_homes = home_table();
+    front.m_homes.m_self = front.m_id;
+    front.m_homes.m_random.seed(m_settings.m_seed + front.m_life);
+    std::vector<home_candidate> homes;
+    for (const auto& home : m_entries)
+        homes.push_back({home->m_id, home->m_id});
+    set_chosen_homes(front.m_homes, homes);
+    step_front(front);
+}
+
+void platform_model::step_front(front_process& front)
+{
+    for (const std::string& home : list_silent_homes(front.m_homes, now()))
+        lose_home(front, home);
+    for (const home_call& due : take_home_calls(front.m_homes, now())) {
+        const auto home = std::find_if(m_entries.begin(), m_entries.end(),
+                                       [&due](const auto& item) { return item->m_id == due.m_home; });
+        const auto status = std::make_shared<home_status>();
+        call(
+            front, **home, call_timeout_ms,
+            [this, to = home->get(), presence = due.m_presence, status] {
+                note_presence(to->m_leases, presence, now());
+                *status = {static_cast<std::uint64_t>(now().time_since_epoch().count()), agent_count, false};
+            },
+            [this, &front, id = due.m_home, session = due.m_presence.m_session.m_incarnation,
+             status](bool is_answered) {
+                if (is_answered)
+                    note_home_status(front.m_homes, id, session, *status, now());
+                else
+                    note_home_call_lost(front.m_homes, id, session);
+            });
+    }
+    deliver(front, step_every_ms, [this, &front] { step_front(front); });
+}
+
+void platform_model::hand_on(front_process& front, const std::string& job, int attempt)
+{
+    const bool is_received = front.m_is_up && front.m_frozen_until <= m_now;
+    const auto chosen = is_received ? choose_home(front.m_homes, {}, now()) : std::nullopt;
+    if (!is_received) {
+        resubmit(job, attempt);
+        return;
+    }
+    if (!chosen) {
+        m_fates.at(job).m_is_refused = true;
+        ++m_result.m_refused;
+        return;
+    }
+    ++m_fates.at(job).m_open_attempts;
+    front.m_callers[job] = attempt;
+    note_handed_on(front.m_homes, *chosen, job);
+    const entry_presence presence = make_presence(front.m_homes, *chosen);
+    const auto home = std::find_if(m_entries.begin(), m_entries.end(),
+                                   [&chosen](const auto& item) { return item->m_id == *chosen; });
+    call(
+        front, **home, call_timeout_ms,
+        [this, to = home->get(), &front, presence, job] { host(*to, front, presence, job); },
+        [this, &front, id = *chosen, session = presence.m_session.m_incarnation](bool is_received_there) {
+            // Nothing arrives on a connection behind a lost message: it breaks, and the home may not notice.
+            const bool is_current = front.m_homes.m_homes.at(id).m_session == session;
+            if (!is_received_there && is_current)
+                lose_home(front, id);
+        });
+}
+
+void platform_model::host(entry_process& home, front_process& front, const entry_presence& presence,
+                          const std::string& job)
+{
+    if (!is_recent(home.m_leases, presence, now())) {
+        home.m_hosted[job].emplace_back(presence.m_session, &front);
+        return_answer(home, {job, job_end::refused, job_end_reason::hand_in_late, milliseconds(0)});
+        return;
+    }
+    note_presence(home.m_leases, presence, now());
+    const bool is_known = home.m_hosted.contains(job);
+    home.m_hosted[job].emplace_back(presence.m_session, &front);
+    if (!is_known)
+        submit_job(home.m_scheduler, m_fates.at(job).m_request, make_queue(),
+                   milliseconds(caller_patience_ms), now());
+}
+
+void platform_model::return_answer(entry_process& home, const job_answer_event& answer)
+{
+    const auto found = home.m_hosted.find(answer.m_job);
+    if (found == home.m_hosted.end())
+        return;
+    const auto waiters = std::move(found->second);
+    home.m_hosted.erase(found);
+    for (const auto& [session, waiting] : waiters) {
+        front_process* front = waiting;
+        call(
+            home, *front, call_timeout_ms,
+            [this, front, id = home.m_id, session = session.m_incarnation, answer] {
+                take_answer(*front, id, session, answer);
+            },
+            [](bool) {});
+    }
+}
+
+void platform_model::take_answer(front_process& front, const std::string& home, std::uint64_t session,
+                                 const job_answer_event& answer)
+{
+    const auto known = front.m_homes.m_homes.find(home);
+    if (known == front.m_homes.m_homes.end() || known->second.m_session != session ||
+        !known->second.m_jobs.contains(answer.m_job))
+        return;
+    note_handed_back(front.m_homes, home, answer.m_job);
+    front.m_callers.erase(answer.m_job);
+    job_fate& fate = m_fates.at(answer.m_job);
+    if (answer.m_end == job_end::refused) {
+        fate.m_is_refused = true;
+        --fate.m_open_attempts;
+        ++m_result.m_refused;
+    }
+    if (answer.m_end == job_end::completed) {
+        ++m_result.m_completed;
+        ++fate.m_answers;
+    }
+}
+
+// Callers are answered that their jobs may have run, and come back.
+void platform_model::lose_home(front_process& front, const std::string& home)
+{
+    for (const std::string& job : give_up_home(front.m_homes, home)) {
+        const auto caller = front.m_callers.find(job);
+        if (caller == front.m_callers.end())
+            continue;
+        resubmit(job, caller->second);
+        front.m_callers.erase(caller);
+    }
+}
+
+void platform_model::end_silent_sessions(entry_process& home)
+{
+    if (m_settings.m_mutant == model_mutant::keeps_jobs_of_silent_entries)
+        return;
+    for (const home_identity& session : end_sessions(home.m_leases, now())) {
+        for (auto& [job, waiters] : home.m_hosted)
+            std::erase_if(waiters, [&session = session](const auto& item) { return item.first == session; });
+    }
+    std::erase_if(home.m_hosted, [&home](const auto& item) {
+        if (item.second.empty())
+            cancel_job(home.m_scheduler, item.first);
+        return item.second.empty();
+    });
+}
+
+void platform_model::kill_front(front_process& front, long long down_ms)
+{
+    if (!front.m_is_up)
+        return;
+    front.m_is_up = false;
+    for (const auto& [job, attempt] : std::exchange(front.m_callers, {}))
+        resubmit(job, attempt);
+    at(m_now + down_ms, [this, &front] { start_front(front); });
+}
+
+void platform_model::strike_fronts()
+{
+    const model_faults& faults = m_settings.m_faults;
+    const auto some_time = [this] { return 20 + static_cast<long long>(draw_below(m_random, 2'000)); };
+    for (const auto& front : m_fronts) {
+        if (draw(faults.m_kill_entry))
+            kill_front(*front, some_time());
+        if (draw(faults.m_freeze_entry))
+            front->m_frozen_until = m_now + some_time();
+        for (const auto& home : m_entries) {
+            if (!draw(faults.m_cut_link))
+                continue;
+            m_cuts.insert({front.get(), home.get()});
+            if (draw(500))
+                m_cuts.insert({home.get(), front.get()});
+            at(m_now + some_time(), [this, front = front.get(), home = home.get()] {
+                m_cuts.erase({front, home});
+                m_cuts.erase({home, front});
+            });
+        }
+    }
+}
+
+} // namespace hawthornpin::model
--- a/tests/model/platform_model_test.cpp
+++ b/tests/model/platform_model_test.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-// Schedules of each kind in CI; HAWTHORNPIN_MODEL_SEED replays one.
+// Schedules of each kind in CI; HAWTHORNPIN_MODEL_SEED replays one, HAWTHORNPIN_MODEL_SCHEDULES plays more.
 constexpr std::uint64_t schedule_count = 150;
 
 model_faults all_faults()
@@ -30,25 +30,37 @@
     return faults;
 }
 
-model_result play(std::uint64_t seed, const model_faults& faults, model_mutant mutant = model_mutant::none)
+model_result play(std::uint64_t seed, const model_faults& faults, model_mutant mutant = model_mutant::none,
+                  bool is_handing_on = false)
 {
     model_settings settings;
+    settings.m_is_handing_on = is_handing_on;
     settings.m_seed = seed;
     settings.m_faults = faults;
     settings.m_mutant = mutant;
     return platform_model(settings).run();
 }
 
+// A number from the environment, for longer runs by hand.
+std::uint64_t read_number(const char* name, std::uint64_t otherwise)
+{
+    const char* text = std::getenv(name);
+    return text == nullptr ? otherwise : std::strtoull(text, nullptr, 10);
+}
+
 void play_all(const model_faults& faults)
 {
-    const char* replayed = std::getenv("HAWTHORNPIN_MODEL_SEED");
-    const std::uint64_t first = replayed == nullptr ? 1 : std::strtoull(replayed, nullptr, 10);
-    const std::uint64_t last = replayed == nullptr ? schedule_count : first;
-    for (std::uint64_t seed = first; seed <= last; ++seed) {
-        const model_result result = play(seed, faults);
-        INFO("replay with HAWTHORNPIN_MODEL_SEED=", seed);
-        CHECK(result.m_broken == "");
-        CHECK(result.m_jobs > 0);
+    const std::uint64_t replayed = read_number("HAWTHORNPIN_MODEL_SEED", 0);
+    const std::uint64_t last = read_number("HAWTHORNPIN_MODEL_SCHEDULES", schedule_count);
+    for (const bool is_handing_on : {false, true}) {
+        CAPTURE(is_handing_on);
+        for (std::uint64_t seed = replayed == 0 ? 1 : replayed; seed <= (replayed == 0 ? last : replayed);
+             ++seed) {
+            const model_result result = play(seed, faults, model_mutant::none, is_handing_on);
+            INFO("replay with HAWTHORNPIN_MODEL_SEED=", seed);
+            CHECK(result.m_broken == "");
+            CHECK(result.m_jobs > 0);
+        }
     }
 }
 
@@ -60,9 +72,13 @@
     // A quarter of the workers is busy.
     settings.m_arrival_ms = 100;
     settings.m_length_ms = 20'000;
-    const model_result result = platform_model(settings).run();
-    CHECK(result.m_broken == "");
-    CHECK(result.m_completed * 20 >= result.m_jobs * 19);
+    for (const bool is_handing_on : {false, true}) {
+        CAPTURE(is_handing_on);
+        settings.m_is_handing_on = is_handing_on;
+        const model_result result = platform_model(settings).run();
+        CHECK(result.m_broken == "");
+        CHECK(result.m_completed * 20 >= result.m_jobs * 19);
+    }
 }
 
 TEST_CASE("model: single kinds of faults break no rule")
@@ -107,6 +123,7 @@
         {model_mutant::stop_frees_at_once, "stop_frees_at_once"},
         {model_mutant::ignores_foreign_runs, "ignores_foreign_runs"},
         {model_mutant::keeps_runs_of_silent_homes, "keeps_runs_of_silent_homes"},
+        {model_mutant::keeps_jobs_of_silent_entries, "keeps_jobs_of_silent_entries"},
     };
     model_faults faults = all_faults();
     faults.m_delay_message = 50;
@@ -115,7 +132,8 @@
         CAPTURE(name);
         bool is_noticed = false;
         for (std::uint64_t seed = 1; seed <= schedule_count && !is_noticed; ++seed)
-            is_noticed = !play(seed, faults, mutant).m_broken.empty();
+            is_noticed = !play(seed, faults, mutant, mutant == model_mutant::keeps_jobs_of_silent_entries)
+                              .m_broken.empty();
         CHECK(is_noticed);
     }
 }
