--- a/main/platform_agent.cpp
+++ b/main/platform_agent.cpp
@@ -17,12 +17,6 @@
 constexpr unsigned renewal_pause_ms = 20;
 // A report or presentation that takes longer is repeated on a new connection.
 constexpr milliseconds call_timeout{250};
-// An entry that has not ordered for this long is told that the agent is there.
-constexpr milliseconds present_after{600};
-constexpr milliseconds present_pause{250};
-// An entry that knows the agent and sends no orders hands its jobs on to homes; it needs the agent's state
-// for the choice of homes only.
-constexpr milliseconds present_again_after{1'500};
 // Without any entry for this long, the store is asked for them.
 constexpr milliseconds ask_store_after{1'500};
 constexpr milliseconds ask_store_pause{2'000};
@@ -326,9 +320,7 @@
 {
     const instant now = boot_now();
     for (auto& [address, entry] : m_entries.m_entries) {
-        const milliseconds silence = entry.m_is_presented ? present_again_after : present_after;
-        const bool is_due = entry.m_heard_at + silence < now && entry.m_called_at + present_pause < now;
-        if (!is_due || m_presents_in_flight.contains(address))
+        if (!is_presentation_due(entry, now) || m_presents_in_flight.contains(address))
             continue;
         entry.m_called_at = now;
         present_to(address);
@@ -345,9 +337,13 @@
     m_tasks.add(m_links.present(address, make_status(nullptr), call_timeout)
                     .then([this, address](std::optional<std::vector<std::string>> entries) {
                         m_presents_in_flight.erase(address);
-                        // Homes answer without entries; they are forgotten unless they send orders.
-                        if (!entries || entries->empty())
+                        if (!entries)
                             return;
+                        // Homes answer without entries.
+                        if (entries->empty()) {
+                            note_known_to_home(m_entries, address);
+                            return;
+                        }
                         note_presented(m_entries, address, boot_now());
                         note_hearsay(m_entries, *entries, boot_now());
                     }));
--- a/main/platform_entry_peers.cpp
+++ b/main/platform_entry_peers.cpp
@@ -11,6 +11,8 @@
 // Between two exchanges with another entry: a configuration that one entry has reaches the others well within
 // the bound of two seconds.
 constexpr milliseconds share_pause{400};
+// While no agent is known: agents learn of this entry from the others, and callers are refused until then.
+constexpr milliseconds first_share_pause{100};
 constexpr milliseconds call_timeout{300};
 // Before a store that did not answer is asked again.
 constexpr unsigned store_retry_ms = 1'000;
@@ -20,8 +22,10 @@
 void platform_entry::share_with_entries()
 {
     const instant now = boot_now();
+    const bool is_alone = m_home.scheduler().m_agents.m_agents.empty();
+    const milliseconds pause = is_alone ? first_share_pause : share_pause;
     for (auto& [address, entry] : m_entries.m_entries) {
-        if (entry.m_called_at + share_pause > now || m_shares_in_flight.contains(address))
+        if (entry.m_called_at + pause > now || m_shares_in_flight.contains(address))
             continue;
         entry.m_called_at = now;
         share_with(address);
--- a/membership/entry_list.cpp
+++ b/membership/entry_list.cpp
@@ -2,6 +2,8 @@
 
 #include "membership/entry_list.h"
 
+#include <algorithm>
+
 namespace hawthornpin {
 
 void add_seeds(entry_list& list, const std::vector<std::string>& addresses)
@@ -17,7 +19,7 @@
     for (const std::string& address : addresses) {
         if (address == list.m_self || address.empty())
             continue;
-        list.m_entries.try_emplace(address, known_entry{false, now, instant(), false});
+        list.m_entries.try_emplace(address, known_entry{false, now, instant(), entry_contact::hearsay});
     }
 }
 
@@ -27,15 +29,38 @@
         return;
     known_entry& entry = list.m_entries[address];
     entry.m_heard_at = now;
-    entry.m_is_presented = false;
+    entry.m_contact = entry_contact::orders;
 }
 
 void note_presented(entry_list& list, const std::string& address, instant now)
 {
     note_heard(list, address, now);
+    note_known_to_home(list, address);
+}
+
+void note_known_to_home(entry_list& list, const std::string& address)
+{
     const auto entry = list.m_entries.find(address);
     if (entry != list.m_entries.end())
-        entry->second.m_is_presented = true;
+        entry->second.m_contact = entry_contact::presentation;
+}
+
+bool is_presentation_due(const known_entry& entry, instant now)
+{
+    // Between two presentations to one entry that are not answered.
+    constexpr milliseconds retry_pause{250};
+    // An entry that ordered sends a heartbeat every 100 ms; it may have been replaced.
+    constexpr milliseconds after_orders{600};
+    // An entry that knows the agent and sends no orders hands its jobs on to homes; it needs the agent's
+    // state for the choice of homes only.
+    constexpr milliseconds after_presentation{1'500};
+    if (entry.m_called_at + retry_pause >= now)
+        return false;
+    if (entry.m_contact == entry_contact::hearsay)
+        return true;
+    if (entry.m_contact == entry_contact::orders)
+        return entry.m_heard_at + after_orders < now;
+    return std::max(entry.m_heard_at, entry.m_called_at) + after_presentation < now;
 }
 
 void forget_silent(entry_list& list, instant now)
--- a/membership/entry_list.h
+++ b/membership/entry_list.h
@@ -13,13 +13,15 @@
 // An entry that was not heard for this long is forgotten, unless it is a seed. Longer than a restart takes.
 inline constexpr milliseconds forget_entry_after{15'000};
 
+enum class entry_contact { hearsay, orders, presentation };
+
 struct known_entry {
     bool m_is_seed = false;
     // When it was last heard itself; hearsay does not count.
     instant m_heard_at;
     instant m_called_at;
-    // Whether it was last heard as the answer to a presentation.
-    bool m_is_presented = false;
+    // How it was last heard: only of, by orders, or by its answer to a presentation.
+    entry_contact m_contact = entry_contact::hearsay;
 };
 
 struct entry_list {
@@ -35,6 +37,12 @@
 void note_heard(entry_list& list, const std::string& address, instant now);
 // The entry answered a presentation: it knows this process.
 void note_presented(entry_list& list, const std::string& address, instant now);
+// The same for a home, which is forgotten all the same unless it sends orders: entries tell which homes are
+// left.
+void note_known_to_home(entry_list& list, const std::string& address);
+// Whether an agent should present itself to the entry now: at once to one that it only heard of, and again to
+// one that has fallen silent.
+bool is_presentation_due(const known_entry& entry, instant now);
 void forget_silent(entry_list& list, instant now);
 
 // Entries heard within the period after which they are forgotten: what is told to others.
--- a/tests/membership/entry_list_test.cpp
+++ b/tests/membership/entry_list_test.cpp
@@ -39,4 +39,35 @@
     CHECK(list_live(list, at_ms(4'000)).empty());
 }
 
+// Found by incident inc-2c6a: an entry that was not among the seeds met no agent for 0.7 s after its restart.
+TEST_CASE("an agent presents itself at once to an entry that it hears of, and again after silence")
+{
+    entry_list list;
+    note_hearsay(list, {"e:1"}, at_ms(1'000));
+    known_entry& entry = list.m_entries.at("e:1");
+    CHECK(is_presentation_due(entry, at_ms(1'000)));
+    entry.m_called_at = at_ms(1'000);
+    CHECK_FALSE(is_presentation_due(entry, at_ms(1'100)));
+    // Not answered.
+    CHECK(is_presentation_due(entry, at_ms(1'300)));
+    note_heard(list, "e:1", at_ms(1'400));
+    CHECK_FALSE(is_presentation_due(entry, at_ms(1'900)));
+    CHECK(is_presentation_due(entry, at_ms(2'100)));
+    note_presented(list, "e:1", at_ms(2'200));
+    CHECK_FALSE(is_presentation_due(entry, at_ms(3'000)));
+    CHECK(is_presentation_due(entry, at_ms(3'800)));
+}
+
+TEST_CASE("a home that knows an agent and sends no orders is asked rarely and forgotten")
+{
+    entry_list list;
+    note_hearsay(list, {"h:1"}, at_ms(0));
+    list.m_entries.at("h:1").m_called_at = at_ms(0);
+    note_known_to_home(list, "h:1");
+    CHECK_FALSE(is_presentation_due(list.m_entries.at("h:1"), at_ms(1'400)));
+    CHECK(is_presentation_due(list.m_entries.at("h:1"), at_ms(1'600)));
+    forget_silent(list, at_ms(1 + forget_entry_after.count()));
+    CHECK(list.m_entries.empty());
+}
+
 } // namespace hawthornpin
