An order that was sent without an answer is stopped, not taken back

No stop was sent, the home's heartbeats kept the run's lease, and the caller's next attempt ran beside it. Ruled out: the chain of leases, which held. Change: a channel remembers runs whose order left without an answer; they get a stop.

--- a/dispatch/job_outcomes.cpp
+++ b/dispatch/job_outcomes.cpp
@@ -90,6 +90,7 @@
 void clear_channel(agent_channel& channel)
 {
     channel.m_starts.clear();
+    channel.m_unanswered.clear();
     channel.m_stops.clear();
     channel.m_in_flight.reset();
 }
@@ -190,8 +191,12 @@
     const order_batch lost = std::move(*channel.m_in_flight);
     channel.m_in_flight.reset();
     channel.m_retry_at = now + scheduler.m_limits.m_retry_pause;
-    std::copy_if(lost.m_starts.begin(), lost.m_starts.end(), std::back_inserter(channel.m_starts),
-                 [&](const run_order& order) { return is_still_ordered(scheduler, order.m_run, agent); });
+    for (const run_order& order : lost.m_starts) {
+        if (!is_still_ordered(scheduler, order.m_run, agent))
+            continue;
+        channel.m_unanswered.insert(order.m_run);
+        channel.m_starts.push_back(order);
+    }
     channel.m_stops.insert(channel.m_stops.begin(), lost.m_stops.begin(), lost.m_stops.end());
     const auto view = scheduler.m_agents.m_agents.find(agent);
     if (view == scheduler.m_agents.m_agents.end())
--- a/dispatch/job_scheduler.h
+++ b/dispatch/job_scheduler.h
@@ -137,6 +137,9 @@
 // Messages between this entry and one agent.
 struct agent_channel {
     std::vector<run_order> m_starts;
+    // Runs among them, or ordered since, whose order left before in a message that was not answered: they may
+    // have begun.
+    std::set<run_id> m_unanswered;
     std::vector<run_id> m_stops;
     // The batch that waits for its answer.
     std::optional<order_batch> m_in_flight;
--- a/dispatch/live_jobs.cpp
+++ b/dispatch/live_jobs.cpp
@@ -68,7 +68,10 @@
 
 bool withdraw_order(agent_channel& channel, const run_id& run)
 {
-    return std::erase_if(channel.m_starts, [&](const run_order& order) { return order.m_run == run; }) > 0;
+    const bool may_have_left = channel.m_unanswered.erase(run) > 0;
+    const bool is_waiting =
+        std::erase_if(channel.m_starts, [&](const run_order& order) { return order.m_run == run; }) > 0;
+    return is_waiting && !may_have_left;
 }
 
 void remove_job(job_scheduler& scheduler, std::map<std::string, live_job>::iterator position)
--- a/tests/dispatch/job_scheduler_test.cpp
+++ b/tests/dispatch/job_scheduler_test.cpp
@@ -366,4 +366,19 @@
     CHECK(refused_after_waiting * 20 < completed);
 }
 
+// Found by the model, seed 662 of lost messages: the order was taken back as if it had never left, so the run
+// went on while its caller handed the job in again.
+TEST_CASE_FIXTURE(scheduler_fixture, "a cancelled job's order that was sent without an answer is stopped")
+{
+    add_agent("a", 0);
+    submit(make_request("job", 1), 1);
+    REQUIRE(take_orders(1).size() == 1);
+    note_batch_lost(m_scheduler, "a", m_last_batch["a"], at_ms(251));
+    REQUIRE(cancel_job(m_scheduler, "job"));
+    const auto batches = take_batches(m_scheduler, at_ms(300));
+    REQUIRE(batches.size() == 1);
+    CHECK(batches.front().m_batch.m_starts.empty());
+    CHECK(batches.front().m_batch.m_stops.size() == 1);
+}
+
 } // namespace hawthornpin
