--- a/dispatch/entry_leases.cpp
+++ b/dispatch/entry_leases.cpp
@@ -17,7 +17,7 @@
 
 entry_lease_limits make_entry_lease_limits(milliseconds resubmit_after)
 {
-    constexpr std::int64_t share = 4;
+    constexpr std::int64_t share = 3;
     entry_lease_limits limits;
     limits.m_entry_lease = std::min(limits.m_entry_lease, resubmit_after / share);
     return limits;
--- a/dispatch/entry_leases.h
+++ b/dispatch/entry_leases.h
@@ -14,7 +14,7 @@
 struct entry_lease_limits {
     // Jobs of a session end when the newest clock value that its entry has shown is older. Three heartbeats
     // fit in; see make_run_guard_limits() for what bounds it from above.
-    milliseconds m_entry_lease{300};
+    milliseconds m_entry_lease{400};
 };
 
 // The longest lease that leaves the larger part of `resubmit_after` to the leases that follow it.
--- a/dispatch/run_guard.h
+++ b/dispatch/run_guard.h
@@ -23,7 +23,7 @@
     // A home without a message this recent has its runs stopped, and a start order this old is refused.
     milliseconds m_home_lease{380};
     // Lease asked of the worker with each start and renewal.
-    milliseconds m_worker_lease{510};
+    milliseconds m_worker_lease{420};
     // Without a listing for this long, nothing is started or renewed: the worker counts as silent once
     // everything that it was granted before has lapsed. Two renewals fit in.
     milliseconds m_listing_validity{400};
--- a/tests/dispatch/entry_leases_test.cpp
+++ b/tests/dispatch/entry_leases_test.cpp
@@ -47,9 +47,10 @@
 TEST_CASE("an entry's new session ends by itself, whatever the old one does")
 {
     entry_leases leases;
+    const long long lease_ms = leases.m_limits.m_entry_lease.count();
     note_presence(leases, make_presence(1, 1'000), at_ms(1'010));
-    note_presence(leases, make_presence(2, 1'300), at_ms(1'300));
-    CHECK(end_sessions(leases, at_ms(1'310)) == std::vector<home_identity>{{"entry-1", 1}});
+    note_presence(leases, make_presence(2, 1'000 + lease_ms), at_ms(1'000 + lease_ms));
+    CHECK(end_sessions(leases, at_ms(1'001 + lease_ms)) == std::vector<home_identity>{{"entry-1", 1}});
 }
 
 } // namespace hawthornpin
