--- a/core/reactor.h
+++ b/core/reactor.h
@@ -16,8 +16,8 @@
 
 namespace hawthornpin {
 
-// Readiness of one descriptor, which stays the caller's. Nothing is reported once it is closed. Edge-triggered: wait only
-// after a call on the descriptor would have blocked.
+// Readiness of one descriptor, which stays the caller's. Nothing is reported once it is closed.
+// Edge-triggered: wait only after a call on the descriptor would have blocked.
 class descriptor_watch {
 public:
     enum class interest { reading, both };
@@ -69,8 +69,8 @@
 public:
     static reactor& instance();
 
-    // Called after each dispatch: runs what the fulfilled promises made runnable, which saves a turn of GLib's
-    // loop.
+    // Called after each dispatch: runs what the fulfilled promises made runnable, which saves a turn of
+    // GLib's loop.
     void set_turn(std::function<void()> turn) { m_turn = std::move(turn); }
 
     reactor(const reactor&) = delete;
--- a/main/platform_entry.cpp
+++ b/main/platform_entry.cpp
@@ -152,6 +152,7 @@
     share_with_entries();
     choose_service_homes();
     attend_homes();
+    decide_handing_on();
     m_home.step();
     finish_if_idle();
     return true;
--- a/main/platform_entry.h
+++ b/main/platform_entry.h
@@ -66,8 +66,9 @@
     void deliver(const job_answer_event& answer);
 
     // Jobs that are handed on to homes among the agents, in a large service.
-    bool is_handing_on() const { return !m_service_homes.empty(); }
+    bool is_handing_on() const { return m_are_homes_ready; }
     void choose_service_homes();
+    void decide_handing_on();
     void hand_on(const work_request& job, const queue_contract& queue, milliseconds patience,
                  const std::set<std::string>& refused_by);
     void on_handed_job_end(const work_request& job, const queue_contract& queue, milliseconds patience,
@@ -98,8 +99,10 @@
     store_client m_store;
     platform_link m_links;
     job_home m_home;
-    // Homes among the agents of this entry's jobs; empty while the entry is the home itself.
+    // Homes among the agents; empty in a small service.
     std::vector<home_candidate> m_service_homes;
+    // Whether one of them has been seen to take jobs; until then the entry is the home itself.
+    bool m_are_homes_ready = false;
     home_choice_limits m_home_limits;
     home_table m_home_table;
     instant m_homes_chosen_at;
--- a/main/platform_entry_homes.cpp
+++ b/main/platform_entry_homes.cpp
@@ -37,17 +37,24 @@
         if (is_candidate(agent, now))
             candidates.push_back({id, agent.m_status.m_address});
     }
-    const bool was_handing_on = is_handing_on();
-    m_service_homes = choose_homes(candidates, m_home_limits);
+    m_service_homes = choose_homes(candidates, m_home_limits, !m_service_homes.empty());
     set_chosen_homes(m_home_table,
                      nearest_homes(m_service_homes, m_place.m_node, m_home_limits.m_homes_per_entry));
     m_home_table.m_homes_per_agent =
         static_cast<std::uint32_t>(std::min(m_service_homes.size(), m_home_limits.m_homes_per_agent));
+}
+
+void platform_entry::decide_handing_on()
+{
+    const bool was_handing_on = is_handing_on();
+    // An entry that is short of time does not take the work of its homes back because they seem silent.
+    m_are_homes_ready =
+        !m_service_homes.empty() && (was_handing_on || choose_home(m_home_table, {}, boot_now()).has_value());
     m_home.scheduler().m_is_dormant = is_handing_on();
     if (was_handing_on != is_handing_on())
         log_event(log_level::info, "homes_chosen",
-                  {{"agents", std::to_string(candidates.size())},
-                   {"homes", std::to_string(m_service_homes.size())}});
+                  {{"agents", std::to_string(m_home.scheduler().m_agents.m_agents.size())},
+                   {"homes", std::to_string(is_handing_on() ? m_service_homes.size() : 0)}});
 }
 
 std::vector<std::string> platform_entry::list_homes_of(const std::string& agent) const
--- a/membership/entry_list.cpp
+++ b/membership/entry_list.cpp
@@ -58,8 +58,11 @@
         return false;
     if (entry.m_contact == entry_contact::hearsay)
         return true;
+    if (entry.m_contact == entry_contact::orders && entry.m_heard_at + after_orders < now)
+        return true;
+    // With the answer, the agent learns of its homes.
     if (entry.m_contact == entry_contact::orders)
-        return entry.m_heard_at + after_orders < now;
+        return entry.m_called_at + after_presentation < now;
     return std::max(entry.m_heard_at, entry.m_called_at) + after_presentation < now;
 }
 
--- a/membership/home_choice.cpp
+++ b/membership/home_choice.cpp
@@ -20,11 +20,13 @@
                                          const std::string& chooser, std::size_t count)
 {
     std::vector<std::pair<std::size_t, home_candidate>> ranked;
+    ranked.reserve(candidates.size());
     for (const home_candidate& candidate : candidates)
         ranked.emplace_back(rank(candidate.m_id, chooser), candidate);
     std::sort(ranked.begin(), ranked.end());
     ranked.resize(std::min(count, ranked.size()));
     std::vector<home_candidate> lowest;
+    lowest.reserve(ranked.size());
     for (auto& [position, candidate] : ranked)
         lowest.push_back(std::move(candidate));
     return lowest;
@@ -33,9 +35,11 @@
 } // namespace
 
 std::vector<home_candidate> choose_homes(const std::vector<home_candidate>& agents,
-                                         const home_choice_limits& limits)
+                                         const home_choice_limits& limits, bool has_homes)
 {
-    if (agents.size() <= limits.m_most_agents_without_homes)
+    const bool is_enough = has_homes ? agents.size() >= limits.m_fewest_agents_with_homes
+                                     : agents.size() > limits.m_most_agents_without_homes;
+    if (!is_enough)
         return {};
     return lowest_ranks(agents, "", agents.size() / limits.m_agents_per_home);
 }
--- a/membership/home_choice.h
+++ b/membership/home_choice.h
@@ -26,6 +26,9 @@
     // which costs it ten messages a second. With more it hands the jobs on to homes among the agents, which
     // have most of a large system's processor time.
     std::size_t m_most_agents_without_homes = 24;
+    // An entry that hands its jobs on goes on with it down to this many agents, so that single agents that
+    // come and go do not make it change its mind.
+    std::size_t m_fewest_agents_with_homes = 16;
     // One agent in this many is a home.
     std::size_t m_agents_per_home = 3;
     // Homes that an agent takes orders from. Times m_agents_per_home, it is the number of agents that a home
@@ -35,9 +38,10 @@
     std::size_t m_homes_per_entry = 8;
 };
 
-// The homes among the agents.
+// The homes among the agents; none if the entry is to be the home itself. `has_homes` tells whether there
+// were any so far.
 std::vector<home_candidate> choose_homes(const std::vector<home_candidate>& agents,
-                                         const home_choice_limits& limits);
+                                         const home_choice_limits& limits, bool has_homes);
 
 // The homes that the agent or entry with this id works with, `count` at most.
 std::vector<home_candidate> nearest_homes(const std::vector<home_candidate>& homes, const std::string& id,
--- a/routing/home_table.h
+++ b/routing/home_table.h
@@ -18,8 +18,8 @@
 struct home_table_limits {
     // A home hears from the entry this often, so that the entry's lease there lasts.
     milliseconds m_heartbeat{100};
-    // A heartbeat that is not answered by then is lost, and with it the home's connection and the jobs there: no
-    // shorter than the time after which the home is given up.
+    // A heartbeat that is not answered by then is lost, and with it the home's connection and the jobs there:
+    // no shorter than the time after which the home is given up.
     milliseconds m_answer_timeout{400};
     // A home that has not answered for this long gets no new jobs.
     milliseconds m_suspect_after{250};
--- a/rpc/glib_stream.cpp
+++ b/rpc/glib_stream.cpp
@@ -194,9 +194,8 @@
         m_begin = 0;
         m_end = static_cast<std::size_t>(received);
     }
-    return m_watch.when_readable().then([this, buffer, min_bytes, max_bytes, done] {
-        return fill(buffer, min_bytes, max_bytes, done);
-    });
+    return m_watch.when_readable().then(
+        [this, buffer, min_bytes, max_bytes, done] { return fill(buffer, min_bytes, max_bytes, done); });
 }
 
 kj::Promise<void> glib_stream::write(const void* buffer, std::size_t size)
@@ -266,18 +265,17 @@
 
 kj::Promise<void> glib_stream::send_rest(kj::Array<kj::byte> rest, std::size_t sent)
 {
-    return m_watch.when_writable().then(
-        [this, rest = kj::mv(rest), sent]() mutable -> kj::Promise<void> {
-            const ssize_t count =
-                ::send(m_socket.number(), rest.begin() + sent, rest.size() - sent, MSG_NOSIGNAL);
-            if (count < 0 && !would_block())
-                return disconnected("write failed");
-            const std::size_t now_sent = sent + static_cast<std::size_t>(std::max<ssize_t>(count, 0));
-            process_stream_totals().m_bytes_out += now_sent - sent;
-            if (now_sent == rest.size())
-                return kj::READY_NOW;
-            return send_rest(kj::mv(rest), now_sent);
-        });
+    return m_watch.when_writable().then([this, rest = kj::mv(rest), sent]() mutable -> kj::Promise<void> {
+        const ssize_t count =
+            ::send(m_socket.number(), rest.begin() + sent, rest.size() - sent, MSG_NOSIGNAL);
+        if (count < 0 && !would_block())
+            return disconnected("write failed");
+        const std::size_t now_sent = sent + static_cast<std::size_t>(std::max<ssize_t>(count, 0));
+        process_stream_totals().m_bytes_out += now_sent - sent;
+        if (now_sent == rest.size())
+            return kj::READY_NOW;
+        return send_rest(kj::mv(rest), now_sent);
+    });
 }
 
 kj::Promise<void> glib_stream::whenWriteDisconnected()
--- a/tests/membership/home_choice_test.cpp
+++ b/tests/membership/home_choice_test.cpp
@@ -29,27 +29,37 @@
 TEST_CASE("a small service has no homes among its agents, a large one a share of them")
 {
     const home_choice_limits limits;
-    CHECK(choose_homes(make_agents(limits.m_most_agents_without_homes), limits).empty());
-    CHECK(choose_homes(make_agents(60), limits).size() == 20);
+    CHECK(choose_homes(make_agents(limits.m_most_agents_without_homes), limits, false).empty());
+    CHECK(choose_homes(make_agents(60), limits, false).size() == 20);
+}
+
+TEST_CASE("single agents that come and go do not change whether there are homes")
+{
+    const home_choice_limits limits;
+    const std::size_t most = limits.m_most_agents_without_homes;
+    CHECK(choose_homes(make_agents(most + 1), limits, false).size() == (most + 1) / limits.m_agents_per_home);
+    CHECK_FALSE(choose_homes(make_agents(most), limits, true).empty());
+    CHECK_FALSE(choose_homes(make_agents(limits.m_fewest_agents_with_homes), limits, true).empty());
+    CHECK(choose_homes(make_agents(limits.m_fewest_agents_with_homes - 1), limits, true).empty());
 }
 
 TEST_CASE("the order in which agents were heard does not matter")
 {
     auto agents = make_agents(60);
-    const auto homes = choose_homes(agents, {});
+    const auto homes = choose_homes(agents, {}, false);
     std::reverse(agents.begin(), agents.end());
-    CHECK(choose_homes(agents, {}) == homes);
+    CHECK(choose_homes(agents, {}, false) == homes);
 }
 
 TEST_CASE("an agent that leaves changes at most two homes")
 {
     const home_choice_limits limits;
     const auto agents = make_agents(60);
-    const auto homes = choose_homes(agents, limits);
+    const auto homes = choose_homes(agents, limits, false);
     for (std::size_t left = 0; left < agents.size(); ++left) {
         auto fewer = agents;
         fewer.erase(fewer.begin() + static_cast<std::ptrdiff_t>(left));
-        const auto changed = choose_homes(fewer, limits);
+        const auto changed = choose_homes(fewer, limits, true);
         const auto kept = std::count_if(homes.begin(), homes.end(), [&changed](const home_candidate& home) {
             return contains(changed, home);
         });
@@ -61,7 +71,7 @@
 {
     const home_choice_limits limits;
     const auto agents = make_agents(60);
-    const auto homes = choose_homes(agents, limits);
+    const auto homes = choose_homes(agents, limits, false);
     std::map<std::string, std::size_t> agents_by_home;
     for (const home_candidate& agent : agents) {
         for (const home_candidate& home : nearest_homes(homes, agent.m_id, limits.m_homes_per_agent))
--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -91,7 +91,7 @@
     body.key("phases").begin_array().begin_object().key("count").integer(kind.m_tasks);
     body.key("cpu").integer(cpu_milli).key("mem_mb").integer(64);
     body.key("estimate_ms").integer(kind.m_duration_ms).end_object().end_array().end_object();
-    const job_plan plan{draw_id(m_random), kind.m_queue, body.to_string()};
+    job_plan plan{draw_id(m_random), kind.m_queue, body.to_string()};
     m_judge.note_submitted(plan.m_id, kind.m_tasks);
     return plan;
 }
