Fewer and cheaper messages between homes and agents; a shortage of processor time heals

Cause: on 30 agents beside busy processes, control (1,800 heartbeats of 2,700 calls a second, 300 us each) used the processors up; late answers closed connections, whose opening costs more than an answer; agents late by 300 ms counted as no capacity, so callers were refused on idle workers; repetitions came each 275 ms; time-outs fired before what had arrived was read. Ruled out: decisions themselves (a few per cent of the profile).

--- /dev/null
+++ b/config/queue_index.cpp
@@ -0,0 +1,48 @@
+// One look-up for each length that a prefix can have.
+
+#include "config/queue_index.h"
+
+namespace hawthornpin {
+
+namespace {
+
+std::string make_key(std::string_view host, std::string_view prefix)
+{
+    // Stands in no host.
+    constexpr char separator = '\n';
+    std::string key(host);
+    key.push_back(separator);
+    key.append(prefix);
+    return key;
+}
+
+std::string_view without_port(std::string_view host)
+{
+    return host.substr(0, host.find(':'));
+}
+
+} // namespace
+
+queue_index::queue_index(const service_directory& directory)
+{
+    m_queues.reserve(directory.m_queues.size());
+    for (const queue_contract& queue : directory.m_queues) {
+        m_queues.emplace(make_key(queue.m_host, queue.m_path_prefix), queue);
+        m_prefix_lengths.insert(queue.m_path_prefix.size());
+    }
+}
+
+const queue_contract* queue_index::find(std::string_view host, std::string_view path) const
+{
+    const std::string_view plain_host = without_port(host);
+    for (const std::size_t length : m_prefix_lengths) {
+        if (length > path.size())
+            continue;
+        const auto found = m_queues.find(make_key(plain_host, path.substr(0, length)));
+        if (found != m_queues.end())
+            return &found->second;
+    }
+    return nullptr;
+}
+
+} // namespace hawthornpin
--- a/config/service_directory.h
+++ b/config/service_directory.h
@@ -7,7 +7,6 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace hawthornpin {
@@ -49,10 +48,6 @@
     friend bool operator==(const service_directory&, const service_directory&) = default;
 };
 
-// The queue of the host whose prefix is the longest that `path` begins with; null if there is none.
-const queue_contract* find_queue(const service_directory& directory, std::string_view host,
-                                 std::string_view path);
-
 // Whether `candidate` replaces the version in force: a lower or equal version never does.
 bool is_newer(const service_directory& candidate, const std::optional<service_directory>& in_force);
 
--- a/core/logging.cpp
+++ b/core/logging.cpp
@@ -1,18 +1,21 @@
-// log4cxx set-up: the JSON layout with the mapped diagnostic context as the event's fields.
+// log4cxx set-up: a JSON layout that takes an event's fields as they are, without the library's mapped diagnostic
+// context, which copies each of them several times.
 
 #include "core/logging.h"
 
 #include "core/line_sink.h"
 
 #include <log4cxx/appenderskeleton.h>
+#include <log4cxx/helpers/cacheddateformat.h>
+#include <log4cxx/helpers/iso8601dateformat.h>
 #include <log4cxx/jsonlayout.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/logmanager.h>
-#include <log4cxx/mdc.h>
 
 #include <unistd.h>
 
-#include <deque>
+#include <utility>
+#include <vector>
 
 namespace hawthornpin {
 
@@ -42,6 +45,57 @@
     return sink;
 }
 
+// Fields of the event that log_event() is writing. Events are formatted on the caller's thread, inside of that
+// call.
+const std::initializer_list<log_field>* current_fields = nullptr;
+
+// The form of the library's layout: time, level, logger, message, and the fields under "context_map".
+class field_layout final : public log4cxx::JSONLayout {
+public:
+    explicit field_layout(std::vector<log_field> process_fields) : m_process_fields(std::move(process_fields))
+    {
+    }
+
+    void format(log4cxx::LogString& line, const log4cxx::spi::LoggingEventPtr& event,
+                log4cxx::helpers::Pool& pool) const override
+    {
+        line.append("{ \"timestamp\": \"");
+        m_dates->format(line, event->getTimeStamp(), pool);
+        line.append("\", \"level\": ");
+        appendQuotedEscapedString(line, event->getLevel()->toString());
+        line.append(", \"logger\": ");
+        appendQuotedEscapedString(line, event->getLoggerName());
+        line.append(", \"message\": ");
+        appendQuotedEscapedString(line, event->getMessage());
+        line.append(", \"context_map\": {");
+        bool is_first = true;
+        for (const log_field& field : m_process_fields)
+            append_field(line, field, is_first);
+        if (current_fields != nullptr) {
+            for (const log_field& field : *current_fields)
+                append_field(line, field, is_first);
+        }
+        line.append(" } }\n");
+    }
+
+private:
+    void append_field(log4cxx::LogString& line, const log_field& field, bool& is_first) const
+    {
+        line.append(std::exchange(is_first, false) ? " \"" : ", \"");
+        line.append(field.m_name);
+        line.append("\": ");
+        appendQuotedEscapedString(line, field.m_value);
+    }
+
+    // Program, id and zone.
+    std::vector<log_field> m_process_fields;
+    std::shared_ptr<log4cxx::pattern::CachedDateFormat> m_dates =
+        std::make_shared<log4cxx::pattern::CachedDateFormat>(
+            std::make_shared<log4cxx::helpers::ISO8601DateFormat>(), date_expires_us);
+    // One format of the date serves all events of a second.
+    static constexpr int date_expires_us = 1'000'000;
+};
+
 // Formats events and hands them to the sink, on the caller's thread.
 class sink_appender final : public log4cxx::AppenderSkeleton {
 public:
@@ -73,7 +127,8 @@
                    log_level minimum)
 {
     log4cxx::helpers::Pool pool;
-    const auto layout = std::make_shared<log4cxx::JSONLayout>();
+    const auto layout = std::make_shared<field_layout>(
+        std::vector<log_field>{{"program", program}, {"id", id}, {"zone", zone}});
     const auto appender = std::make_shared<sink_appender>();
     appender->setLayout(layout);
     appender->activateOptions(pool);
@@ -81,9 +136,6 @@
     root->removeAllAppenders();
     root->addAppender(appender);
     root->setLevel(to_library_level(minimum));
-    log4cxx::MDC::put("program", program);
-    log4cxx::MDC::put("id", id);
-    log4cxx::MDC::put("zone", zone);
 }
 
 void log_event(log_level level, const char* event, std::initializer_list<log_field> fields)
@@ -92,10 +144,9 @@
     const auto library_level = to_library_level(level);
     if (!logger->isEnabledFor(library_level))
         return;
-    std::deque<log4cxx::MDC> scoped_fields;
-    for (const log_field& field : fields)
-        scoped_fields.emplace_back(field.m_name, field.m_value);
+    current_fields = &fields;
     logger->log(library_level, std::string(event));
+    current_fields = nullptr;
 }
 
 } // namespace hawthornpin
--- a/core/reactor.cpp
+++ b/core/reactor.cpp
@@ -68,23 +68,36 @@
 gboolean reactor::dispatch(GSource* source, GSourceFunc /*callback*/, gpointer /*data*/)
 {
     const auto* polled = reinterpret_cast<poll_source*>(source);
-    polled->m_reactor->fire_timers();
-    if (g_source_query_unix_fd(source, polled->m_poll_tag) != 0)
-        polled->m_reactor->dispatch_events();
-    if (polled->m_reactor->m_turn)
-        polled->m_reactor->m_turn();
+    reactor& self = *polled->m_reactor;
+    // What has arrived is read before time-outs fire: after a pause of the process, answers that came in time
+    // are not taken for late ones.
+    if (g_source_query_unix_fd(source, polled->m_poll_tag) != 0) {
+        self.dispatch_events();
+        self.run_turn();
+    }
+    if (self.fire_timers())
+        self.run_turn();
     return G_SOURCE_CONTINUE;
 }
 
-void reactor::fire_timers()
+void reactor::run_turn()
+{
+    if (m_turn)
+        m_turn();
+}
+
+bool reactor::fire_timers()
 {
     const std::int64_t now = g_get_monotonic_time();
+    bool has_fired = false;
     while (!m_timers.empty() && m_timers.begin()->first <= now) {
         delay_timer& due = *m_timers.begin()->second;
         m_timers.erase(m_timers.begin());
         due.m_position.reset();
         due.m_fulfiller.fulfill();
+        has_fired = true;
     }
+    return has_fired;
 }
 
 void reactor::dispatch_events()
@@ -148,6 +161,7 @@
 void descriptor_watch::on_events(std::uint32_t events)
 {
     constexpr std::uint32_t failures = EPOLLERR | EPOLLHUP;
+    m_has_ended = m_has_ended || (events & (EPOLLRDHUP | failures)) != 0;
     if ((events & (EPOLLIN | EPOLLRDHUP | failures)) != 0)
         set_ready(m_readable);
     if ((events & (EPOLLOUT | failures)) != 0)
--- a/core/reactor.h
+++ b/core/reactor.h
@@ -30,6 +30,10 @@
     kj::Promise<void> when_readable() { return wait(m_readable); }
     kj::Promise<void> when_writable() { return wait(m_writable); }
 
+    // Whether the peer has ended its side or the connection has failed: a read that took less than there was
+    // room for may then have left the end unread, which no later event tells.
+    bool has_ended() const { return m_has_ended; }
+
 private:
     friend class reactor;
 
@@ -46,6 +50,7 @@
     int m_descriptor;
     direction m_readable;
     direction m_writable;
+    bool m_has_ended = false;
 };
 
 // Fulfils a promise once after a delay, unless it is destroyed before.
@@ -89,8 +94,10 @@
     static gboolean prepare(GSource* source, gint* timeout);
     static gboolean check(GSource* source);
     static gboolean dispatch(GSource* source, GSourceFunc callback, gpointer data);
-    void fire_timers();
+    // Whether any was due.
+    bool fire_timers();
     void dispatch_events();
+    void run_turn();
 
     int m_poll_descriptor;
     poll_source* m_source;
--- a/dispatch/job_outcomes.cpp
+++ b/dispatch/job_outcomes.cpp
@@ -93,6 +93,7 @@
     channel.m_unanswered.clear();
     channel.m_stops.clear();
     channel.m_in_flight.reset();
+    channel.m_losses = 0;
 }
 
 bool is_in_flight(const agent_channel& channel, std::uint64_t number)
@@ -125,6 +126,14 @@
         repeat_task(scheduler, found->second, outcome, now);
 }
 
+// After this many losses in a row before it.
+milliseconds retry_pause(const scheduler_limits& limits, std::uint32_t losses)
+{
+    constexpr std::uint32_t most_doublings = 10;
+    const milliseconds doubled = limits.m_retry_pause * (1U << std::min(losses, most_doublings));
+    return std::min(doubled, limits.m_longest_retry_pause);
+}
+
 } // namespace
 
 void lose_agent_runs(job_scheduler& scheduler, const std::string& agent, instant now)
@@ -177,6 +186,7 @@
     if (found != scheduler.m_agents.m_agents.end())
         note_clock(found->second, status, now);
     agent_channel& channel = scheduler.m_channels[agent];
+    channel.m_losses = 0;
     if (is_in_flight(channel, number))
         channel.m_in_flight.reset();
 }
@@ -190,7 +200,7 @@
     agent_channel& channel = found->second;
     const order_batch lost = std::move(*channel.m_in_flight);
     channel.m_in_flight.reset();
-    channel.m_retry_at = now + scheduler.m_limits.m_retry_pause;
+    channel.m_retry_at = now + retry_pause(scheduler.m_limits, channel.m_losses++);
     for (const run_order& order : lost.m_starts) {
         if (!is_still_ordered(scheduler, order.m_run, agent))
             continue;
--- a/dispatch/job_scheduler.cpp
+++ b/dispatch/job_scheduler.cpp
@@ -11,6 +11,16 @@
 
 namespace {
 
+// Answers of agents wait unread after a pause of this process; judged before they are read, all agents would
+// seem silent.
+bool is_catching_up(job_scheduler& scheduler, instant now)
+{
+    if (scheduler.m_advanced_at + scheduler.m_limits.m_longest_step_gap < now)
+        scheduler.m_catching_up_until = now + scheduler.m_limits.m_catch_up;
+    scheduler.m_advanced_at = now;
+    return now < scheduler.m_catching_up_until;
+}
+
 void expire_agents(job_scheduler& scheduler, instant now)
 {
     const agent_table_limits& limits = scheduler.m_agents.m_limits;
@@ -102,6 +112,8 @@
 void place_ready_tasks(job_scheduler& scheduler, instant now)
 {
     std::size_t misses = 0;
+    std::string last_job;
+    std::string last_agent;
     for (auto position = scheduler.m_ready.begin();
          position != scheduler.m_ready.end() && misses < scheduler.m_limits.m_placement_misses;) {
         const ready_key key = *position;
@@ -111,8 +123,10 @@
             ++position;
             continue;
         }
-        const auto request =
+        auto request =
             make_placement_request(job, key.m_step, job.m_steps[key.m_step].m_tasks[key.m_index]);
+        if (key.m_job == last_job)
+            request.m_companion = last_agent;
         agent_view* agent = choose_agent(scheduler.m_agents, request, now);
         if (agent == nullptr) {
             ++misses;
@@ -120,6 +134,8 @@
             continue;
         }
         order_run(scheduler, job, key, *agent, now);
+        last_job = key.m_job;
+        last_agent = agent->m_status.m_life.m_id;
         position = scheduler.m_ready.erase(position);
     }
 }
@@ -242,7 +258,8 @@
 
 void advance(job_scheduler& scheduler, instant now)
 {
-    expire_agents(scheduler, now);
+    if (!is_catching_up(scheduler, now))
+        expire_agents(scheduler, now);
     end_overdue_jobs(scheduler, now);
     demote_late_tasks(scheduler, now);
     place_ready_tasks(scheduler, now);
@@ -255,8 +272,9 @@
         agent_channel& channel = scheduler.m_channels[id];
         const bool has_orders = !channel.m_starts.empty() || !channel.m_stops.empty();
         const bool is_kept_ready = !scheduler.m_is_dormant || agent.m_runs > 0;
-        const bool is_heartbeat_due =
-            is_kept_ready && channel.m_sent_at + scheduler.m_limits.m_heartbeat <= now;
+        const milliseconds heartbeat =
+            agent.m_runs > 0 ? scheduler.m_limits.m_heartbeat : scheduler.m_limits.m_idle_heartbeat;
+        const bool is_heartbeat_due = is_kept_ready && channel.m_sent_at + heartbeat <= now;
         const bool is_due = has_orders || is_heartbeat_due;
         if (channel.m_in_flight || !is_due || now < channel.m_retry_at)
             continue;
--- a/dispatch/job_scheduler.h
+++ b/dispatch/job_scheduler.h
@@ -124,8 +124,18 @@
     milliseconds m_heartbeat{100};
     // A message to an agent is repeated if it is not answered by then.
     milliseconds m_answer_timeout{250};
-    // Pause before a message that was not answered is repeated.
+    // Pause before a message that was not answered is repeated; it doubles with each further one, so that an
+    // agent that is short of time is not kept from its work by repetitions.
     milliseconds m_retry_pause{25};
+    // No longer than two heartbeats: an agent that is back is used again soon.
+    milliseconds m_longest_retry_pause{200};
+    // An agent where this home has no runs hears from it this often: its answers are younger than the
+    // agent table's m_suspect_after all the same.
+    milliseconds m_idle_heartbeat{200};
+    // A home that was not called for this long was held up itself: answers may wait unread.
+    milliseconds m_longest_step_gap{60};
+    // For this long after that no agent counts as silent. One tick of the process: what waited is read by then.
+    milliseconds m_catch_up{20};
     // How long an order may wait at an agent whose room was taken by another entry.
     milliseconds m_start_within{60};
     // Tasks looked at, without finding room, before the rest of the ready tasks waits for the next round.
@@ -143,6 +153,8 @@
     std::vector<run_id> m_stops;
     // The batch that waits for its answer.
     std::optional<order_batch> m_in_flight;
+    // Messages without an answer since the last one that had one.
+    std::uint32_t m_losses = 0;
     // Of the last batch; rises over all lives of the agent.
     std::uint64_t m_number = 0;
     instant m_sent_at;
@@ -163,6 +175,9 @@
     bool m_is_shutting_down = false;
     // Has no jobs and expects none: agents are not kept ready by heartbeats.
     bool m_is_dormant = false;
+    // When advance() was last called, and until when no agent counts as silent.
+    instant m_advanced_at;
+    instant m_catching_up_until;
 
     agent_table m_agents;
     duration_estimator m_estimator;
--- a/main/job_home.cpp
+++ b/main/job_home.cpp
@@ -36,6 +36,15 @@
     return is_known;
 }
 
+void job_home::tick()
+{
+    // Without jobs only agents that have gone are to be forgotten.
+    constexpr milliseconds dormant_pause{500};
+    const bool is_resting = m_scheduler.m_is_dormant && m_scheduler.m_jobs.empty();
+    if (!is_resting || m_scheduler.m_advanced_at + dormant_pause <= boot_now())
+        step();
+}
+
 void job_home::schedule_step()
 {
     if (m_is_step_scheduled)
@@ -70,7 +79,8 @@
         }
     }
     note_agent_report(m_scheduler, status, outcomes, boot_now());
-    schedule_step();
+    if (!m_scheduler.m_jobs.empty() || !m_scheduler.m_is_dormant)
+        schedule_step();
 }
 
 void job_home::step()
@@ -102,7 +112,9 @@
         return;
     }
     m_metrics.count_labelled("batches", "unanswered");
-    log_event(log_level::warning, "agent_unanswered", {{"agent", agent}});
+    // Repetitions are counted, not logged.
+    if (m_scheduler.m_channels[agent].m_losses == 0)
+        log_event(log_level::warning, "agent_unanswered", {{"agent", agent}});
     note_batch_lost(m_scheduler, agent, number, boot_now());
 }
 
--- a/main/job_home.h
+++ b/main/job_home.h
@@ -31,6 +31,9 @@
     // A status and outcomes from an agent.
     void on_report(const agent_status& status, const std::vector<run_outcome>& outcomes);
 
+    // To be called at each tick of the process.
+    void tick();
+
     // Carries out what is due now, and soon after the current event.
     void step();
     void schedule_step();
--- a/main/platform_agent.cpp
+++ b/main/platform_agent.cpp
@@ -310,7 +310,7 @@
     forget_silent(m_entries, boot_now());
     present_to_entries();
     end_silent_sessions();
-    m_home.step();
+    m_home.tick();
     step();
     finish_if_idle();
     return true;
@@ -320,9 +320,9 @@
 {
     const instant now = boot_now();
     for (auto& [address, entry] : m_entries.m_entries) {
-        if (!is_presentation_due(entry, now) || m_presents_in_flight.contains(address))
+        if (!is_presentation_due(m_entries, entry, now) || m_presents_in_flight.contains(address))
             continue;
-        entry.m_called_at = now;
+        note_presenting(entry, now);
         present_to(address);
     }
     const bool is_alone = m_heard_entry_at + ask_store_after < now && m_store_read_at + ask_store_pause < now;
--- a/main/platform_entry.cpp
+++ b/main/platform_entry.cpp
@@ -73,6 +73,7 @@
 {
     m_home_table.m_self = place.m_node;
     m_home_table.m_random.seed(draw_unpredictable());
+    m_random.seed(draw_unpredictable());
     m_entries.m_self = place.m_peer_address;
     add_seeds(m_entries, place.m_seed_addresses);
 }
@@ -134,6 +135,7 @@
     m_metrics.count(counter::config_changes_applied);
     m_directory = directory;
     m_directory_text = text;
+    m_queues = queue_index(directory);
 }
 
 bool platform_entry::on_tick()
@@ -153,7 +155,8 @@
     choose_service_homes();
     attend_homes();
     decide_handing_on();
-    m_home.step();
+    hand_on_waiting();
+    m_home.tick();
     finish_if_idle();
     return true;
 }
--- a/main/platform_entry.h
+++ b/main/platform_entry.h
@@ -2,7 +2,7 @@
 
 #pragma once
 
-#include "config/service_directory.h"
+#include "config/queue_index.h"
 #include "core/event_loop.h"
 #include "core/metrics.h"
 #include "http/api_server.h"
@@ -69,12 +69,22 @@
     bool is_handing_on() const { return m_are_homes_ready; }
     void choose_service_homes();
     void decide_handing_on();
-    void hand_on(const work_request& job, const queue_contract& queue, milliseconds patience,
-                 const std::set<std::string>& refused_by);
-    void on_handed_job_end(const work_request& job, const queue_contract& queue, milliseconds patience,
-                           std::set<std::string> refused_by, const std::string& home, std::uint64_t session,
+    // A job on its way to a home.
+    struct outgoing_job {
+        work_request m_work;
+        queue_contract m_queue;
+        // Its caller leaves then.
+        instant m_give_up;
+        // Homes that turned it away.
+        std::set<std::string> m_refused_by;
+    };
+    void hand_on(const outgoing_job& job);
+    void wait_for_home(const outgoing_job& job);
+    // Hands on what waits for a home, once one answers.
+    void hand_on_waiting();
+    void on_handed_job_end(outgoing_job job, const std::string& home, std::uint64_t session,
                            const std::optional<handed_job_end>& end);
-    // Ends the call for the job, and with it the job at its home; false if it was not handed on.
+    // Ends the call for the job, and with it the job at its home; false if it was not to be handed on.
     bool recall(const std::string& job);
     void attend_homes();
     void lose_home(const std::string& home);
@@ -95,6 +105,7 @@
     metrics m_metrics;
     std::optional<service_directory> m_directory;
     std::string m_directory_text;
+    queue_index m_queues;
     entry_list m_entries;
     store_client m_store;
     platform_link m_links;
@@ -119,10 +130,14 @@
     std::map<std::string, instant> m_arrivals;
     bool m_was_store_connected = false;
     std::set<std::string> m_shares_in_flight;
+    instant m_shared_at;
+    random_source m_random;
     std::optional<instant> m_leaving_since;
     // When a caller's request last arrived or was answered.
     instant m_last_request_at;
     background_tasks m_tasks;
+    // Jobs for which no home answers just now, and when each has waited long enough.
+    std::map<std::string, std::pair<outgoing_job, instant>> m_unhomed;
     // Calls for jobs that were handed on, by job.
     struct handed_job {
         std::string m_home;
--- a/main/platform_entry_callers.cpp
+++ b/main/platform_entry_callers.cpp
@@ -88,7 +88,7 @@
         return make_refusal(413, "body_too_large", milliseconds(0));
     if (!m_directory)
         return make_refusal(503, "not_ready", milliseconds(1'000));
-    const queue_contract* queue = find_queue(*m_directory, request.m_host, request.m_path);
+    const queue_contract* queue = m_queues.find(request.m_host, request.m_path);
     if (queue == nullptr)
         return make_response(404);
     const std::string id = request.m_path.substr(queue->m_path_prefix.size());
@@ -129,7 +129,7 @@
         return answer;
     m_arrivals[id] = boot_now();
     if (is_handing_on())
-        hand_on(*job, queue, read_patience(request), {});
+        hand_on({*job, queue, boot_now() + read_patience(request), {}});
     else
         m_home.submit(*job, queue, read_patience(request));
     return answer;
@@ -165,6 +165,8 @@
         return make_state_response(kept->second.m_state);
     if (m_handed_on.contains(id))
         return make_state_response("running");
+    if (m_unhomed.contains(id))
+        return make_state_response("queued");
     const auto& jobs = m_home.scheduler().m_jobs;
     const auto job = jobs.find(id);
     if (job == jobs.end())
--- a/main/platform_entry_homes.cpp
+++ b/main/platform_entry_homes.cpp
@@ -11,17 +11,18 @@
 
 // Between two choices of homes: agents present themselves about as often.
 constexpr milliseconds choose_pause{500};
-// An agent that has not presented itself for this long is no candidate: three presentations fit in.
-constexpr milliseconds candidate_within{4'000};
+// An agent that has missed this many presentations is no candidate.
+constexpr int missed_presentations = 3;
 // Homes that are tried for one job before it is refused; a leaving home refuses.
 constexpr std::size_t most_tries = 3;
 
 // Ticks that follow each other by more than this show that the process was held up.
 constexpr milliseconds longest_tick = 3 * decision_tick;
 
-bool is_candidate(const agent_view& agent, instant now)
+bool is_candidate(const agent_view& agent, milliseconds pause, instant now)
 {
-    return agent.m_status.m_state == agent_state::serving && agent.m_heard_at + candidate_within >= now;
+    return agent.m_status.m_state == agent_state::serving &&
+           agent.m_heard_at + missed_presentations * pause >= now;
 }
 
 } // namespace
@@ -32,9 +33,12 @@
     if (m_homes_chosen_at + choose_pause > now)
         return;
     m_homes_chosen_at = now;
+    // Agents know the entries and their own homes.
+    const milliseconds pause =
+        presentation_pause(1 + m_entries.m_entries.size() + m_home_limits.m_homes_per_agent);
     std::vector<home_candidate> candidates;
     for (const auto& [id, agent] : m_home.scheduler().m_agents.m_agents) {
-        if (is_candidate(agent, now))
+        if (is_candidate(agent, pause, now))
             candidates.push_back({id, agent.m_status.m_address});
     }
     m_service_homes = choose_homes(candidates, m_home_limits, !m_service_homes.empty());
@@ -65,41 +69,62 @@
     return addresses;
 }
 
-void platform_entry::hand_on(const work_request& job, const queue_contract& queue, milliseconds patience,
-                             const std::set<std::string>& refused_by)
+void platform_entry::hand_on(const outgoing_job& job)
 {
     const instant now = boot_now();
-    if (const auto hopeless = find_hopeless_end(m_home.scheduler(), job, queue, now)) {
+    const std::string& id = job.m_work.m_id;
+    if (const auto hopeless = find_hopeless_end(m_home.scheduler(), job.m_work, job.m_queue, now)) {
         deliver(*hopeless);
         return;
     }
-    const auto home = choose_home(m_home_table, refused_by, now);
+    const auto home = choose_home(m_home_table, job.m_refused_by, now);
     if (!home) {
-        constexpr milliseconds come_back_after{1'000};
-        deliver({job.m_id, job_end::refused, job_end_reason::no_worker, come_back_after});
+        wait_for_home(job);
         return;
     }
     const entry_presence presence = make_presence(m_home_table, *home);
     const std::uint64_t session = presence.m_session.m_incarnation;
     log_event(log_level::info, "job_handed_on",
-              {{"job", job.m_id},
-               {"queue", queue.m_name},
+              {{"job", id},
+               {"queue", job.m_queue.m_name},
                {"home", *home},
                {"jobs_there", std::to_string(m_home_table.m_homes.at(*home).m_jobs.size())},
                {"configuration", std::to_string(m_directory->m_version)}});
-    note_handed_on(m_home_table, *home, job.m_id);
-    auto call = m_links.hand_in(m_home_table.m_homes.at(*home).m_address, presence, job, queue, patience)
-                    .then([this, job, queue, patience, refused_by, home = *home,
-                           session](std::optional<handed_job_end> end) {
-                        on_handed_job_end(job, queue, patience, refused_by, home, session, end);
+    note_handed_on(m_home_table, *home, id);
+    const auto patience = std::chrono::duration_cast<milliseconds>(job.m_give_up - now);
+    auto call = m_links
+                    .hand_in(m_home_table.m_homes.at(*home).m_address, presence, job.m_work, job.m_queue,
+                             std::max(patience, milliseconds(1)))
+                    .then([this, job, home = *home, session](std::optional<handed_job_end> end) {
+                        on_handed_job_end(job, home, session, end);
                     })
                     .eagerlyEvaluate(nullptr);
-    m_handed_on.insert_or_assign(job.m_id, handed_job{*home, kj::mv(call)});
+    m_handed_on.insert_or_assign(id, handed_job{*home, kj::mv(call)});
 }
 
-void platform_entry::on_handed_job_end(const work_request& job, const queue_contract& queue,
-                                       milliseconds patience, std::set<std::string> refused_by,
-                                       const std::string& home, std::uint64_t session,
+void platform_entry::wait_for_home(const outgoing_job& job)
+{
+    // Homes that are only late answer within two heartbeats.
+    const milliseconds longest_wait = 2 * m_home_table.m_limits.m_heartbeat;
+    m_unhomed.try_emplace(job.m_work.m_id, job, boot_now() + longest_wait);
+}
+
+void platform_entry::hand_on_waiting()
+{
+    constexpr milliseconds come_back_after{1'000};
+    const instant now = boot_now();
+    for (const auto& [id, waiting] : std::exchange(m_unhomed, {})) {
+        const auto& [job, wait_until] = waiting;
+        if (choose_home(m_home_table, job.m_refused_by, now))
+            hand_on(job);
+        else if (wait_until <= now)
+            deliver({id, job_end::refused, job_end_reason::no_worker, come_back_after});
+        else
+            m_unhomed.try_emplace(id, waiting);
+    }
+}
+
+void platform_entry::on_handed_job_end(outgoing_job job, const std::string& home, std::uint64_t session,
                                        const std::optional<handed_job_end>& end)
 {
     if (!end) {
@@ -107,14 +132,14 @@
         lose_home(home);
         return;
     }
-    recall(job.m_id);
+    recall(job.m_work.m_id);
     note_home_status(m_home_table, home, session, end->m_status, boot_now());
     const bool is_turned_away = end->m_answer.m_reason == job_end_reason::shutting_down ||
                                 end->m_answer.m_reason == job_end_reason::hand_in_late ||
                                 end->m_answer.m_reason == job_end_reason::no_worker;
-    refused_by.insert(home);
-    if (end->m_answer.m_end == job_end::refused && is_turned_away && refused_by.size() < most_tries)
-        hand_on(job, queue, patience, refused_by);
+    job.m_refused_by.insert(home);
+    if (end->m_answer.m_end == job_end::refused && is_turned_away && job.m_refused_by.size() < most_tries)
+        hand_on(job);
     else
         deliver(end->m_answer);
 }
@@ -123,7 +148,7 @@
 {
     const auto found = m_handed_on.find(job);
     if (found == m_handed_on.end())
-        return false;
+        return m_unhomed.erase(job) > 0;
     note_handed_back(m_home_table, found->second.m_home, job);
     // The call may be the one that is being handled.
     m_ended_calls.add(std::make_unique<handed_job>(std::move(found->second)));
--- a/main/platform_entry_peers.cpp
+++ b/main/platform_entry_peers.cpp
@@ -8,9 +8,11 @@
 
 namespace {
 
-// Between two exchanges with another entry: a configuration that one entry has reaches the others well within
-// the bound of two seconds.
+// Between two rounds of exchanges with other entries, and how many there are in a round. A configuration that
+// half of the entries have reaches the others within three rounds, well within the bound of two seconds; the
+// messages of an entry do not grow with their number.
 constexpr milliseconds share_pause{400};
+constexpr std::size_t partners_per_round = 3;
 // While no agent is known: agents learn of this entry from the others, and callers are refused until then.
 constexpr milliseconds first_share_pause{100};
 constexpr milliseconds call_timeout{300};
@@ -24,11 +26,13 @@
     const instant now = boot_now();
     const bool is_alone = m_home.scheduler().m_agents.m_agents.empty();
     const milliseconds pause = is_alone ? first_share_pause : share_pause;
-    for (auto& [address, entry] : m_entries.m_entries) {
-        if (entry.m_called_at + pause > now || m_shares_in_flight.contains(address))
-            continue;
-        entry.m_called_at = now;
-        share_with(address);
+    if (m_shared_at + pause > now)
+        return;
+    m_shared_at = now;
+    for (const std::string& address :
+         choose_partners(m_entries, partners_per_round, pause, m_random, now)) {
+        if (!m_shares_in_flight.contains(address))
+            share_with(address);
     }
 }
 
--- a/main/platform_link.cpp
+++ b/main/platform_link.cpp
@@ -24,7 +24,7 @@
                                                         const std::string& address, milliseconds timeout)
 {
     auto late = after_delay(static_cast<unsigned>(timeout.count())).then([this, address] {
-        m_links.drop(address);
+        m_links.note_late(address);
         return std::optional<Value>();
     });
     return call.exclusiveJoin(kj::mv(late));
--- a/main/platform_link.h
+++ b/main/platform_link.h
@@ -29,8 +29,8 @@
     home_status m_status;
 };
 
-// Every promise is empty or false if the peer can't be reached or does not answer in time; its link is closed
-// then, so that a connection that went silent is not used again.
+// Every promise is empty or false if the peer can't be reached or does not answer in time. A link on which
+// nothing is answered any more is closed, so that a connection that went silent is not used for long.
 class platform_link {
 public:
     explicit platform_link(std::size_t max_links) : m_links(platform_cluster_key, max_links) {}
--- a/membership/entry_list.cpp
+++ b/membership/entry_list.cpp
@@ -19,7 +19,7 @@
     for (const std::string& address : addresses) {
         if (address == list.m_self || address.empty())
             continue;
-        list.m_entries.try_emplace(address, known_entry{false, now, instant(), entry_contact::hearsay});
+        list.m_entries.try_emplace(address, known_entry{false, now, instant(), 0, entry_contact::hearsay});
     }
 }
 
@@ -29,6 +29,7 @@
         return;
     known_entry& entry = list.m_entries[address];
     entry.m_heard_at = now;
+    entry.m_unanswered = 0;
     entry.m_contact = entry_contact::orders;
 }
 
@@ -41,20 +42,40 @@
 void note_known_to_home(entry_list& list, const std::string& address)
 {
     const auto entry = list.m_entries.find(address);
-    if (entry != list.m_entries.end())
-        entry->second.m_contact = entry_contact::presentation;
+    if (entry == list.m_entries.end())
+        return;
+    entry->second.m_contact = entry_contact::presentation;
+    entry->second.m_unanswered = 0;
+}
+
+milliseconds presentation_pause(std::size_t entry_count)
+{
+    // An entry needs the agent's state for the choice of homes only.
+    constexpr milliseconds shortest{1'500};
+    // An agent that has gone is a candidate for three of these; then homes are chosen without it.
+    constexpr milliseconds longest{3'000};
+    constexpr milliseconds for_each_entry{100};
+    return std::clamp(static_cast<std::int64_t>(entry_count) * for_each_entry, shortest, longest);
+}
+
+void note_presenting(known_entry& entry, instant now)
+{
+    entry.m_called_at = now;
+    ++entry.m_unanswered;
 }
 
-bool is_presentation_due(const known_entry& entry, instant now)
+bool is_presentation_due(const entry_list& list, const known_entry& entry, instant now)
 {
-    // Between two presentations to one entry that are not answered.
+    // Between two presentations to one entry that are not answered; the first three follow quickly, since most
+    // entries that are down are being restarted.
     constexpr milliseconds retry_pause{250};
-    // An entry that ordered sends a heartbeat every 100 ms; it may have been replaced.
+    constexpr std::uint32_t quick_retries = 3;
+    constexpr std::uint32_t most_doublings = 2;
+    // An entry that ordered sends a heartbeat at least every 200 ms; it may have been replaced.
     constexpr milliseconds after_orders{600};
-    // An entry that knows the agent and sends no orders hands its jobs on to homes; it needs the agent's
-    // state for the choice of homes only.
-    constexpr milliseconds after_presentation{1'500};
-    if (entry.m_called_at + retry_pause >= now)
+    const milliseconds after_presentation = presentation_pause(list.m_entries.size());
+    const std::uint32_t slow_retries = entry.m_unanswered > quick_retries ? entry.m_unanswered - quick_retries : 0;
+    if (entry.m_called_at + retry_pause * (1U << std::min(slow_retries, most_doublings)) >= now)
         return false;
     if (entry.m_contact == entry_contact::hearsay)
         return true;
@@ -66,6 +87,21 @@
     return std::max(entry.m_heard_at, entry.m_called_at) + after_presentation < now;
 }
 
+std::vector<std::string> choose_partners(entry_list& list, std::size_t count, milliseconds pause,
+                                         random_source& random, instant now)
+{
+    std::vector<std::string> due;
+    for (const auto& [address, entry] : list.m_entries) {
+        if (entry.m_called_at + pause <= now)
+            due.push_back(address);
+    }
+    std::shuffle(due.begin(), due.end(), random);
+    due.resize(std::min(count, due.size()));
+    for (const std::string& address : due)
+        list.m_entries.at(address).m_called_at = now;
+    return due;
+}
+
 void forget_silent(entry_list& list, instant now)
 {
     std::erase_if(list.m_entries, [now](const auto& item) {
@@ -76,7 +112,12 @@
 std::vector<std::string> list_live(const entry_list& list, instant now)
 {
     // Shorter than the time after which others forget, so that hearsay does not keep a dead entry alive.
-    constexpr milliseconds live_within{3'000};
+    constexpr milliseconds shortest{3'000};
+    constexpr milliseconds longest{9'000};
+    // An entry calls three others each 400 ms and is called as often: four contacts with each fit in.
+    constexpr milliseconds for_each_entry{267};
+    const milliseconds live_within =
+        std::clamp(static_cast<std::int64_t>(list.m_entries.size()) * for_each_entry, shortest, longest);
     std::vector<std::string> live;
     for (const auto& [address, entry] : list.m_entries) {
         if (entry.m_heard_at + live_within >= now)
--- a/membership/entry_list.h
+++ b/membership/entry_list.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/instant.h"
+#include "core/random.h"
 
 #include <map>
 #include <string>
@@ -20,6 +21,8 @@
     // When it was last heard itself; hearsay does not count.
     instant m_heard_at;
     instant m_called_at;
+    // Presentations since the last that was answered.
+    std::uint32_t m_unanswered = 0;
     // How it was last heard: only of, by orders, or by its answer to a presentation.
     entry_contact m_contact = entry_contact::hearsay;
 };
@@ -41,10 +44,21 @@
 // left.
 void note_known_to_home(entry_list& list, const std::string& address);
 // Whether an agent should present itself to the entry now: at once to one that it only heard of, and again to
-// one that has fallen silent.
-bool is_presentation_due(const known_entry& entry, instant now);
+// one that has fallen silent, less often with each time in vain.
+bool is_presentation_due(const entry_list& list, const known_entry& entry, instant now);
+// The agent presents itself to the entry.
+void note_presenting(known_entry& entry, instant now);
+
+// Between two presentations of an agent to an entry that hands its jobs on, in a system of this many entries:
+// their sum stays bounded in a large one.
+milliseconds presentation_pause(std::size_t entry_count);
 void forget_silent(entry_list& list, instant now);
 
+// Entries to exchange knowledge with now: at most `count` of those that were not called within `pause`, at
+// random. They count as called.
+std::vector<std::string> choose_partners(entry_list& list, std::size_t count, milliseconds pause,
+                                         random_source& random, instant now);
+
 // Entries heard within the period after which they are forgotten: what is told to others.
 std::vector<std::string> list_live(const entry_list& list, instant now);
 
--- a/routing/agent_table.cpp
+++ b/routing/agent_table.cpp
@@ -46,6 +46,8 @@
     double cost = agent.m_slowness * (1 + table.m_limits.m_load_cost * load);
     if (agent.m_status.m_zone != table.m_zone)
         cost += table.m_limits.m_other_zone_cost;
+    if (!request.m_companion.empty() && agent.m_status.m_life.m_id != request.m_companion)
+        cost += table.m_limits.m_further_agent_cost;
     if (!request.m_preferred_rack.empty() && !has_label(agent, request.m_preferred_rack))
         cost *= table.m_limits.m_other_rack_factor;
     return cost;
@@ -77,6 +79,20 @@
     return best;
 }
 
+// Whether the agent serves and has answered this home within the time.
+bool is_heard_within(const agent_view& agent, milliseconds span, instant now)
+{
+    if (agent.m_status.m_state != agent_state::serving || !agent.m_is_settled)
+        return false;
+    return agent.m_clock_seen != 0 && now <= agent.m_clock_seen_at + span;
+}
+
+// After its quarantine a worker gets one run at a time until one succeeds.
+bool is_trusted(const agent_view& agent, instant now)
+{
+    return !agent.m_quarantined_until || (*agent.m_quarantined_until <= now && agent.m_runs == 0);
+}
+
 bool is_quarantine_allowed(const agent_table& table, const agent_view& candidate, instant now)
 {
     double agents = 0;
@@ -158,14 +174,12 @@
 
 bool is_usable(const agent_table& table, const agent_view& agent, instant now)
 {
-    if (agent.m_status.m_state != agent_state::serving || !agent.m_is_settled)
-        return false;
-    if (agent.m_clock_seen == 0 || now > agent.m_clock_seen_at + table.m_limits.m_suspect_after)
-        return false;
-    if (!agent.m_quarantined_until)
-        return true;
-    // After its quarantine a worker gets one run at a time until one succeeds.
-    return *agent.m_quarantined_until <= now && agent.m_runs == 0;
+    return is_heard_within(agent, table.m_limits.m_suspect_after, now) && is_trusted(agent, now);
+}
+
+bool is_counted(const agent_table& table, const agent_view& agent, instant now)
+{
+    return is_heard_within(agent, table.m_limits.m_lost_after, now) && is_trusted(agent, now);
 }
 
 resources free_for_orders(const agent_view& agent)
@@ -206,7 +220,7 @@
 {
     return std::any_of(table.m_agents.begin(), table.m_agents.end(), [&](const auto& item) {
         const agent_view& agent = item.second;
-        return agent.m_status.m_service == service && is_usable(table, agent, now) &&
+        return agent.m_status.m_service == service && is_counted(table, agent, now) &&
                fits(needs, free_for_orders(agent));
     });
 }
@@ -214,20 +228,15 @@
 service_load measure_service(const agent_table& table, const std::string& service, instant now)
 {
     service_load load;
-    double weighted = 0;
     for (const auto& [id, agent] : table.m_agents) {
-        if (agent.m_status.m_service != service || !is_usable(table, agent, now))
+        if (agent.m_status.m_service != service || !is_counted(table, agent, now))
             continue;
         const std::int64_t capacity = agent.m_status.m_capacity.m_cpu_milli;
         load.m_capacity_milli += capacity;
         const std::int64_t free = free_for_orders(agent).m_cpu_milli;
         load.m_free_milli += free;
         load.m_busy_milli += capacity - std::max<std::int64_t>(0, free);
-        weighted += agent.m_slowness * static_cast<double>(capacity);
-        ++load.m_usable_agents;
     }
-    if (load.m_capacity_milli > 0)
-        load.m_slowness = weighted / static_cast<double>(load.m_capacity_milli);
     return load;
 }
 
--- a/routing/agent_table.h
+++ b/routing/agent_table.h
@@ -35,6 +35,9 @@
     std::int64_t m_overcommit_milli = 2'000;
     // Cost of a full worker over an empty one, as a share of the duration: spreads load among equals.
     double m_load_cost = 0.1;
+    // Cost of an agent that has no task of the job yet, as a share of the duration: each further agent takes
+    // one more order and one more report.
+    double m_further_agent_cost = 0.15;
     // How much longer a task takes away from the rack of its data.
     double m_other_rack_factor = 1.5;
 };
@@ -98,6 +101,8 @@
     std::vector<std::string> m_avoided;
     // Agents that are not taken.
     std::vector<std::string> m_excluded;
+    // The agent that got the task before this one of the same job in this round; empty for the first.
+    std::string m_companion;
 };
 
 // The agent where the task is expected to end first; null if none has room.
@@ -109,24 +114,25 @@
 // expected, and none of their workers could.
 feasibility check_feasibility(const agent_table& table, const placement_request& request, instant now);
 
-// Whether a usable worker of the service has room for the task now.
+// Whether a counted worker of the service has room for the task now.
 bool has_room(const agent_table& table, const std::string& service, const resources& needs, instant now);
 
 // Whether the agent may get orders now.
 bool is_usable(const agent_table& table, const agent_view& agent, instant now);
 
+// Whether the agent counts as capacity of its service: as usable, or only late with its answers. Until its runs
+// count as over, silence says more about the messages than about the worker.
+bool is_counted(const agent_table& table, const agent_view& agent, instant now);
+
 // Capacity free for this entry, by its own account.
 resources free_for_orders(const agent_view& agent);
 
-// Totals over the usable workers of a service, in thousandths of a core.
+// Totals over the counted workers of a service, in thousandths of a core.
 struct service_load {
     std::int64_t m_capacity_milli = 0;
     // Less what waits at the agents: negative when more waits than is free.
     std::int64_t m_free_milli = 0;
     std::int64_t m_busy_milli = 0;
-    std::size_t m_usable_agents = 0;
-    // Mean slowness of the usable agents, by capacity.
-    double m_slowness = 1;
 };
 service_load measure_service(const agent_table& table, const std::string& service, instant now);
 
--- a/routing/home_table.cpp
+++ b/routing/home_table.cpp
@@ -2,8 +2,6 @@
 
 #include "routing/home_table.h"
 
-#include <array>
-
 namespace hawthornpin {
 
 namespace {
@@ -14,6 +12,13 @@
            home.m_clock_seen != 0 && home.m_clock_seen_at + table.m_limits.m_suspect_after >= now;
 }
 
+// By agents that can run them: homes work with different numbers of agents.
+bool has_fewer_jobs(const home_view& left, const home_view& right)
+{
+    return (left.m_jobs.size() + 1) * right.m_status.m_usable_agents <=
+           (right.m_jobs.size() + 1) * left.m_status.m_usable_agents;
+}
+
 void begin_session(home_table& table, home_view& home)
 {
     home.m_session = table.m_random();
@@ -50,11 +55,9 @@
     }
     if (open.empty())
         return std::nullopt;
-    const std::array<std::string, 2> drawn = {open[draw_below(table.m_random, open.size())],
-                                              open[draw_below(table.m_random, open.size())]};
-    const bool is_first_shorter =
-        table.m_homes.at(drawn[0]).m_jobs.size() <= table.m_homes.at(drawn[1]).m_jobs.size();
-    return is_first_shorter ? drawn[0] : drawn[1];
+    const std::string& first = open[draw_below(table.m_random, open.size())];
+    const std::string& second = open[draw_below(table.m_random, open.size())];
+    return has_fewer_jobs(table.m_homes.at(first), table.m_homes.at(second)) ? first : second;
 }
 
 entry_presence make_presence(const home_table& table, const std::string& home)
--- a/rpc/glib_stream.cpp
+++ b/rpc/glib_stream.cpp
@@ -183,6 +183,8 @@
         done += take_buffered(buffer + done, max_bytes - done);
         if (done >= min_bytes)
             return done;
+        if (std::exchange(m_is_drained, false))
+            break;
         const ssize_t received = ::recv(m_socket.number(), m_buffer.data(), m_buffer.size(), 0);
         if (received == 0)
             return done;
@@ -193,6 +195,7 @@
         process_stream_totals().m_bytes_in += static_cast<std::uint64_t>(received);
         m_begin = 0;
         m_end = static_cast<std::size_t>(received);
+        m_is_drained = m_end < m_buffer.size() && !m_watch.has_ended();
     }
     return m_watch.when_readable().then(
         [this, buffer, min_bytes, max_bytes, done] { return fill(buffer, min_bytes, max_bytes, done); });
--- a/rpc/glib_stream.h
+++ b/rpc/glib_stream.h
@@ -75,6 +75,8 @@
     std::vector<kj::byte> m_buffer;
     std::size_t m_begin = 0;
     std::size_t m_end = 0;
+    // The last read took all there was: another one before the socket is ready again would find nothing.
+    bool m_is_drained = false;
     // Messages that wait out the link delay, oldest first.
     struct delayed_message {
         std::chrono::steady_clock::time_point m_due;
--- a/rpc/link.cpp
+++ b/rpc/link.cpp
@@ -78,13 +78,26 @@
     {
     }
 
-    kj::Promise<wire::Node::Client> node() { return m_node.addBranch(); }
+    kj::Promise<wire::Node::Client> node()
+    {
+        if (!m_unanswered_since)
+            m_unanswered_since = boot_now();
+        return m_node.addBranch();
+    }
+
+    void note_answered() { m_unanswered_since.reset(); }
+    bool is_silent() const
+    {
+        return m_unanswered_since && *m_unanswered_since + silent_link_after <= boot_now();
+    }
 
     std::uint64_t m_last_use = 0;
 
 private:
     kj::Own<connection> m_connection;
     kj::ForkedPromise<wire::Node::Client> m_node;
+    // When the first call was made since the last answer.
+    std::optional<instant> m_unanswered_since;
 };
 
 link_pool::link_pool(std::string cluster_key, std::size_t max_links)
@@ -114,6 +127,20 @@
     m_links.erase(found);
 }
 
+void link_pool::note_answered(const std::string& address)
+{
+    const auto found = m_links.find(address);
+    if (found != m_links.end())
+        found->second->note_answered();
+}
+
+void link_pool::note_late(const std::string& address)
+{
+    const auto found = m_links.find(address);
+    if (found != m_links.end() && found->second->is_silent())
+        drop(address);
+}
+
 void link_pool::make_room()
 {
     if (m_links.size() < m_max_links)
--- a/rpc/link.h
+++ b/rpc/link.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/deferred_deletion.h"
+#include "core/instant.h"
 #include "rpc/glib_stream.h"
 #include "rpc/hawthornpin.capnp.h"
 
@@ -23,6 +24,11 @@
     lost,
 };
 
+// A connection on which nothing was answered for this long, although something was asked, is given up: the
+// network may have forgotten it. Longer than two retransmissions of a lost packet (200 and 400 ms), so that one
+// that only lost a packet is kept, with all the calls on it.
+inline constexpr milliseconds silent_link_after{650};
+
 // A pool of links by address. Idle links beyond the limit are closed, least recently used first.
 class link_pool {
 public:
@@ -37,6 +43,11 @@
     // Forgets a link whose call failed, so that the next one connects anew.
     void drop(const std::string& address);
 
+    // A call on the link was answered, or was not in time. A peer that is only slow keeps its link: connecting
+    // anew would cost it more than the answer.
+    void note_answered(const std::string& address);
+    void note_late(const std::string& address);
+
     std::size_t size() const { return m_links.size(); }
 
 private:
@@ -67,7 +78,8 @@
         [&links, address, use = kj::mv(use)](wire::Node::Client node) mutable -> kj::Promise<result> {
             return use(kj::mv(node))
                 .then(
-                    [](Response response) {
+                    [&links, address](Response response) {
+                        links.note_answered(address);
                         return result{call_fate::answered, kj::mv(response)};
                     },
                     [&links, address](kj::Exception&& failure) {
--- a/tests/model/platform_model.h
+++ b/tests/model/platform_model.h
@@ -7,11 +7,13 @@
 #include "dispatch/entry_leases.h"
 #include "dispatch/job_scheduler.h"
 #include "dispatch/run_guard.h"
+#include "membership/home_choice.h"
 #include "tests/model/model_worker.h"
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -50,6 +52,15 @@
     keeps_jobs_of_silent_entries,
 };
 
+// Processor time of all processes: each message and step takes `m_step_us`, and m_factor times as much while the
+// processors are short.
+struct model_processors {
+    long long m_step_us = 0;
+    long long m_short_from_ms = 0;
+    long long m_short_for_ms = 0;
+    long long m_factor = 1;
+};
+
 struct model_settings {
     std::uint64_t m_seed = 1;
     long long m_length_ms = 6'000;
@@ -60,12 +71,28 @@
     // Callers wait at entries that hand their jobs on to homes, as in a large service; otherwise at the
     // homes.
     bool m_is_handing_on = false;
+    std::size_t m_agents = 3;
+    // Homes of jobs: entries or, where these hand on, agents that are modelled apart from their workers.
+    std::size_t m_homes = 2;
+    // Entries that hand on.
+    std::size_t m_fronts = 2;
+    model_processors m_processors;
+};
+
+// What happened to the jobs that arrived within one second.
+struct model_second {
+    int m_jobs = 0;
+    int m_completed = 0;
+    // Messages between processes in this second.
+    int m_messages = 0;
 };
 
 struct model_result {
     int m_jobs = 0;
     int m_completed = 0;
     int m_refused = 0;
+    // By seconds since the start.
+    std::vector<model_second> m_seconds;
     // The first broken rule; empty if there is none.
     std::string m_broken;
 };
@@ -90,6 +117,17 @@
     void at(long long when, std::function<void()> action);
     // Runs the action at the process when it is next awake, unless it has been replaced by then.
     void deliver(process& to, long long delay, std::function<void()> action);
+    // Runs it when the process has time, after what arrived before.
+    void work_off(process& at_process, std::function<void()> action);
+    void drain_inbox(process& at_process);
+    long long step_cost_us() const;
+    // Whether a call finds a connection; opening one takes steps of both ends.
+    bool connect(process& from, process& to);
+    void note_answered(process& from, process& to);
+    // Closes a connection that has been silent for too long.
+    void note_late(process& from, process& to);
+    model_second& second_of(long long when);
+    std::vector<home_candidate> list_homes() const;
     // Calls `action` at the peer and `on_end(true)` back, or `on_end(false)` after the time-out.
     void call(process& from, process& to, long long timeout, std::function<void()> action,
               std::function<void(bool)> on_end);
@@ -139,6 +177,8 @@
     std::vector<std::unique_ptr<front_process>> m_fronts;
     std::map<std::string, job_fate> m_fates;
     std::set<std::pair<process*, process*>> m_cuts;
+    // Open connections, and when the first call since the last answer was made; none while all are answered.
+    std::map<std::pair<process*, process*>, std::optional<long long>> m_links;
     model_result m_result;
 };
 
--- /dev/null
+++ b/tests/model/shortage_test.cpp
@@ -0,0 +1,84 @@
+// A shortage of processor time heals: once it is over, callers are served as before, and the messages that it
+// causes stay bounded.
+
+#include "tests/model/platform_model.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+namespace hawthornpin::model {
+
+namespace {
+
+constexpr long long calm_ms = 5'000;
+constexpr long long recovery_ms = 2'000;
+constexpr long long after_ms = 3'000;
+constexpr long long second_ms = 1'000;
+// What a message of 300 us costs a process that has a seventh of a core, and how much of that is left in the
+// shortage: a fifth.
+constexpr long long step_us = 2'000;
+constexpr long long shortage_factor = 5;
+
+struct system_size {
+    std::size_t m_agents;
+    std::size_t m_homes;
+    std::size_t m_fronts;
+    // A quarter of the workers is busy.
+    long long m_arrival_ms;
+};
+
+model_result play_shortage(const system_size& size, long long shortage_ms)
+{
+    model_settings settings;
+    settings.m_seed = 9;
+    settings.m_is_handing_on = true;
+    settings.m_agents = size.m_agents;
+    settings.m_homes = size.m_homes;
+    settings.m_fronts = size.m_fronts;
+    settings.m_arrival_ms = size.m_arrival_ms;
+    settings.m_length_ms = calm_ms + shortage_ms + recovery_ms + after_ms;
+    settings.m_processors = {step_us, calm_ms, shortage_ms, shortage_factor};
+    return platform_model(settings).run();
+}
+
+model_second sum_seconds(const model_result& result, long long from_ms, long long to_ms)
+{
+    model_second sum;
+    for (long long second = from_ms / second_ms; second < to_ms / second_ms; ++second) {
+        const model_second& part = result.m_seconds.at(static_cast<std::size_t>(second));
+        sum.m_jobs += part.m_jobs;
+        sum.m_completed += part.m_completed;
+        sum.m_messages += part.m_messages;
+    }
+    return sum;
+}
+
+} // namespace
+
+// Found by a soak of 30 agents beside busy processes: a second without processor time, then ten seconds of
+// refusals on idle workers.
+TEST_CASE("model: a shortage of processor time heals within two seconds and causes few messages")
+{
+    constexpr system_size sizes[] = {{30, 7, 2, 10}, {160, 40, 10, 2}};
+    for (const system_size& size : sizes) {
+        CAPTURE(size.m_agents);
+        for (const long long shortage_ms : {1'000LL, 2'000LL, 4'000LL}) {
+            CAPTURE(shortage_ms);
+            const model_result result = play_shortage(size, shortage_ms);
+            CHECK(result.m_broken == "");
+            const model_second before = sum_seconds(result, 2 * second_ms, calm_ms - second_ms);
+            const long long back_ms = calm_ms + shortage_ms + recovery_ms;
+            const model_second after = sum_seconds(result, back_ms, back_ms + 2 * second_ms);
+            CHECK(before.m_completed * 20 >= before.m_jobs * 19);
+            CHECK(1.0 * after.m_completed / after.m_jobs >= 0.9 * before.m_completed / before.m_jobs);
+            const double calm_messages = 1.0 * before.m_messages / before.m_jobs;
+            for (long long from_ms = calm_ms; from_ms < back_ms; from_ms += second_ms) {
+                const model_second part = sum_seconds(result, from_ms, from_ms + second_ms);
+                CHECK(1.0 * part.m_messages / part.m_jobs <= 3 * calm_messages);
+            }
+        }
+    }
+}
+
+} // namespace hawthornpin::model
