--- a/config/queue_index.h
+++ b/config/queue_index.h
@@ -19,8 +19,8 @@
     queue_index() = default;
     explicit queue_index(const service_directory& directory);
 
-    // The queue of the host, with or without a port, whose prefix is the longest that `path` begins with; null
-    // if there is none. Valid while the index lives.
+    // The queue of the host, with or without a port, whose prefix is the longest that `path` begins with;
+    // null if there is none. Valid while the index lives.
     const queue_contract* find(std::string_view host, std::string_view path) const;
 
 private:
--- a/config/service_directory.cpp
+++ b/config/service_directory.cpp
@@ -1,6 +1,5 @@
 // Versions of the configuration.
 
-
 #include "config/service_directory.h"
 
 namespace hawthornpin {
--- a/core/logging.cpp
+++ b/core/logging.cpp
@@ -1,5 +1,5 @@
-// log4cxx set-up: a JSON layout that takes an event's fields as they are, without the library's mapped diagnostic
-// context, which copies each of them several times.
+// log4cxx set-up: a JSON layout that takes an event's fields as they are, without the library's mapped
+// diagnostic context, which copies each of them several times.
 
 #include "core/logging.h"
 
@@ -45,8 +45,8 @@
     return sink;
 }
 
-// Fields of the event that log_event() is writing. Events are formatted on the caller's thread, inside of that
-// call.
+// Fields of the event that log_event() is writing. Events are formatted on the caller's thread, inside of
+// that call.
 const std::initializer_list<log_field>* current_fields = nullptr;
 
 // The form of the library's layout: time, level, logger, message, and the fields under "context_map".
--- a/dispatch/job_scheduler.cpp
+++ b/dispatch/job_scheduler.cpp
@@ -99,21 +99,38 @@
     order.m_specification = job.m_request.m_specification;
     order.m_needs = job.m_request.m_steps[key.m_step].m_per_task;
     order.m_estimate = job.m_steps[key.m_step].m_estimate;
+    order.m_slack = std::chrono::duration_cast<milliseconds>(key.m_latest_start - now);
     order.m_start_within = scheduler.m_limits.m_start_within;
     if (!job.m_has_begun) {
         const auto left = std::chrono::duration_cast<milliseconds>(latest_useful_start(job) - now);
         order.m_start_within = std::min(order.m_start_within, left);
     }
-    order.m_slack = std::chrono::duration_cast<milliseconds>(key.m_latest_start - now);
     agent.m_unseen.push_back({channel.m_number + 1, order.m_needs});
     channel.m_starts.push_back(std::move(order));
 }
 
+// Where the newest tasks of a job went in this round, and how many in a row.
+struct companion_choice {
+    std::string m_job;
+    std::string m_agent;
+    std::size_t m_tasks = 0;
+};
+
+std::string find_companion(const companion_choice& last, const std::string& job, std::size_t most_tasks)
+{
+    return last.m_job == job && last.m_tasks < most_tasks ? last.m_agent : std::string();
+}
+
+void note_companion(companion_choice& last, const std::string& job, const std::string& agent)
+{
+    const bool is_joined = last.m_job == job && last.m_agent == agent;
+    last = {job, agent, is_joined ? last.m_tasks + 1 : 1};
+}
+
 void place_ready_tasks(job_scheduler& scheduler, instant now)
 {
     std::size_t misses = 0;
-    std::string last_job;
-    std::string last_agent;
+    companion_choice companion;
     for (auto position = scheduler.m_ready.begin();
          position != scheduler.m_ready.end() && misses < scheduler.m_limits.m_placement_misses;) {
         const ready_key key = *position;
@@ -123,10 +140,8 @@
             ++position;
             continue;
         }
-        auto request =
-            make_placement_request(job, key.m_step, job.m_steps[key.m_step].m_tasks[key.m_index]);
-        if (key.m_job == last_job)
-            request.m_companion = last_agent;
+        auto request = make_placement_request(job, key.m_step, job.m_steps[key.m_step].m_tasks[key.m_index]);
+        request.m_companion = find_companion(companion, key.m_job, scheduler.m_limits.m_tasks_together);
         agent_view* agent = choose_agent(scheduler.m_agents, request, now);
         if (agent == nullptr) {
             ++misses;
@@ -134,8 +149,7 @@
             continue;
         }
         order_run(scheduler, job, key, *agent, now);
-        last_job = key.m_job;
-        last_agent = agent->m_status.m_life.m_id;
+        note_companion(companion, key.m_job, agent->m_status.m_life.m_id);
         position = scheduler.m_ready.erase(position);
     }
 }
--- a/main/platform_agent.cpp
+++ b/main/platform_agent.cpp
@@ -25,7 +25,10 @@
 constexpr milliseconds exit_before_grace{400};
 // Orders that were under way when the entries were told are still handed back.
 constexpr milliseconds linger_when_idle{300};
-constexpr std::size_t max_links = 64;
+// All entries of a large system, the agents that this one orders runs from as a home, and its own homes; a
+// link that is closed for another one would be opened again within seconds.
+constexpr std::size_t max_links = 256;
+constexpr std::size_t max_peer_connections = 256;
 
 } // namespace
 
@@ -108,8 +111,10 @@
     auto socket = listen_on(m_place.m_peer_listen_address, why);
     if (!socket)
         return false;
+    rpc_server_limits rpc_limits;
+    rpc_limits.m_max_connections = max_peer_connections;
     m_rpc_server = std::make_unique<rpc_server>(std::move(*socket), platform_cluster_key,
-                                                kj::heap<node_server>(*this), rpc_server_limits(), m_metrics);
+                                                kj::heap<node_server>(*this), rpc_limits, m_metrics);
     m_tasks.add(renew_forever());
     m_tick = std::make_unique<timer>(tick_ms, [this] { return on_tick(); });
     return true;
--- a/membership/entry_list.cpp
+++ b/membership/entry_list.cpp
@@ -66,15 +66,16 @@
 
 bool is_presentation_due(const entry_list& list, const known_entry& entry, instant now)
 {
-    // Between two presentations to one entry that are not answered; the first three follow quickly, since most
-    // entries that are down are being restarted.
+    // Between two presentations to one entry that are not answered; the first three follow quickly, since
+    // most entries that are down are being restarted.
     constexpr milliseconds retry_pause{250};
     constexpr std::uint32_t quick_retries = 3;
     constexpr std::uint32_t most_doublings = 2;
     // An entry that ordered sends a heartbeat at least every 200 ms; it may have been replaced.
     constexpr milliseconds after_orders{600};
     const milliseconds after_presentation = presentation_pause(list.m_entries.size());
-    const std::uint32_t slow_retries = entry.m_unanswered > quick_retries ? entry.m_unanswered - quick_retries : 0;
+    const std::uint32_t slow_retries =
+        entry.m_unanswered > quick_retries ? entry.m_unanswered - quick_retries : 0;
     if (entry.m_called_at + retry_pause * (1U << std::min(slow_retries, most_doublings)) >= now)
         return false;
     if (entry.m_contact == entry_contact::hearsay)
--- a/membership/home_choice.h
+++ b/membership/home_choice.h
@@ -31,8 +31,8 @@
     std::size_t m_fewest_agents_with_homes = 16;
     // One agent in this many is a home.
     std::size_t m_agents_per_home = 4;
-    // Homes that an agent takes orders from: the loss of one leaves it two. Times m_agents_per_home, it is the
-    // number of agents that a home works with, whatever the size of the system.
+    // Homes that an agent takes orders from: the loss of one leaves it two. Times m_agents_per_home, it is
+    // the number of agents that a home works with, whatever the size of the system.
     std::size_t m_homes_per_agent = 3;
     // Homes that an entry hands its jobs on to.
     std::size_t m_homes_per_entry = 8;
--- a/routing/agent_table.cpp
+++ b/routing/agent_table.cpp
@@ -53,32 +53,6 @@
     return cost;
 }
 
-// The cheapest agent whose free capacity, and `overcommit` beyond it, holds the task.
-agent_view* choose_with_room(agent_table& table, const placement_request& request,
-                             const resources& overcommit, instant now)
-{
-    constexpr double avoidance_cost = 1'000;
-    agent_view* best = nullptr;
-    double best_cost = std::numeric_limits<double>::infinity();
-    for (auto& [id, agent] : table.m_agents) {
-        if (agent.m_status.m_service != request.m_service || !is_usable(table, agent, now))
-            continue;
-        if (!has_label(agent, request.m_required_label) || contains(request.m_excluded, id))
-            continue;
-        const bool has_capacity = fits(request.m_needs, agent.m_status.m_capacity);
-        if (!has_capacity || !fits(request.m_needs, free_for_orders(agent) + overcommit))
-            continue;
-        const double avoidance = contains(request.m_avoided, id) ? avoidance_cost : 0;
-        const double jitter = table.m_limits.m_random_cost * draw_share(table.m_random);
-        const double cost = placement_cost(table, agent, request) * (1 + jitter) + avoidance;
-        if (cost < best_cost) {
-            best = &agent;
-            best_cost = cost;
-        }
-    }
-    return best;
-}
-
 // Whether the agent serves and has answered this home within the time.
 bool is_heard_within(const agent_view& agent, milliseconds span, instant now)
 {
@@ -192,11 +166,25 @@
 
 agent_view* choose_agent(agent_table& table, const placement_request& request, instant now)
 {
-    agent_view* best = choose_with_room(table, request, {}, now);
-    if (best != nullptr)
-        return best;
-    const resources overcommit{table.m_limits.m_overcommit_milli, 0, 0};
-    return choose_with_room(table, request, overcommit, now);
+    constexpr double avoidance_cost = 1'000;
+    agent_view* best = nullptr;
+    double best_cost = std::numeric_limits<double>::infinity();
+    for (auto& [id, agent] : table.m_agents) {
+        if (agent.m_status.m_service != request.m_service || !is_usable(table, agent, now))
+            continue;
+        if (!has_label(agent, request.m_required_label) || contains(request.m_excluded, id))
+            continue;
+        if (!fits(request.m_needs, free_for_orders(agent)))
+            continue;
+        const double avoidance = contains(request.m_avoided, id) ? avoidance_cost : 0;
+        const double jitter = table.m_limits.m_random_cost * draw_share(table.m_random);
+        const double cost = placement_cost(table, agent, request) * (1 + jitter) + avoidance;
+        if (cost < best_cost) {
+            best = &agent;
+            best_cost = cost;
+        }
+    }
+    return best;
 }
 
 feasibility check_feasibility(const agent_table& table, const placement_request& request, instant now)
--- a/routing/agent_table.h
+++ b/routing/agent_table.h
@@ -30,9 +30,6 @@
     double m_other_zone_cost = 0.02;
     // Random part of the cost: entries that see the same load do not all choose the same worker.
     double m_random_cost = 0.05;
-    // Processors, in thousandths of a core, that may be ordered beyond an agent's free ones when no worker
-    // has room: about one task waits at each worker, so that the next starts as soon as one ends.
-    std::int64_t m_overcommit_milli = 2'000;
     // Cost of a full worker over an empty one, as a share of the duration: spreads load among equals.
     double m_load_cost = 0.1;
     // Cost of an agent that has no task of the job yet, as a share of the duration: each further agent takes
@@ -120,8 +117,8 @@
 // Whether the agent may get orders now.
 bool is_usable(const agent_table& table, const agent_view& agent, instant now);
 
-// Whether the agent counts as capacity of its service: as usable, or only late with its answers. Until its runs
-// count as over, silence says more about the messages than about the worker.
+// Whether the agent counts as capacity of its service: as usable, or only late with its answers. Until its
+// runs count as over, silence says more about the messages than about the worker.
 bool is_counted(const agent_table& table, const agent_view& agent, instant now);
 
 // Capacity free for this entry, by its own account.
--- a/routing/home_table.h
+++ b/routing/home_table.h
@@ -61,7 +61,8 @@
 // From now on new jobs go to these homes; others are kept while they have jobs.
 void set_chosen_homes(home_table& table, const std::vector<home_candidate>& homes);
 
-// The home for a new job; the one with fewer jobs for each of its agents, of two that answer, drawn at random. Empty if none does.
+// The home for a new job; the one with fewer jobs for each of its agents, of two that answer, drawn at
+// random. Empty if none does.
 std::optional<std::string> choose_home(home_table& table, const std::set<std::string>& excluded, instant now);
 
 // What the entry shows the home with every message.
--- a/rpc/glib_stream.cpp
+++ b/rpc/glib_stream.cpp
@@ -22,7 +22,8 @@
 
 namespace {
 
-constexpr std::size_t read_buffer_bytes = 32 * 1024;
+// Several messages of the usual size; a process of a large system has hundreds of connections.
+constexpr std::size_t read_buffer_bytes = 8 * 1024;
 constexpr int listen_backlog = 256;
 
 struct object_unref {
--- a/rpc/link.h
+++ b/rpc/link.h
@@ -25,8 +25,8 @@
 };
 
 // A connection on which nothing was answered for this long, although something was asked, is given up: the
-// network may have forgotten it. Longer than two retransmissions of a lost packet (200 and 400 ms), so that one
-// that only lost a packet is kept, with all the calls on it.
+// network may have forgotten it. Longer than two retransmissions of a lost packet (200 and 400 ms), so that
+// one that only lost a packet is kept, with all the calls on it.
 inline constexpr milliseconds silent_link_after{650};
 
 // A pool of links by address. Idle links beyond the limit are closed, least recently used first.
@@ -43,8 +43,8 @@
     // Forgets a link whose call failed, so that the next one connects anew.
     void drop(const std::string& address);
 
-    // A call on the link was answered, or was not in time. A peer that is only slow keeps its link: connecting
-    // anew would cost it more than the answer.
+    // A call on the link was answered, or was not in time. A peer that is only slow keeps its link:
+    // connecting anew would cost it more than the answer.
     void note_answered(const std::string& address);
     void note_late(const std::string& address);
 
--- a/tests/model/platform_model.h
+++ b/tests/model/platform_model.h
@@ -52,8 +52,8 @@
     keeps_jobs_of_silent_entries,
 };
 
-// Processor time of all processes: each message and step takes `m_step_us`, and m_factor times as much while the
-// processors are short.
+// Processor time of all processes: each message and step takes `m_step_us`, and m_factor times as much while
+// the processors are short.
 struct model_processors {
     long long m_step_us = 0;
     long long m_short_from_ms = 0;
