--- a/dispatch/job_scheduler.cpp
+++ b/dispatch/job_scheduler.cpp
@@ -100,7 +100,7 @@
     order.m_needs = job.m_request.m_steps[key.m_step].m_per_task;
     order.m_estimate = job.m_steps[key.m_step].m_estimate;
     order.m_slack = std::chrono::duration_cast<milliseconds>(key.m_latest_start - now);
-    order.m_start_within = scheduler.m_limits.m_start_within;
+    order.m_start_within = scheduler.m_homes_per_agent * scheduler.m_limits.m_start_within_each_home;
     if (!job.m_has_begun) {
         const auto left = std::chrono::duration_cast<milliseconds>(latest_useful_start(job) - now);
         order.m_start_within = std::min(order.m_start_within, left);
@@ -286,9 +286,8 @@
         agent_channel& channel = scheduler.m_channels[id];
         const bool has_orders = !channel.m_starts.empty() || !channel.m_stops.empty();
         const bool is_kept_ready = !scheduler.m_is_dormant || agent.m_runs > 0;
-        const milliseconds heartbeat =
-            agent.m_runs > 0 ? scheduler.m_limits.m_heartbeat : scheduler.m_limits.m_idle_heartbeat;
-        const bool is_heartbeat_due = is_kept_ready && channel.m_sent_at + heartbeat <= now;
+        const bool is_heartbeat_due =
+            is_kept_ready && channel.m_sent_at + scheduler.m_limits.m_heartbeat <= now;
         const bool is_due = has_orders || is_heartbeat_due;
         if (channel.m_in_flight || !is_due || now < channel.m_retry_at)
             continue;
--- a/dispatch/job_scheduler.h
+++ b/dispatch/job_scheduler.h
@@ -129,9 +129,6 @@
     milliseconds m_retry_pause{25};
     // No longer than two heartbeats: an agent that is back is used again soon.
     milliseconds m_longest_retry_pause{200};
-    // An agent where this home has no runs hears from it this often: its answers are younger than the
-    // agent table's m_suspect_after all the same.
-    milliseconds m_idle_heartbeat{200};
     // A home that was not called for this long was held up itself: answers may wait unread.
     milliseconds m_longest_step_gap{60};
     // For this long after that no agent counts as silent. One tick of the process: what waited is read by
@@ -140,9 +137,9 @@
     // Tasks of a job that one agent gets in a row for the sake of fewer messages. An agent with a seventh of
     // a core takes 3 ms for each start, so more of them would delay the last.
     std::size_t m_tasks_together = 2;
-    // How long an order may wait at an agent whose room was taken by another home: a worker with six tasks of
-    // 300 ms, the mean of the known deployments, frees room twice in that time.
-    milliseconds m_start_within{120};
+    // How long an order may wait at an agent whose room was taken by another home, for each home that orders
+    // from it: on a full service a worker frees room each 50 ms, and the others are as likely to take it.
+    milliseconds m_start_within_each_home{20};
     // Tasks looked at, without finding room, before the rest of the ready tasks waits for the next round.
     std::size_t m_placement_misses = 16;
     // Share of a job's slack that may be spent on waiting when it is admitted.
--- a/membership/entry_list.cpp
+++ b/membership/entry_list.cpp
@@ -71,7 +71,7 @@
     constexpr milliseconds retry_pause{250};
     constexpr std::uint32_t quick_retries = 3;
     constexpr std::uint32_t most_doublings = 2;
-    // An entry that ordered sends a heartbeat at least every 200 ms; it may have been replaced.
+    // An entry that ordered sends a heartbeat every 100 ms; it may have been replaced.
     constexpr milliseconds after_orders{600};
     const milliseconds after_presentation = presentation_pause(list.m_entries.size());
     const std::uint32_t slow_retries =
--- a/rpc/link.h
+++ b/rpc/link.h
@@ -24,10 +24,11 @@
     lost,
 };
 
-// A connection on which nothing was answered for this long, although something was asked, is given up: the
-// network may have forgotten it. Longer than two retransmissions of a lost packet (200 and 400 ms), so that
-// one that only lost a packet is kept, with all the calls on it.
-inline constexpr milliseconds silent_link_after{650};
+// A connection on which nothing was answered for this long, although something was asked, is given up: a
+// machine that lost its power says nothing, and its successor is met over a new connection only. Longer than
+// the retransmission of a lost packet (200 ms), so that one that only lost a packet is kept, with all the
+// calls on it.
+inline constexpr milliseconds silent_link_after{250};
 
 // A pool of links by address. Idle links beyond the limit are closed, least recently used first.
 class link_pool {
--- a/tests/routing/agent_table_test.cpp
+++ b/tests/routing/agent_table_test.cpp
@@ -48,7 +48,8 @@
 
 } // namespace
 
-TEST_CASE_FIXTURE(table_fixture, "a worker with room is chosen, and none if the task would have to wait there")
+TEST_CASE_FIXTURE(table_fixture,
+                  "a worker with room is chosen, and none if the task would have to wait there")
 {
     m_table.m_zone = "z";
     add("full", 0);
