--- a/main/platform_entry.h
+++ b/main/platform_entry.h
@@ -78,6 +78,11 @@
         // Homes that turned it away.
         std::set<std::string> m_refused_by;
     };
+    // One that is refused if no home answers by m_wait_until.
+    struct waiting_job {
+        outgoing_job m_job;
+        instant m_wait_until;
+    };
     void hand_on(const outgoing_job& job);
     void wait_for_home(const outgoing_job& job);
     // Hands on what waits for a home, once one answers.
@@ -136,8 +141,8 @@
     // When a caller's request last arrived or was answered.
     instant m_last_request_at;
     background_tasks m_tasks;
-    // Jobs for which no home answers just now, and when each has waited long enough.
-    std::map<std::string, std::pair<outgoing_job, instant>> m_unhomed;
+    // Jobs for which no home answers just now, by id.
+    std::map<std::string, waiting_job> m_waiting_for_home;
     // Calls for jobs that were handed on, by job.
     struct handed_job {
         std::string m_home;
--- a/main/platform_entry_callers.cpp
+++ b/main/platform_entry_callers.cpp
@@ -165,7 +165,7 @@
         return make_state_response(kept->second.m_state);
     if (m_handed_on.contains(id))
         return make_state_response("running");
-    if (m_unhomed.contains(id))
+    if (m_waiting_for_home.contains(id))
         return make_state_response("queued");
     const auto& jobs = m_home.scheduler().m_jobs;
     const auto job = jobs.find(id);
--- a/main/platform_entry_homes.cpp
+++ b/main/platform_entry_homes.cpp
@@ -106,21 +106,20 @@
 {
     // Homes that are only late answer within two heartbeats.
     const milliseconds longest_wait = 2 * m_home_table.m_limits.m_heartbeat;
-    m_unhomed.try_emplace(job.m_work.m_id, job, boot_now() + longest_wait);
+    m_waiting_for_home.insert_or_assign(job.m_work.m_id, waiting_job{job, boot_now() + longest_wait});
 }
 
 void platform_entry::hand_on_waiting()
 {
     constexpr milliseconds come_back_after{1'000};
     const instant now = boot_now();
-    for (const auto& [id, waiting] : std::exchange(m_unhomed, {})) {
-        const auto& [job, wait_until] = waiting;
-        if (choose_home(m_home_table, job.m_refused_by, now))
-            hand_on(job);
-        else if (wait_until <= now)
+    for (const auto& [id, waiting] : std::exchange(m_waiting_for_home, {})) {
+        if (choose_home(m_home_table, waiting.m_job.m_refused_by, now))
+            hand_on(waiting.m_job);
+        else if (waiting.m_wait_until <= now)
             deliver({id, job_end::refused, job_end_reason::no_worker, come_back_after});
         else
-            m_unhomed.try_emplace(id, waiting);
+            m_waiting_for_home.emplace(id, waiting);
     }
 }
 
@@ -148,7 +147,7 @@
 {
     const auto found = m_handed_on.find(job);
     if (found == m_handed_on.end())
-        return m_unhomed.erase(job) > 0;
+        return m_waiting_for_home.erase(job) > 0;
     note_handed_back(m_home_table, found->second.m_home, job);
     // The call may be the one that is being handled.
     m_ended_calls.add(std::make_unique<handed_job>(std::move(found->second)));
