--- a/config/queue_index.cpp
+++ b/config/queue_index.cpp
@@ -2,6 +2,8 @@
 
 #include "config/queue_index.h"
 
+#include <utility>
+
 namespace hawthornpin {
 
 namespace {
@@ -23,11 +25,13 @@
 
 } // namespace
 
-queue_index::queue_index(const service_directory& directory)
+queue_index::queue_index(service_directory directory) : m_directory(std::move(directory))
 {
-    m_queues.reserve(directory.m_queues.size());
-    for (const queue_contract& queue : directory.m_queues) {
-        m_queues.emplace(make_key(queue.m_host, queue.m_path_prefix), queue);
+    const auto& queues = m_directory.m_queues;
+    m_positions.reserve(queues.size());
+    for (std::size_t position = 0; position < queues.size(); ++position) {
+        const queue_contract& queue = queues[position];
+        m_positions.emplace(make_key(queue.m_host, queue.m_path_prefix), position);
         m_prefix_lengths.insert(queue.m_path_prefix.size());
     }
 }
@@ -38,9 +42,9 @@
     for (const std::size_t length : m_prefix_lengths) {
         if (length > path.size())
             continue;
-        const auto found = m_queues.find(make_key(plain_host, path.substr(0, length)));
-        if (found != m_queues.end())
-            return &found->second;
+        const auto found = m_positions.find(make_key(plain_host, path.substr(0, length)));
+        if (found != m_positions.end())
+            return &m_directory.m_queues[found->second];
     }
     return nullptr;
 }
--- a/config/service_directory.cpp
+++ b/config/service_directory.cpp
@@ -4,9 +4,9 @@
 
 namespace hawthornpin {
 
-bool is_newer(const service_directory& candidate, const std::optional<service_directory>& in_force)
+bool is_newer(const service_directory& candidate, const service_directory& in_force)
 {
-    return !in_force || candidate.m_version > in_force->m_version;
+    return candidate.m_version > in_force.m_version;
 }
 
 } // namespace hawthornpin
--- a/config/service_directory.h
+++ b/config/service_directory.h
@@ -49,6 +49,6 @@
 };
 
 // Whether `candidate` replaces the version in force: a lower or equal version never does.
-bool is_newer(const service_directory& candidate, const std::optional<service_directory>& in_force);
+bool is_newer(const service_directory& candidate, const service_directory& in_force);
 
 } // namespace hawthornpin
--- a/core/event_loop.cpp
+++ b/core/event_loop.cpp
@@ -7,6 +7,8 @@
 
 #include <glib-unix.h>
 
+#include <utility>
+
 namespace hawthornpin {
 
 struct glib_event_port::turn_source {
@@ -141,6 +143,16 @@
     return kj::newAdaptedPromise<void, delay_timer>(delay_ms);
 }
 
+void coalesced_call::schedule()
+{
+    if (std::exchange(m_is_scheduled, true))
+        return;
+    m_tasks.add(kj::evalLater([this] {
+        m_is_scheduled = false;
+        m_action();
+    }));
+}
+
 void background_tasks::taskFailed(kj::Exception&& exception)
 {
     log_event(log_level::warning, "background_task_failed", {{"detail", exception.getDescription().cStr()}});
--- a/core/event_loop.h
+++ b/core/event_loop.h
@@ -131,4 +131,16 @@
     kj::TaskSet m_tasks;
 };
 
+// Runs an action once, after the current event, however often it is scheduled until then.
+class coalesced_call {
+public:
+    explicit coalesced_call(std::function<void()> action) : m_action(std::move(action)) {}
+    void schedule();
+
+private:
+    std::function<void()> m_action;
+    bool m_is_scheduled = false;
+    background_tasks m_tasks;
+};
+
 } // namespace hawthornpin
--- a/core/json.cpp
+++ b/core/json.cpp
@@ -47,6 +47,17 @@
     return false;
 }
 
+// Nothing if the node is missing or no array.
+template <typename Visit>
+void for_each_element(JsonNode* node, Visit visit)
+{
+    if (node == nullptr || !JSON_NODE_HOLDS_ARRAY(node))
+        return;
+    JsonArray* array = json_node_get_array(node);
+    for (guint index = 0; index < json_array_get_length(array); ++index)
+        visit(json_array_get_element(array, index));
+}
+
 } // namespace
 
 JsonNode* json_object::member(const char* name) const
@@ -105,60 +116,40 @@
 std::vector<json_object> json_object::objects(const char* name) const
 {
     std::vector<json_object> result;
-    JsonNode* node = member(name);
-    if (node == nullptr || !JSON_NODE_HOLDS_ARRAY(node))
-        return result;
-    JsonArray* array = json_node_get_array(node);
-    for (guint index = 0; index < json_array_get_length(array); ++index) {
-        JsonNode* element = json_array_get_element(array, index);
+    for_each_element(member(name), [&result](JsonNode* element) {
         if (JSON_NODE_HOLDS_OBJECT(element))
-            result.emplace_back(json_node_get_object(element));
-    }
+            result.push_back(json_object(json_node_get_object(element)));
+    });
     return result;
 }
 
 std::vector<std::string> json_object::texts(const char* name) const
 {
     std::vector<std::string> result;
-    JsonNode* node = member(name);
-    if (node == nullptr || !JSON_NODE_HOLDS_ARRAY(node))
-        return result;
-    JsonArray* array = json_node_get_array(node);
-    for (guint index = 0; index < json_array_get_length(array); ++index) {
-        JsonNode* element = json_array_get_element(array, index);
+    for_each_element(member(name), [&result](JsonNode* element) {
         if (json_node_get_value_type(element) == G_TYPE_STRING)
-            result.emplace_back(json_node_get_string(element));
-    }
+            result.push_back(std::string(json_node_get_string(element)));
+    });
     return result;
 }
 
 std::vector<std::int64_t> json_object::integers(const char* name) const
 {
     std::vector<std::int64_t> result;
-    JsonNode* node = member(name);
-    if (node == nullptr || !JSON_NODE_HOLDS_ARRAY(node))
-        return result;
-    JsonArray* array = json_node_get_array(node);
-    for (guint index = 0; index < json_array_get_length(array); ++index) {
-        JsonNode* element = json_array_get_element(array, index);
+    for_each_element(member(name), [&result](JsonNode* element) {
         if (json_node_get_value_type(element) == G_TYPE_INT64)
             result.push_back(json_node_get_int(element));
-    }
+    });
     return result;
 }
 
 std::vector<json_row> json_object::rows(const char* name) const
 {
     std::vector<json_row> result;
-    JsonNode* node = member(name);
-    if (node == nullptr || !JSON_NODE_HOLDS_ARRAY(node))
-        return result;
-    JsonArray* array = json_node_get_array(node);
-    for (guint index = 0; index < json_array_get_length(array); ++index) {
-        JsonNode* element = json_array_get_element(array, index);
+    for_each_element(member(name), [&result](JsonNode* element) {
         if (JSON_NODE_HOLDS_ARRAY(element))
-            result.emplace_back(json_node_get_array(element));
-    }
+            result.push_back(json_row(json_node_get_array(element)));
+    });
     return result;
 }
 
--- a/dispatch/job_scheduler.cpp
+++ b/dispatch/job_scheduler.cpp
@@ -110,18 +110,19 @@
 }
 
 // Where the newest tasks of a job went in this round, and how many in a row.
-struct companion_choice {
+struct previous_placement {
     std::string m_job;
     std::string m_agent;
     std::size_t m_tasks = 0;
 };
 
-std::string find_companion(const companion_choice& last, const std::string& job, std::size_t most_tasks)
+std::string find_previous_agent(const previous_placement& last, const std::string& job,
+                                std::size_t most_tasks)
 {
     return last.m_job == job && last.m_tasks < most_tasks ? last.m_agent : std::string();
 }
 
-void note_companion(companion_choice& last, const std::string& job, const std::string& agent)
+void note_placement(previous_placement& last, const std::string& job, const std::string& agent)
 {
     const bool is_joined = last.m_job == job && last.m_agent == agent;
     last = {job, agent, is_joined ? last.m_tasks + 1 : 1};
@@ -130,7 +131,7 @@
 void place_ready_tasks(job_scheduler& scheduler, instant now)
 {
     std::size_t misses = 0;
-    companion_choice companion;
+    previous_placement previous;
     for (auto position = scheduler.m_ready.begin();
          position != scheduler.m_ready.end() && misses < scheduler.m_limits.m_placement_misses;) {
         const ready_key key = *position;
@@ -141,7 +142,8 @@
             continue;
         }
         auto request = make_placement_request(job, key.m_step, job.m_steps[key.m_step].m_tasks[key.m_index]);
-        request.m_companion = find_companion(companion, key.m_job, scheduler.m_limits.m_tasks_together);
+        request.m_previous_agent =
+            find_previous_agent(previous, key.m_job, scheduler.m_limits.m_tasks_together);
         agent_view* agent = choose_agent(scheduler.m_agents, request, now);
         if (agent == nullptr) {
             ++misses;
@@ -149,7 +151,7 @@
             continue;
         }
         order_run(scheduler, job, key, *agent, now);
-        note_companion(companion, key.m_job, agent->m_status.m_life.m_id);
+        note_placement(previous, key.m_job, agent->m_status.m_life.m_id);
         position = scheduler.m_ready.erase(position);
     }
 }
--- a/main/job_home.cpp
+++ b/main/job_home.cpp
@@ -40,22 +40,11 @@
 {
     // Without jobs only agents that have gone are to be forgotten.
     constexpr milliseconds dormant_pause{500};
-    const bool is_resting = m_scheduler.m_is_dormant && m_scheduler.m_jobs.empty();
-    if (!is_resting || m_scheduler.m_advanced_at + dormant_pause <= boot_now())
+    const bool is_idle = m_scheduler.m_is_dormant && m_scheduler.m_jobs.empty();
+    if (!is_idle || m_scheduler.m_advanced_at + dormant_pause <= boot_now())
         step();
 }
 
-void job_home::schedule_step()
-{
-    if (m_is_step_scheduled)
-        return;
-    m_is_step_scheduled = true;
-    m_tasks.add(kj::evalLater([this] {
-        m_is_step_scheduled = false;
-        step();
-    }));
-}
-
 void job_home::on_report(const agent_status& status, const std::vector<run_outcome>& outcomes)
 {
     const auto known = m_scheduler.m_agents.m_agents.find(status.m_life.m_id);
--- a/main/job_home.h
+++ b/main/job_home.h
@@ -36,7 +36,7 @@
 
     // Carries out what is due now, and soon after the current event.
     void step();
-    void schedule_step();
+    void schedule_step() { m_next_step.schedule(); }
 
     job_scheduler& scheduler() { return m_scheduler; }
     const job_scheduler& scheduler() const { return m_scheduler; }
@@ -53,7 +53,7 @@
     metrics& m_metrics;
     answer_receiver m_receive;
     job_scheduler m_scheduler;
-    bool m_is_step_scheduled = false;
+    coalesced_call m_next_step{[this] { step(); }};
     background_tasks m_tasks;
 };
 
--- a/main/platform_agent.cpp
+++ b/main/platform_agent.cpp
@@ -13,9 +13,7 @@
 
 // Time-driven decisions happen at this pace; all others at once.
 constexpr unsigned tick_ms = decision_tick.count();
-// After a renewal that was refused or not answered.
-constexpr unsigned renewal_pause_ms = 20;
-// A report or presentation that takes longer is repeated on a new connection.
+// A report or presentation that takes longer is repeated.
 constexpr milliseconds call_timeout{250};
 // Without any entry for this long, the store is asked for them.
 constexpr milliseconds ask_store_after{1'500};
@@ -132,31 +130,6 @@
     schedule_step();
 }
 
-kj::Promise<api_response> platform_agent::on_worker_call(const api_request& request)
-{
-    const auto target = decode_worker_call(request.m_method, request.m_path);
-    if (!target)
-        return api_response{404, "", "application/json", "", "", false};
-    if (target->m_call == worker_call::leave) {
-        log_event(log_level::info, "worker_left", {{"worker", target->m_worker}});
-        note_worker_left(m_guard, target->m_worker, boot_now());
-        schedule_step();
-        return api_response{200, "{}", "application/json", "", "", false};
-    }
-    last_reason why;
-    const auto report = decode_worker_report(target->m_worker, request.m_body, why);
-    if (!report) {
-        log_event(log_level::warning, "worker_report_unreadable", {{"reason", why.text()}});
-        return api_response{400, "{}", "application/json", "", "", false};
-    }
-    const bool was_draining = m_guard.m_report && m_guard.m_report->m_is_draining;
-    note_worker_report(m_guard, *report, boot_now());
-    if (report->m_is_draining && !was_draining)
-        log_event(log_level::info, "worker_draining", {{"worker", target->m_worker}});
-    schedule_step();
-    return api_response{200, "{}", "application/json", "", "", false};
-}
-
 void platform_agent::on_orders(const order_batch& batch)
 {
     const instant now = boot_now();
@@ -167,17 +140,6 @@
     schedule_step();
 }
 
-void platform_agent::schedule_step()
-{
-    if (m_is_step_scheduled)
-        return;
-    m_is_step_scheduled = true;
-    m_tasks.add(kj::evalLater([this] {
-        m_is_step_scheduled = false;
-        step();
-    }));
-}
-
 void platform_agent::step()
 {
     const guard_actions actions = advance(m_guard, boot_now());
@@ -189,38 +151,6 @@
     send_reports();
 }
 
-void platform_agent::call_start(const run_order& order)
-{
-    m_metrics.count(counter::tasks_started);
-    const run_id run = order.m_run;
-    const std::int64_t deadline = next_deadline_ms(m_guard, boot_now());
-    m_tasks.add(
-        m_worker.start(order, m_guard.m_fence, deadline, worker_id()).then([this, run](start_answer answer) {
-            const instant now = boot_now();
-            if (answer == start_answer::fenced)
-                note_fenced(m_guard);
-            if (answer == start_answer::other_life)
-                note_other_life(m_guard, now);
-            m_metrics.count_labelled("start_answers", to_text(answer));
-            if (answer != start_answer::started) {
-                log_event(log_level::warning, "start_refused",
-                          {{"run", to_text(run)},
-                           {"answer", to_text(answer)},
-                           {"fence", std::to_string(m_guard.m_fence)}});
-            }
-            note_start_answer(m_guard, run, answer, now);
-            schedule_step();
-        }));
-}
-
-void platform_agent::call_stop(const run_id& run)
-{
-    m_tasks.add(m_worker.stop(run, m_guard.m_fence, worker_id()).then([this, run](bool is_answered) {
-        note_stop_answer(m_guard, run, is_answered, boot_now());
-        schedule_step();
-    }));
-}
-
 void platform_agent::send_reports()
 {
     for (const auto& [home, owed] : m_guard.m_homes) {
@@ -275,40 +205,6 @@
     m_logged_state = state;
 }
 
-kj::Promise<void> platform_agent::renew_forever()
-{
-    const renewal asked = begin_renewal(m_guard, boot_now());
-    return m_worker.renew(asked, worker_id()).then([this, asked](renewal_answer answer) -> kj::Promise<void> {
-        note_renewal(asked, answer);
-        schedule_step();
-        if (answer.m_fate == renewal_fate::listed && asked.m_wait.count() > 0)
-            return renew_forever();
-        return after_delay(renewal_pause_ms).then([this] { return renew_forever(); });
-    });
-}
-
-void platform_agent::note_renewal(const renewal& asked, const renewal_answer& answer)
-{
-    const instant now = boot_now();
-    switch (answer.m_fate) {
-    case renewal_fate::listed:
-        m_metrics.count(counter::leases_renewed);
-        note_listing(m_guard, answer.m_listing, asked, now);
-        break;
-    case renewal_fate::fenced:
-        note_fenced(m_guard);
-        log_event(log_level::warning, "fence_raised", {{"fence", std::to_string(m_guard.m_fence)}});
-        break;
-    case renewal_fate::other_life:
-        log_event(log_level::warning, "worker_replaced", {{"worker", worker_id()}});
-        note_other_life(m_guard, now);
-        break;
-    case renewal_fate::unanswered:
-        m_metrics.count_labelled("renewals", "unanswered");
-        break;
-    }
-}
-
 bool platform_agent::on_tick()
 {
     flush_logs();
@@ -411,9 +307,4 @@
     return status;
 }
 
-std::string platform_agent::worker_id() const
-{
-    return m_guard.m_report ? m_guard.m_report->m_life.m_id : "";
-}
-
 } // namespace hawthornpin
--- a/main/platform_agent.h
+++ b/main/platform_agent.h
@@ -46,7 +46,7 @@
 
     // Carries out what the guard decides, after each event.
     void step();
-    void schedule_step();
+    void schedule_step() { m_next_step.schedule(); }
     void call_start(const run_order& order);
     void call_stop(const run_id& run);
     void send_reports();
@@ -102,7 +102,7 @@
     std::set<home_identity> m_reports_in_flight;
     std::set<std::string> m_presents_in_flight;
     agent_state m_logged_state = agent_state::preparing;
-    bool m_is_step_scheduled = false;
+    coalesced_call m_next_step{[this] { step(); }};
     bool m_is_reading_store = false;
     instant m_store_read_at;
     instant m_heard_entry_at;
--- a/main/platform_entry.cpp
+++ b/main/platform_entry.cpp
@@ -54,10 +54,11 @@
         const auto entries = list_live(m_entry.m_entries, now);
         auto results = context.getResults();
         write_wire(results.initEntries(static_cast<unsigned>(entries.size())), entries);
-        if (!m_entry.m_directory)
+        if (!m_entry.m_configuration)
             return kj::READY_NOW;
-        results.setVersion(m_entry.m_directory->m_version);
-        if (m_entry.m_directory->m_version > params.getVersion())
+        const std::int64_t version = m_entry.m_configuration->directory().m_version;
+        results.setVersion(version);
+        if (version > params.getVersion())
             results.setDirectory(m_entry.m_directory_text);
         return kj::READY_NOW;
     }
@@ -129,13 +130,12 @@
 
 void platform_entry::apply_directory(const service_directory& directory, const std::string& text)
 {
-    if (!is_newer(directory, m_directory))
+    if (m_configuration && !is_newer(directory, m_configuration->directory()))
         return;
     log_event(log_level::info, "configuration_applied", {{"version", std::to_string(directory.m_version)}});
     m_metrics.count(counter::config_changes_applied);
-    m_directory = directory;
+    m_configuration.emplace(directory);
     m_directory_text = text;
-    m_queues = queue_index(directory);
 }
 
 bool platform_entry::on_tick()
--- a/main/platform_entry.h
+++ b/main/platform_entry.h
@@ -108,9 +108,9 @@
     event_loop& m_loop;
     process_place m_place;
     metrics m_metrics;
-    std::optional<service_directory> m_directory;
+    // In force; empty until the first configuration.
+    std::optional<queue_index> m_configuration;
     std::string m_directory_text;
-    queue_index m_queues;
     entry_list m_entries;
     store_client m_store;
     platform_link m_links;
--- a/main/platform_entry_callers.cpp
+++ b/main/platform_entry_callers.cpp
@@ -72,7 +72,7 @@
 
 bool platform_entry::is_ready() const
 {
-    return m_directory && !m_leaving_since;
+    return m_configuration && !m_leaving_since;
 }
 
 kj::Promise<api_response> platform_entry::on_readiness_probe(const api_request& request)
@@ -86,9 +86,9 @@
 {
     if (request.m_input_fault != reason::none)
         return make_refusal(413, "body_too_large", milliseconds(0));
-    if (!m_directory)
+    if (!m_configuration)
         return make_refusal(503, "not_ready", milliseconds(1'000));
-    const queue_contract* queue = m_queues.find(request.m_host, request.m_path);
+    const queue_contract* queue = m_configuration->find(request.m_host, request.m_path);
     if (queue == nullptr)
         return make_response(404);
     const std::string id = request.m_path.substr(queue->m_path_prefix.size());
--- a/main/platform_entry_homes.cpp
+++ b/main/platform_entry_homes.cpp
@@ -89,7 +89,7 @@
                {"queue", job.m_queue.m_name},
                {"home", *home},
                {"jobs_there", std::to_string(m_home_table.m_homes.at(*home).m_jobs.size())},
-               {"configuration", std::to_string(m_directory->m_version)}});
+               {"configuration", std::to_string(m_configuration->directory().m_version)}});
     note_handed_on(m_home_table, *home, id);
     const auto patience = std::chrono::duration_cast<milliseconds>(job.m_give_up - now);
     auto call = m_links
--- a/main/platform_entry_peers.cpp
+++ b/main/platform_entry_peers.cpp
@@ -41,7 +41,7 @@
     m_metrics.count(counter::exchanges_sent);
     shared_knowledge known;
     known.m_entries = m_home.scheduler().m_entries;
-    known.m_version = m_directory ? m_directory->m_version : 0;
+    known.m_version = m_configuration ? m_configuration->directory().m_version : 0;
     m_tasks.add(m_links.share(address, m_place.m_peer_address, known, call_timeout)
                     .then([this, address](std::optional<shared_knowledge> other) {
                         m_shares_in_flight.erase(address);
--- a/routing/agent_table.cpp
+++ b/routing/agent_table.cpp
@@ -46,7 +46,7 @@
     double cost = agent.m_slowness * (1 + table.m_limits.m_load_cost * load);
     if (agent.m_status.m_zone != table.m_zone)
         cost += table.m_limits.m_other_zone_cost;
-    if (!request.m_companion.empty() && agent.m_status.m_life.m_id != request.m_companion)
+    if (!request.m_previous_agent.empty() && agent.m_status.m_life.m_id != request.m_previous_agent)
         cost += table.m_limits.m_further_agent_cost;
     if (!request.m_preferred_rack.empty() && !has_label(agent, request.m_preferred_rack))
         cost *= table.m_limits.m_other_rack_factor;
@@ -62,7 +62,7 @@
 }
 
 // After its quarantine a worker gets one run at a time until one succeeds.
-bool is_trusted(const agent_view& agent, instant now)
+bool is_out_of_quarantine(const agent_view& agent, instant now)
 {
     return !agent.m_quarantined_until || (*agent.m_quarantined_until <= now && agent.m_runs == 0);
 }
@@ -148,12 +148,12 @@
 
 bool is_usable(const agent_table& table, const agent_view& agent, instant now)
 {
-    return is_heard_within(agent, table.m_limits.m_suspect_after, now) && is_trusted(agent, now);
+    return is_heard_within(agent, table.m_limits.m_suspect_after, now) && is_out_of_quarantine(agent, now);
 }
 
-bool is_counted(const agent_table& table, const agent_view& agent, instant now)
+bool is_presumed_available(const agent_table& table, const agent_view& agent, instant now)
 {
-    return is_heard_within(agent, table.m_limits.m_lost_after, now) && is_trusted(agent, now);
+    return is_heard_within(agent, table.m_limits.m_lost_after, now) && is_out_of_quarantine(agent, now);
 }
 
 resources free_for_orders(const agent_view& agent)
@@ -208,7 +208,7 @@
 {
     return std::any_of(table.m_agents.begin(), table.m_agents.end(), [&](const auto& item) {
         const agent_view& agent = item.second;
-        return agent.m_status.m_service == service && is_counted(table, agent, now) &&
+        return agent.m_status.m_service == service && is_presumed_available(table, agent, now) &&
                fits(needs, free_for_orders(agent));
     });
 }
@@ -217,7 +217,7 @@
 {
     service_load load;
     for (const auto& [id, agent] : table.m_agents) {
-        if (agent.m_status.m_service != service || !is_counted(table, agent, now))
+        if (agent.m_status.m_service != service || !is_presumed_available(table, agent, now))
             continue;
         const std::int64_t capacity = agent.m_status.m_capacity.m_cpu_milli;
         load.m_capacity_milli += capacity;
--- a/routing/agent_table.h
+++ b/routing/agent_table.h
@@ -99,7 +99,7 @@
     // Agents that are not taken.
     std::vector<std::string> m_excluded;
     // The agent that got the task before this one of the same job in this round; empty for the first.
-    std::string m_companion;
+    std::string m_previous_agent;
 };
 
 // The agent where the task is expected to end first; null if none has room.
@@ -111,7 +111,7 @@
 // expected, and none of their workers could.
 feasibility check_feasibility(const agent_table& table, const placement_request& request, instant now);
 
-// Whether a counted worker of the service has room for the task now.
+// Whether a presumably available worker of the service has room for the task now.
 bool has_room(const agent_table& table, const std::string& service, const resources& needs, instant now);
 
 // Whether the agent may get orders now.
@@ -119,12 +119,12 @@
 
 // Whether the agent counts as capacity of its service: as usable, or only late with its answers. Until its
 // runs count as over, silence says more about the messages than about the worker.
-bool is_counted(const agent_table& table, const agent_view& agent, instant now);
+bool is_presumed_available(const agent_table& table, const agent_view& agent, instant now);
 
 // Capacity free for this entry, by its own account.
 resources free_for_orders(const agent_view& agent);
 
-// Totals over the counted workers of a service, in thousandths of a core.
+// Totals over the presumably available workers of a service, in thousandths of a core.
 struct service_load {
     std::int64_t m_capacity_milli = 0;
     // Less what waits at the agents: negative when more waits than is free.
--- a/tests/config/queue_index_test.cpp
+++ b/tests/config/queue_index_test.cpp
@@ -33,7 +33,7 @@
     CHECK(queues.find("h", "/q4") == nullptr);
     CHECK(queues.find("h", "") == nullptr);
     CHECK(queues.find("", "/q42/id") == nullptr);
-    CHECK(queue_index().find("h", "/q42/id") == nullptr);
+    CHECK(queue_index({}).find("h", "/q42/id") == nullptr);
 }
 
 TEST_CASE("an empty prefix takes every path of its host")
--- a/tests/model/platform_model.cpp
+++ b/tests/model/platform_model.cpp
@@ -43,87 +43,6 @@
     m_events.emplace(std::max(when, m_now), std::move(action));
 }
 
-void platform_model::deliver(process& to, long long delay, std::function<void()> action)
-{
-    const std::uint64_t life = to.m_life;
-    at(m_now + delay, [this, &to, life, action = std::move(action)] {
-        if (!to.m_is_up || to.m_life != life)
-            return;
-        if (to.m_frozen_until > m_now) {
-            deliver(to, to.m_frozen_until - m_now, action);
-            return;
-        }
-        work_off(to, action);
-    });
-}
-
-long long platform_model::step_cost_us() const
-{
-    const model_processors& processors = m_settings.m_processors;
-    const long long since = m_now - start_ms - processors.m_short_from_ms;
-    const bool is_short = since >= 0 && since < processors.m_short_for_ms;
-    return processors.m_step_us * (is_short ? processors.m_factor : 1);
-}
-
-void platform_model::work_off(process& at_process, std::function<void()> action)
-{
-    if (m_settings.m_processors.m_step_us == 0) {
-        action();
-        return;
-    }
-    const std::uint64_t life = at_process.m_life;
-    at_process.m_inbox.emplace_back([&at_process, life, action = std::move(action)] {
-        if (at_process.m_is_up && at_process.m_life == life)
-            action();
-    });
-    if (!at_process.m_is_draining_inbox)
-        drain_inbox(at_process);
-}
-
-void platform_model::drain_inbox(process& at_process)
-{
-    constexpr long long ms_us = 1'000;
-    at_process.m_is_draining_inbox = true;
-    at_process.m_busy_until_us = std::max(at_process.m_busy_until_us, m_now * ms_us);
-    while (!at_process.m_inbox.empty() && at_process.m_busy_until_us < (m_now + 1) * ms_us) {
-        const auto action = std::move(at_process.m_inbox.front());
-        at_process.m_inbox.pop_front();
-        at_process.m_busy_until_us += step_cost_us();
-        action();
-    }
-    at_process.m_is_draining_inbox = !at_process.m_inbox.empty();
-    if (at_process.m_is_draining_inbox)
-        at(at_process.m_busy_until_us / ms_us, [this, &at_process] { drain_inbox(at_process); });
-}
-
-bool platform_model::connect(process& from, process& to)
-{
-    // Accepting, the challenge and its proof, at either end.
-    constexpr int handshake_steps = 3;
-    const auto [link, is_new] = m_links.try_emplace({&from, &to});
-    if (!link->second)
-        link->second = m_now;
-    for (int step = 0; is_new && m_settings.m_processors.m_step_us > 0 && step < handshake_steps; ++step) {
-        deliver(from, step, [] {});
-        deliver(to, step, [] {});
-    }
-    return !is_new || m_settings.m_processors.m_step_us == 0;
-}
-
-void platform_model::note_answered(process& from, process& to)
-{
-    const auto link = m_links.find({&from, &to});
-    if (link != m_links.end())
-        link->second.reset();
-}
-
-void platform_model::note_late(process& from, process& to)
-{
-    const auto link = m_links.find({&from, &to});
-    if (link != m_links.end() && link->second && *link->second + silent_link_after.count() <= m_now)
-        m_links.erase(link);
-}
-
 model_second& platform_model::second_of(long long when)
 {
     constexpr long long second_ms = 1'000;
@@ -141,37 +60,6 @@
     return homes;
 }
 
-void platform_model::call(process& from, process& to, long long timeout, std::function<void()> action,
-                          std::function<void(bool)> on_end)
-{
-    constexpr long long longest_delay_ms = 3'000;
-    ++second_of(m_now).m_messages;
-    const auto is_over = std::make_shared<bool>(false);
-    const auto finish = [this, &from, &to, is_over, on_end](bool is_answered) {
-        if (std::exchange(*is_over, true))
-            return;
-        if (is_answered)
-            note_answered(from, to);
-        else
-            note_late(from, to);
-        on_end(is_answered);
-    };
-    const bool is_connected = connect(from, to);
-    deliver(from, timeout, [finish] { finish(false); });
-    if (m_cuts.contains({&from, &to}) || draw(m_settings.m_faults.m_lose_message))
-        return;
-    const bool is_held_up = draw(m_settings.m_faults.m_delay_message);
-    const auto held = is_held_up ? static_cast<long long>(draw_below(m_random, longest_delay_ms)) : 0;
-    constexpr long long handshake_ms = 4;
-    deliver(to, 1 + held + (is_connected ? 0 : handshake_ms),
-            [this, &from, &to, action = std::move(action), finish] {
-                action();
-                if (m_cuts.contains({&to, &from}) || draw(m_settings.m_faults.m_lose_message))
-                    return;
-                deliver(from, 1, [finish] { finish(true); });
-            });
-}
-
 void platform_model::start_agent(agent_process& agent)
 {
     ++agent.m_life;
@@ -458,63 +346,6 @@
     at(m_now + resubmit_after_ms, [this, job, attempt] { submit_anywhere(job, attempt + 1); });
 }
 
-void platform_model::kill(process& victim, long long down_ms)
-{
-    if (!victim.m_is_up)
-        return;
-    victim.m_is_up = false;
-    for (const auto& entry : m_entries) {
-        if (entry.get() != &victim)
-            continue;
-        for (const auto& [job, attempt] : std::exchange(entry->m_callers, {}))
-            resubmit(job, attempt);
-    }
-    at(m_now + down_ms, [this, &victim] {
-        for (const auto& agent : m_agents) {
-            if (agent.get() == &victim)
-                start_agent(*agent);
-        }
-        for (const auto& entry : m_entries) {
-            if (entry.get() == &victim)
-                start_entry(*entry);
-        }
-    });
-}
-
-void platform_model::strike()
-{
-    const model_faults& faults = m_settings.m_faults;
-    const auto some_time = [this] { return 20 + static_cast<long long>(draw_below(m_random, 2'000)); };
-    for (const auto& agent : m_agents) {
-        if (draw(faults.m_kill_agent))
-            kill(*agent, some_time());
-        if (draw(faults.m_freeze_agent))
-            agent->m_frozen_until = m_now + some_time();
-        if (draw(faults.m_worker_life))
-            agent->m_worker->begin_life(m_now);
-        for (const auto& entry : m_entries) {
-            if (!draw(faults.m_cut_link))
-                continue;
-            const bool is_one_way = draw(500);
-            m_cuts.insert({entry.get(), agent.get()});
-            if (!is_one_way)
-                m_cuts.insert({agent.get(), entry.get()});
-            at(m_now + some_time(), [this, entry = entry.get(), agent = agent.get()] {
-                m_cuts.erase({entry, agent});
-                m_cuts.erase({agent, entry});
-            });
-        }
-    }
-    for (const auto& entry : m_entries) {
-        if (draw(faults.m_kill_entry))
-            kill(*entry, some_time());
-        if (draw(faults.m_freeze_entry))
-            entry->m_frozen_until = m_now + some_time();
-    }
-    strike_fronts();
-    at(m_now + strike_every_ms, [this] { strike(); });
-}
-
 void platform_model::check()
 {
     std::map<task_id, int> running;
--- a/tests/model/platform_model.h
+++ b/tests/model/platform_model.h
@@ -118,7 +118,7 @@
     // Runs the action at the process when it is next awake, unless it has been replaced by then.
     void deliver(process& to, long long delay, std::function<void()> action);
     // Runs it when the process has time, after what arrived before.
-    void work_off(process& at_process, std::function<void()> action);
+    void run_when_free(process& at_process, std::function<void()> action);
     void drain_inbox(process& at_process);
     long long step_cost_us() const;
     // Whether a call finds a connection; opening one takes steps of both ends.
@@ -133,6 +133,9 @@
               std::function<void(bool)> on_end);
 
     void strike();
+    long long draw_fault_ms();
+    // For a while, one way or both.
+    void cut_link(process& from, process& to);
     void kill(process& victim, long long down_ms);
     void start_agent(agent_process& agent);
     void start_entry(entry_process& entry);
--- a/tests/model/platform_model_fronts.cpp
+++ b/tests/model/platform_model_fronts.cpp
@@ -157,37 +157,4 @@
     });
 }
 
-void platform_model::kill_front(front_process& front, long long down_ms)
-{
-    if (!front.m_is_up)
-        return;
-    front.m_is_up = false;
-    for (const auto& [job, attempt] : std::exchange(front.m_callers, {}))
-        resubmit(job, attempt);
-    at(m_now + down_ms, [this, &front] { start_front(front); });
-}
-
-void platform_model::strike_fronts()
-{
-    const model_faults& faults = m_settings.m_faults;
-    const auto some_time = [this] { return 20 + static_cast<long long>(draw_below(m_random, 2'000)); };
-    for (const auto& front : m_fronts) {
-        if (draw(faults.m_kill_entry))
-            kill_front(*front, some_time());
-        if (draw(faults.m_freeze_entry))
-            front->m_frozen_until = m_now + some_time();
-        for (const auto& home : m_entries) {
-            if (!draw(faults.m_cut_link))
-                continue;
-            m_cuts.insert({front.get(), home.get()});
-            if (draw(500))
-                m_cuts.insert({home.get(), front.get()});
-            at(m_now + some_time(), [this, front = front.get(), home = home.get()] {
-                m_cuts.erase({front, home});
-                m_cuts.erase({home, front});
-            });
-        }
-    }
-}
-
 } // namespace hawthornpin::model
