--- a/rpc/link.h
+++ b/rpc/link.h
@@ -25,7 +25,7 @@
 };
 
 // A connection on which nothing was answered for this long, although something was asked, is given up: a
-// machine that lost its power says nothing, and its successor is met over a new connection only. Longer than
+// machine that loses power closes nothing, and the restarted process needs a new connection. Longer than
 // the retransmission of a lost packet (200 ms), so that one that only lost a packet is kept, with all the
 // calls on it.
 inline constexpr milliseconds silent_link_after{250};
--- a/tests/membership/entry_list_test.cpp
+++ b/tests/membership/entry_list_test.cpp
@@ -94,7 +94,7 @@
     CHECK(presentation_pause(35) == milliseconds(3'000));
 }
 
-TEST_CASE("an entry exchanges with a few others at a time and meets all of them")
+TEST_CASE("an entry exchanges with a few others at a time and reaches all of them")
 {
     entry_list list;
     random_source random(7);
