The time before a request is read is visible: how late the loop comes round, and how long homes take

What callers saw: answers seconds late from an entry whose log showed jobs ended in 300 ms. The log could not tell a late home from a request that waited unread, and job_answered lacked the took_ms that docs/OPERATIONS.md promises. Added: loop_delay_seconds, home_answer_seconds and job_response_seconds, process gauges of the daemons on the platform, a line loop_delayed for each second short of processor time, took_ms. Arrival times of answered jobs are dropped with it; they were kept for good before, which let an entry's memory grow with the jobs that it had answered.

--- /dev/null
+++ b/core/loop_delay.cpp
@@ -0,0 +1,31 @@
+// Lateness of a periodic timer.
+
+#include "core/loop_delay.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hawthornpin {
+
+microseconds loop_delay_meter::note_tick(instant now)
+{
+    const instant due = m_last_tick ? *m_last_tick + m_pause : now;
+    m_last_tick = now;
+    const microseconds delay = std::max(microseconds(0), now - due);
+    m_longest = std::max(m_longest, delay);
+    return delay;
+}
+
+std::optional<microseconds> loop_delay_meter::take_report(instant now)
+{
+    constexpr milliseconds report_pause{1'000};
+    if (m_reported_at + report_pause > now)
+        return std::nullopt;
+    m_reported_at = now;
+    const microseconds longest = std::exchange(m_longest, microseconds(0));
+    if (longest < m_pause)
+        return std::nullopt;
+    return longest;
+}
+
+} // namespace hawthornpin
--- a/core/metrics.h
+++ b/core/metrics.h
@@ -54,8 +54,8 @@
     static_cast<std::size_t>(counter::rpc_authentication_failures) + 1;
 
 // Durations in seconds.
-enum class distribution { job_response, queue_wait, task_run };
-inline constexpr std::size_t distribution_count = 3;
+enum class distribution { job_response, queue_wait, task_run, home_answer, loop_delay };
+inline constexpr std::size_t distribution_count = 5;
 
 // All metrics of a process. Owned by the daemon and passed by reference; not thread-safe.
 class metrics {
--- a/main/platform_agent.cpp
+++ b/main/platform_agent.cpp
@@ -4,6 +4,7 @@
 
 #include "core/logging.h"
 #include "core/random.h"
+#include "main/process_gauges.h"
 #include "platform/call_paths.h"
 #include "platform/message_decoding.h"
 
@@ -118,6 +119,13 @@
     return true;
 }
 
+metrics& platform_agent::counts()
+{
+    update_process_gauges(m_metrics);
+    m_metrics.set_gauge("jobs_hosted", static_cast<double>(m_hosted.size()));
+    return m_metrics;
+}
+
 void platform_agent::begin_leaving()
 {
     if (m_leaving_since)
@@ -207,6 +215,7 @@
 
 bool platform_agent::on_tick()
 {
+    m_loop_watch.on_tick(boot_now());
     flush_logs();
     forget_silent(m_entries, boot_now());
     present_to_entries();
--- a/main/platform_agent.h
+++ b/main/platform_agent.h
@@ -8,6 +8,7 @@
 #include "dispatch/run_guard.h"
 #include "http/api_server.h"
 #include "main/job_home.h"
+#include "main/loop_watch.h"
 #include "main/platform_link.h"
 #include "membership/entry_list.h"
 #include "platform/process_place.h"
@@ -36,7 +37,8 @@
     // Takes no more orders, lets runs end and stops the loop within the platform's grace.
     void begin_leaving();
 
-    metrics& counts() { return m_metrics; }
+    // Counters, and gauges as of now.
+    metrics& counts();
 
 private:
     class node_server;
@@ -98,6 +100,7 @@
     std::map<std::string, std::vector<hosted_waiter>> m_hosted;
     std::unique_ptr<api_server> m_report_server;
     std::unique_ptr<rpc_server> m_rpc_server;
+    loop_watch m_loop_watch{decision_tick, m_metrics};
     std::unique_ptr<timer> m_tick;
     std::set<home_identity> m_reports_in_flight;
     std::set<std::string> m_presents_in_flight;
--- a/main/platform_entry.cpp
+++ b/main/platform_entry.cpp
@@ -5,6 +5,7 @@
 #include "core/logging.h"
 #include "core/random.h"
 #include "dispatch/run_guard.h"
+#include "main/process_gauges.h"
 #include "platform/call_paths.h"
 #include "platform/message_decoding.h"
 
@@ -141,6 +142,7 @@
 bool platform_entry::on_tick()
 {
     const instant now = boot_now();
+    m_loop_watch.on_tick(now);
     flush_logs();
     if (m_follower->is_connected() != m_was_store_connected) {
         m_was_store_connected = m_follower->is_connected();
@@ -161,6 +163,14 @@
     return true;
 }
 
+metrics& platform_entry::counts()
+{
+    update_process_gauges(m_metrics);
+    m_metrics.set_gauge("requests_in_progress", m_caller_server->in_progress());
+    m_metrics.set_gauge("jobs_handed_on", static_cast<double>(m_handed_on.size()));
+    return m_metrics;
+}
+
 void platform_entry::forget_answers(instant now)
 {
     // Far shorter than answers are kept; a look at all of them in each tick would cost more than the calls.
--- a/main/platform_entry.h
+++ b/main/platform_entry.h
@@ -5,8 +5,10 @@
 #include "config/queue_index.h"
 #include "core/event_loop.h"
 #include "core/metrics.h"
+#include "dispatch/run_guard.h"
 #include "http/api_server.h"
 #include "main/job_home.h"
+#include "main/loop_watch.h"
 #include "main/platform_link.h"
 #include "membership/entry_list.h"
 #include "platform/directory_follower.h"
@@ -37,7 +39,8 @@
     // Takes no new connections, answers what is under way and stops the loop within the platform's grace.
     void begin_leaving();
 
-    metrics& counts() { return m_metrics; }
+    // Counters, and gauges as of now.
+    metrics& counts();
 
 private:
     // The balancer needs two missed probes, a second apart, to stop sending connections; a connection that is
@@ -64,6 +67,8 @@
     void abandon(const std::string& id);
 
     void deliver(const job_answer_event& answer);
+    // Logs the answer with the time since the job came in.
+    void log_answer(const job_answer_event& answer);
 
     // Jobs that are handed on to homes among the agents, in a large service.
     bool is_handing_on() const { return m_are_homes_ready; }
@@ -127,6 +132,7 @@
     std::unique_ptr<api_server> m_caller_server;
     std::unique_ptr<api_server> m_ready_server;
     std::unique_ptr<rpc_server> m_rpc_server;
+    loop_watch m_loop_watch{decision_tick, m_metrics};
     std::unique_ptr<timer> m_tick;
     std::map<std::string, std::vector<fulfiller>> m_waiters;
     std::map<std::string, kept_answer> m_kept_answers;
@@ -146,6 +152,7 @@
     // Calls for jobs that were handed on, by job.
     struct handed_job {
         std::string m_home;
+        instant m_handed_on_at;
         kj::Promise<void> m_call;
     };
     std::map<std::string, handed_job> m_handed_on;
--- a/main/platform_entry_callers.cpp
+++ b/main/platform_entry_callers.cpp
@@ -190,12 +190,26 @@
     return make_response(200);
 }
 
+void platform_entry::log_answer(const job_answer_event& answer)
+{
+    const auto arrival = m_arrivals.find(answer.m_job);
+    if (arrival == m_arrivals.end())
+        return;
+    const auto took = boot_now() - arrival->second;
+    m_arrivals.erase(arrival);
+    m_metrics.observe(distribution::job_response, std::chrono::duration<double>(took).count());
+    log_event(log_level::info, "job_answered",
+              {{"job", answer.m_job},
+               {"reason", to_text(answer.m_reason)},
+               {"took_ms", std::to_string(std::chrono::duration_cast<milliseconds>(took).count())}});
+}
+
 void platform_entry::deliver(const job_answer_event& answer)
 {
     constexpr unsigned too_many_requests = 429;
     constexpr unsigned unavailable = 503;
     constexpr unsigned gateway_timeout = 504;
-    log_event(log_level::info, "job_answered", {{"job", answer.m_job}, {"reason", to_text(answer.m_reason)}});
+    log_answer(answer);
     api_response response;
     if (answer.m_end == job_end::refused) {
         const bool is_load = answer.m_reason == job_end_reason::overload ||
--- a/main/platform_entry_homes.cpp
+++ b/main/platform_entry_homes.cpp
@@ -99,7 +99,7 @@
                         on_handed_job_end(job, home, session, end);
                     })
                     .eagerlyEvaluate(nullptr);
-    m_handed_on.insert_or_assign(id, handed_job{*home, kj::mv(call)});
+    m_handed_on.insert_or_assign(id, handed_job{*home, now, kj::mv(call)});
 }
 
 void platform_entry::wait_for_home(const outgoing_job& job)
@@ -131,6 +131,11 @@
         lose_home(home);
         return;
     }
+    const auto handed = m_handed_on.find(job.m_work.m_id);
+    if (handed != m_handed_on.end()) {
+        const std::chrono::duration<double> took = boot_now() - handed->second.m_handed_on_at;
+        m_metrics.observe(distribution::home_answer, took.count());
+    }
     recall(job.m_work.m_id);
     note_home_status(m_home_table, home, session, end->m_status, boot_now());
     const bool is_turned_away = end->m_answer.m_reason == job_end_reason::shutting_down ||
--- a/main/platform_process.cpp
+++ b/main/platform_process.cpp
@@ -8,6 +8,7 @@
 #include "main/platform_entry.h"
 
 #include <csignal>
+#include <functional>
 #include <iostream>
 
 namespace hawthornpin {
@@ -23,14 +24,16 @@
 // GET /metrics on an address of its own.
 class metrics_server {
 public:
-    explicit metrics_server(metrics& counts)
+    // `read` gives the metrics as of now.
+    explicit metrics_server(std::function<metrics&()> read)
         : m_server(
-              [&counts](const api_request& request) -> kj::Promise<api_response> {
+              [read = std::move(read)](const api_request& request) -> kj::Promise<api_response> {
                   api_response response;
                   if (request.m_path != "/metrics") {
                       response.m_status = 404;
                       return response;
                   }
+                  metrics& counts = read();
                   counts.set_gauge("log_lines_dropped", static_cast<double>(dropped_log_lines()));
                   response.m_content_type = "text/plain; version=0.0.4";
                   response.m_body = counts.to_exposition();
@@ -65,7 +68,7 @@
         log_event(log_level::error, "start_failed", {{"reason", why.text()}});
         return exit_code::failure;
     }
-    metrics_server metrics_server(process.counts());
+    metrics_server metrics_server([&process]() -> metrics& { return process.counts(); });
     const std::string metrics_address = place->m_ip + ":" + std::to_string(options.m_metrics_port);
     if (options.m_metrics_port != 0 && !metrics_server.listen(metrics_address, why))
         log_event(log_level::warning, "metrics_unavailable", {{"reason", why.text()}});
--- a/tests/main/docs_test.cpp
+++ b/tests/main/docs_test.cpp
@@ -52,7 +52,7 @@
     std::string sources;
     for (const char* file :
          {"job_home", "platform_agent", "platform_agent_home", "platform_agent_worker", "platform_entry",
-          "platform_entry_callers", "platform_entry_homes", "platform_process"})
+          "platform_entry_callers", "platform_entry_homes", "platform_process", "loop_watch"})
         sources += read_page(std::string("main/") + file + ".cpp");
     sources += read_page("platform/directory_follower.cpp");
     const std::size_t begin = page.find("| event |");
