--- /dev/null
+++ b/tests/http/api_server_test.cpp
@@ -0,0 +1,202 @@
+// What connections and requests cost the loop of a server, counted in turns and descriptors rather than in
+// time.
+
+#include "core/event_loop.h"
+#include "http/api_server.h"
+#include "rpc/glib_stream.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <array>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <string>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <vector>
+
+namespace hawthornpin {
+
+namespace {
+
+// What the loop asked of the kernel since the last reset.
+struct poll_counts {
+    int m_polls = 0;
+    // Polls that ended because the loop had woken itself.
+    int m_own_wake_ups = 0;
+    unsigned m_most_descriptors = 0;
+};
+poll_counts counted;
+
+bool is_wake_up_descriptor(int descriptor)
+{
+    std::array<char, 64> target{};
+    const std::string link = "/proc/self/fd/" + std::to_string(descriptor);
+    return ::readlink(link.c_str(), target.data(), target.size() - 1) > 0 &&
+           std::string(target.data()) == "anon_inode:[eventfd]";
+}
+
+gint count_poll(GPollFD* descriptors, guint count, gint timeout)
+{
+    const gint ready = ::poll(reinterpret_cast<pollfd*>(descriptors), count, timeout);
+    ++counted.m_polls;
+    counted.m_most_descriptors = std::max(counted.m_most_descriptors, count);
+    for (guint index = 0; index < count; ++index) {
+        if (descriptors[index].revents != 0 && is_wake_up_descriptor(descriptors[index].fd))
+            ++counted.m_own_wake_ups;
+    }
+    return ready;
+}
+
+// A client that only ever blocks in its own turn of the loop.
+class raw_client {
+public:
+    explicit raw_client(const std::string& address)
+        : m_socket(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0))
+    {
+        sockaddr_in peer{};
+        peer.sin_family = AF_INET;
+        peer.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        peer.sin_port = htons(static_cast<std::uint16_t>(std::stoi(address.substr(address.find(':') + 1))));
+        ::connect(m_socket.number(), reinterpret_cast<const sockaddr*>(&peer), sizeof(peer));
+    }
+
+    // The kernel completes a connection that finds room in the queue of the listening socket at once.
+    bool is_connected() const
+    {
+        pollfd state{m_socket.number(), POLLOUT, 0};
+        return ::poll(&state, 1, 0) == 1 && (state.revents & (POLLERR | POLLHUP)) == 0;
+    }
+
+    void send_request() const
+    {
+        const std::string text = "POST /job HTTP/1.1\r\nHost: h\r\nContent-Type: application/json\r\n"
+                                 "Content-Length: 2\r\n\r\n{}";
+        CHECK(::send(m_socket.number(), text.data(), text.size(), 0) == static_cast<ssize_t>(text.size()));
+    }
+
+    bool take_response()
+    {
+        std::array<char, 4096> buffer{};
+        const ssize_t size = ::recv(m_socket.number(), buffer.data(), buffer.size(), 0);
+        if (size > 0)
+            m_received.append(buffer.data(), static_cast<std::size_t>(size));
+        if (!m_received.ends_with("done"))
+            return false;
+        m_received.clear();
+        return true;
+    }
+
+private:
+    file_descriptor m_socket;
+    std::string m_received;
+};
+
+// A server whose answers come from a later turn of the loop, as those of an entry do.
+class loaded_server {
+public:
+    loaded_server() : m_server([](const api_request&) { return answer_later(); }, limits())
+    {
+        g_main_context_set_poll_func(nullptr, count_poll);
+        last_reason why;
+        REQUIRE(m_server.listen("127.0.0.1:0", why));
+    }
+    ~loaded_server() { g_main_context_set_poll_func(nullptr, nullptr); }
+    loaded_server(const loaded_server&) = delete;
+    loaded_server& operator=(const loaded_server&) = delete;
+
+    raw_client connect() const { return raw_client(m_server.address()); }
+
+    void exchange(raw_client& client)
+    {
+        client.send_request();
+        while (!client.take_response())
+            g_main_context_iteration(nullptr, TRUE);
+    }
+
+    // Serves each client once, so that all are accepted, and then counts from nothing.
+    void settle(std::vector<raw_client>& clients)
+    {
+        for (raw_client& client : clients)
+            exchange(client);
+        while (g_main_context_iteration(nullptr, FALSE) != FALSE) {
+        }
+        counted = {};
+    }
+
+private:
+    static api_limits limits()
+    {
+        api_limits limits;
+        limits.m_is_abandoned_on_close = true;
+        return limits;
+    }
+
+    static kj::Promise<api_response> answer_later()
+    {
+        return kj::evalLater([] {
+            api_response response;
+            response.m_body = "done";
+            return response;
+        });
+    }
+
+    event_loop m_loop;
+    api_server m_server;
+};
+
+} // namespace
+
+TEST_CASE("idle connections add no descriptors to the poll of each turn")
+{
+    loaded_server server;
+    std::vector<raw_client> few;
+    few.push_back(server.connect());
+    server.settle(few);
+    server.exchange(few.front());
+    const unsigned with_few = counted.m_most_descriptors;
+
+    // Connections that an entry of the users' grown sites holds.
+    constexpr int connections = 300;
+    std::vector<raw_client> many;
+    for (int index = 0; index < connections; ++index) {
+        many.push_back(server.connect());
+        server.exchange(many.back());
+    }
+    server.settle(many);
+    server.exchange(many.front());
+    CHECK(counted.m_most_descriptors == with_few);
+}
+
+TEST_CASE("a request does not make the loop wake itself")
+{
+    loaded_server server;
+    std::vector<raw_client> clients;
+    clients.push_back(server.connect());
+    server.settle(clients);
+    constexpr int requests = 20;
+    for (int count = 0; count < requests; ++count)
+        server.exchange(clients.front());
+    CHECK(counted.m_own_wake_ups == 0);
+    // Reading it, the handler's answer, the library's writing, and waiting for the next one.
+    constexpr int turns_a_request = 4;
+    CHECK(counted.m_polls <= turns_a_request * requests);
+}
+
+TEST_CASE("callers that connect while the server is busy are not turned away")
+{
+    loaded_server server;
+    // A second of a zone's callers, each with a new connection: TCP sends a lost opening packet again after
+    // one.
+    constexpr int callers = 300;
+    std::vector<raw_client> clients;
+    for (int index = 0; index < callers; ++index)
+        clients.push_back(server.connect());
+    const auto connected = std::count_if(clients.begin(), clients.end(),
+                                         [](const raw_client& client) { return client.is_connected(); });
+    CHECK(connected == callers);
+}
+
+} // namespace hawthornpin
