--- a/rpc/glib_stream.cpp
+++ b/rpc/glib_stream.cpp
@@ -24,7 +24,8 @@
 
 // Several messages of the usual size; a process of a large system has hundreds of connections.
 constexpr std::size_t read_buffer_bytes = 8 * 1024;
-constexpr int listen_backlog = 256;
+// The kernel's bound. Connections that find no room there are opened again only after a second.
+constexpr int listen_backlog = SOMAXCONN;
 
 struct object_unref {
     template <typename Object>
