Connections that find no free descriptor are accepted once there is one, not only when the next caller comes

What callers would see: at an entry that is out of descriptors, connections that wait until they time out although descriptors are free again. Cause: the watch of the listening socket tells of new connections only; after one more try without a descriptor, what waits is forgotten. Test: 'a connection that found no free descriptor is served once there is one' hung on the code before.

--- a/http/api_server.cpp
+++ b/http/api_server.cpp
@@ -160,18 +160,20 @@
 
 kj::Promise<void> api_server::accept_forever()
 {
-    // Until descriptors or memory are free again.
-    constexpr unsigned retry_ms = 100;
-    return m_listener_watch->when_readable().then([this]() -> kj::Promise<void> {
-        if (accept_all())
-            return accept_forever();
-        return after_delay(retry_ms).then([this] {
-            accept_all();
-            return accept_forever();
-        });
+    return m_listener_watch->when_readable().then([this] { return accept_waiting(); }).then([this] {
+        return accept_forever();
     });
 }
 
+kj::Promise<void> api_server::accept_waiting()
+{
+    // Until descriptors or memory are free again: the watch tells of new connections only.
+    constexpr unsigned retry_ms = 100;
+    if (accept_all())
+        return kj::READY_NOW;
+    return after_delay(retry_ms).then([this] { return accept_waiting(); });
+}
+
 bool api_server::accept_all()
 {
     while (true) {
--- a/http/api_server.h
+++ b/http/api_server.h
@@ -87,6 +87,8 @@
     void respond(SoupServerMessage* message, const api_response& response);
     bool keep_connections_alive(last_reason& why);
     kj::Promise<void> accept_forever();
+    // Ends when nothing waits to be accepted.
+    kj::Promise<void> accept_waiting();
     // Gives what waits to the library; false if it could not be taken for want of descriptors or memory.
     bool accept_all();
     void serve(file_descriptor socket, const sockaddr_storage& peer, socklen_t peer_length);
--- a/tests/http/server_stream_test.cpp
+++ b/tests/http/server_stream_test.cpp
@@ -10,7 +10,10 @@
 #include <cstdint>
 #include <netinet/in.h>
 #include <string>
+#include <sys/resource.h>
 #include <sys/socket.h>
+#include <unistd.h>
+#include <vector>
 
 namespace hawthornpin {
 
@@ -60,6 +63,14 @@
         return received;
     }
 
+    // Takes what is left of a response, all of which is on its way.
+    void receive_rest()
+    {
+        std::array<char, 65'536> buffer{};
+        while (::recv(m_socket.number(), buffer.data(), buffer.size(), MSG_DONTWAIT) > 0) {
+        }
+    }
+
     event_loop& loop() { return m_loop; }
     bool is_closed() const { return m_is_closed; }
     void close() { m_socket = file_descriptor(); }
@@ -130,6 +141,46 @@
         1);
     client.send_request("/slow", "{}");
     CHECK(client.receive(1).find("200 OK") != std::string::npos);
+    // Nor does the time of the wait before it end the next one.
+    client.send_request("/slow", "{}");
+    CHECK(client.receive(1).find("200 OK") != std::string::npos);
+}
+
+TEST_CASE("a wait for room to write has the whole idle time, whatever an earlier one took")
+{
+    constexpr unsigned longer_than_idle_ms = 1'300;
+    served_client client(
+        [](const api_request&) {
+            return after_delay(longer_than_idle_ms).then([] {
+                return make_text(std::string(large_bytes, 'x'));
+            });
+        },
+        1);
+    for (int count = 0; count < 2; ++count) {
+        client.send_request("/large", "{}");
+        CHECK(client.receive(large_bytes).size() >= large_bytes);
+        client.receive_rest();
+    }
+}
+
+TEST_CASE("a connection that found no free descriptor is served once there is one")
+{
+    served_client client([](const api_request&) -> kj::Promise<api_response> { return make_text("done"); });
+    client.send_request("/job", "{}");
+    rlimit usual{};
+    REQUIRE(::getrlimit(RLIMIT_NOFILE, &usual) == 0);
+    constexpr rlim_t few = 128;
+    const rlimit lowered{few, usual.rlim_max};
+    REQUIRE(::setrlimit(RLIMIT_NOFILE, &lowered) == 0);
+    std::vector<file_descriptor> taken;
+    do
+        taken.emplace_back(::dup(STDOUT_FILENO));
+    while (taken.back().is_open());
+    constexpr unsigned several_tries_ms = 350;
+    run_to_end(client.loop(), after_delay(several_tries_ms).then([] { return true; }));
+    taken.clear();
+    REQUIRE(::setrlimit(RLIMIT_NOFILE, &usual) == 0);
+    CHECK(client.receive(1).find("200 OK") != std::string::npos);
 }
 
 TEST_CASE("a client that leaves ends the handling of its request")
