The idle time of a wait ends with the transfer that it waited for

What callers could see: a response cut, or a kept connection closed, when its earlier wait for input or room began more than the idle time ago. Cause: the end of a wait was kept after it, and a later call that would block took it for its own.

--- a/http/server_socket.cpp
+++ b/http/server_socket.cpp
@@ -45,6 +45,7 @@
         m_watch->note_blocked_reading();
     if (received < 0)
         return would_block(m_reading_ends_at);
+    m_reading_ends_at.reset();
     return {transfer_fate::done, static_cast<std::size_t>(received), 0};
 }
 
@@ -55,8 +56,10 @@
     if (!m_watch->is_writable())
         return would_block(m_writing_ends_at);
     const ssize_t sent = ::send(m_socket.number(), buffer, size, MSG_DONTWAIT | MSG_NOSIGNAL);
-    if (sent >= 0)
+    if (sent >= 0) {
+        m_writing_ends_at.reset();
         return {transfer_fate::done, static_cast<std::size_t>(sent), 0};
+    }
     if (!is_blocked())
         return {transfer_fate::failed, 0, errno};
     m_watch->note_blocked_writing();
--- a/http/server_socket.h
+++ b/http/server_socket.h
@@ -64,6 +64,7 @@
     std::int64_t m_idle_us;
     // Empty once closed.
     std::optional<descriptor_watch> m_watch;
+    // Set while a wait lasts: until something was transferred.
     deadline m_reading_ends_at;
     deadline m_writing_ends_at;
 };
