--- a/core/reactor.cpp
+++ b/core/reactor.cpp
@@ -49,7 +49,8 @@
 
 gboolean reactor::prepare(GSource* source, gint* timeout)
 {
-    const reactor& self = *reinterpret_cast<poll_source*>(source)->m_reactor;
+    reactor& self = *reinterpret_cast<poll_source*>(source)->m_reactor;
+    ++self.m_iterations;
     *timeout = -1;
     if (self.m_timers.empty())
         return FALSE;
--- a/core/reactor.h
+++ b/core/reactor.h
@@ -91,6 +91,9 @@
     // fulfilled promises, which saves an iteration of GLib's loop.
     void set_post_dispatch_hook(std::function<void()> hook) { m_post_dispatch_hook = std::move(hook); }
 
+    // Number of iterations of GLib's loop since the start of the process.
+    std::uint64_t iterations() const { return m_iterations; }
+
     reactor(const reactor&) = delete;
     reactor& operator=(const reactor&) = delete;
 
@@ -115,6 +118,7 @@
 
     int m_poll_descriptor;
     poll_source* m_source;
+    std::uint64_t m_iterations = 0;
     // Whether descriptor events were handled in this iteration of the loop.
     bool m_has_handled_events = false;
     timer_map m_timers;
--- a/http/server_socket.cpp
+++ b/http/server_socket.cpp
@@ -15,6 +15,8 @@
 
 namespace {
 
+int open_sockets = 0;
+
 bool is_blocked()
 {
     return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
@@ -29,6 +31,17 @@
     const int enabled = 1;
     ::setsockopt(m_socket.number(), IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled));
     m_watch.emplace(m_socket.number());
+    ++open_sockets;
+}
+
+server_socket::~server_socket()
+{
+    --open_sockets;
+}
+
+int server_socket::count_open()
+{
+    return open_sockets;
 }
 
 transfer_result server_socket::read(void* buffer, std::size_t size)
--- a/http/server_socket.h
+++ b/http/server_socket.h
@@ -33,6 +33,12 @@
 class server_socket {
 public:
     server_socket(file_descriptor socket, unsigned idle_timeout_seconds);
+    ~server_socket();
+    server_socket(const server_socket&) = delete;
+    server_socket& operator=(const server_socket&) = delete;
+
+    // Number of connections that clients have open to the HTTP servers of this process.
+    static int count_open();
 
     transfer_result read(void* buffer, std::size_t size);
     transfer_result write(const void* buffer, std::size_t size);
--- a/main/process_gauges.cpp
+++ b/main/process_gauges.cpp
@@ -3,6 +3,8 @@
 #include "main/process_gauges.h"
 
 #include "core/glib_stream.h"
+#include "core/reactor.h"
+#include "http/server_socket.h"
 
 #include <fstream>
 #include <sys/resource.h>
@@ -35,6 +37,8 @@
     ::getrusage(RUSAGE_SELF, &usage);
     counts.set_gauge("process_cpu_seconds", to_seconds(usage.ru_utime) + to_seconds(usage.ru_stime));
     counts.set_gauge("process_resident_bytes", read_resident_bytes());
+    counts.set_gauge("event_loop_iterations", static_cast<double>(reactor::instance().iterations()));
+    counts.set_gauge("http_connections", server_socket::count_open());
     const stream_totals& totals = process_stream_totals();
     counts.set_gauge("rpc_bytes_in", static_cast<double>(totals.m_bytes_in));
     counts.set_gauge("rpc_bytes_out", static_cast<double>(totals.m_bytes_out));
--- a/main/process_gauges.h
+++ b/main/process_gauges.h
@@ -1,4 +1,4 @@
-// Gauges that every daemon reports: its memory, processor time and traffic.
+// Gauges that every daemon reports: its memory, processor time, event loop, connections and traffic.
 
 #pragma once
 
--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -60,6 +60,19 @@
 {
 }
 
+void soak_callers::open_idle_connections(unsigned for_each_entry)
+{
+    for (const std::string& entry : m_entries) {
+        for (unsigned count = 0; count < for_each_entry; ++count) {
+            http_request request;
+            request.m_method = "GET";
+            request.m_url = "http://" + entry + "/short/";
+            request.m_headers = {{"Host", "soak.example"}};
+            m_tasks.add(m_idle_clients.emplace_back(1).send(request).ignoreResult());
+        }
+    }
+}
+
 void soak_callers::start()
 {
     m_started = boot_now();
--- a/tests/soak/soak_callers.h
+++ b/tests/soak/soak_callers.h
@@ -20,6 +20,9 @@
     soak_callers(std::vector<std::string> entries, std::uint64_t seed, double jobs_per_second,
                  soak_verifier& verifier);
 
+    // Opens connections to each entry that carry one request each and then stay idle.
+    void open_idle_connections(unsigned for_each_entry);
+
     void start();
     void stop() { m_is_stopped = true; }
     bool is_idle() const { return m_open_attempts == 0; }
@@ -44,6 +47,7 @@
     std::size_t m_open_attempts = 0;
     bool m_is_stopped = false;
     http_client m_http;
+    std::vector<http_client> m_idle_clients;
     background_tasks m_tasks;
     std::unique_ptr<timer> m_tick;
 };
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -44,6 +44,7 @@
     unsigned m_fault_ms = 0;
     unsigned m_load_ms = 0;
     double m_jobs_per_second = 0;
+    unsigned m_idle_connections = 0;
 };
 
 class soak_run {
@@ -80,6 +81,7 @@
     {
         return after_delay(startup_ms)
             .then([this] {
+                m_callers->open_idle_connections(m_settings.m_idle_connections);
                 m_callers->start();
                 if (m_settings.m_fault_ms == 0)
                     return after_delay(m_settings.m_load_ms);
@@ -183,6 +185,8 @@
         "duration of the load without faults");
     add("jobs-per-second", options::value(&settings.m_jobs_per_second)->default_value(15),
         "rate of arrivals");
+    add("idle-connections", options::value(&settings.m_idle_connections)->default_value(0),
+        "further connections of callers to each entry that stay idle");
     options::variables_map values;
     options::store(options::parse_command_line(argument_count, arguments, description), values);
     options::notify(values);
