Test: idle connections cost the event loop nothing, red

Each open connection keeps its sources attached to GLib's loop, which checks all of them in each iteration. Seen: 409 attached sources with 100 idle connections instead of 9; 100 requests take 102 ms of processor time beside 450 idle connections, 9.2 ms without.

--- a/tests/http/api_server_test.cpp
+++ b/tests/http/api_server_test.cpp
@@ -11,7 +11,10 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
+#include <cstdint>
+#include <ctime>
 #include <fcntl.h>
+#include <limits>
 #include <netinet/in.h>
 #include <poll.h>
 #include <string>
@@ -52,6 +55,27 @@
     return ready;
 }
 
+// GLib checks each attached source in every iteration of the loop.
+int count_attached_sources()
+{
+    const guint newest = g_idle_add([](gpointer) -> gboolean { return G_SOURCE_REMOVE; }, nullptr);
+    int count = 0;
+    for (guint id = 1; id < newest; ++id) {
+        if (g_main_context_find_source_by_id(nullptr, id) != nullptr)
+            ++count;
+    }
+    g_source_remove(newest);
+    return count;
+}
+
+std::int64_t thread_processor_time_ns()
+{
+    constexpr std::int64_t ns_per_second = 1'000'000'000;
+    timespec now{};
+    ::clock_gettime(CLOCK_THREAD_CPUTIME_ID, &now);
+    return now.tv_sec * ns_per_second + now.tv_nsec;
+}
+
 // A non-blocking client on the thread of the event loop.
 class raw_client {
 public:
@@ -182,6 +206,49 @@
     CHECK(poll_totals.m_max_descriptors == descriptors_with_one_client);
 }
 
+TEST_CASE("idle connections add no sources to the event loop")
+{
+    loaded_server server;
+    std::vector<raw_client> first_client;
+    first_client.push_back(server.connect());
+    server.warm_up(first_client);
+    const int sources_with_one_client = count_attached_sources();
+
+    constexpr int connections = 100;
+    std::vector<raw_client> idle_clients;
+    for (int index = 0; index < connections; ++index)
+        idle_clients.push_back(server.connect());
+    server.warm_up(idle_clients);
+    CHECK(count_attached_sources() == sources_with_one_client);
+}
+
+TEST_CASE("the processor time of a request does not grow with idle connections")
+{
+    // Both ends of each connection are open in this process, whose limit is usually 1,024 descriptors.
+    constexpr int connections = 450;
+    constexpr int rounds = 9;
+    constexpr int requests = 100;
+    constexpr double allowed_growth = 1.3;
+    loaded_server server;
+    std::vector<raw_client> clients;
+    clients.push_back(server.connect());
+    const auto measure_fastest_round = [&] {
+        server.warm_up(clients);
+        std::int64_t fastest = std::numeric_limits<std::int64_t>::max();
+        for (int round = 0; round < rounds; ++round) {
+            const std::int64_t begin = thread_processor_time_ns();
+            for (int count = 0; count < requests; ++count)
+                server.exchange(clients.front());
+            fastest = std::min(fastest, thread_processor_time_ns() - begin);
+        }
+        return static_cast<double>(fastest);
+    };
+    const double without_idle_connections = measure_fastest_round();
+    for (int index = 0; index < connections; ++index)
+        clients.push_back(server.connect());
+    CHECK(measure_fastest_round() <= allowed_growth * without_idle_connections);
+}
+
 TEST_CASE("a request does not make the loop wake itself")
 {
     loaded_server server;
