Callers' connections are served by the RPC library's HTTP library; idle ones cost nothing

Cause: libsoup waits for each connection's next request with sources that stay attached to GLib's loop, and the loop walks through all of them in each iteration. The cost of a request grew in a straight line with the connections that were only open, so an entry that is its zone's only one, with the most connections, had no processor time left. What callers saw: late answers in zones of one entry, refusals as entry_overload there.

Change: http/server_connection serves requests through KJ's HTTP library on the reactor, whose cost depends only on what is ready. The limits of head and body, Expect, Connection: close, the idle timeout, the probe of silent callers and cancelling on a disconnect stay, with tests. libsoup is no longer needed.

--- /dev/null
+++ b/http/api_messages.h
@@ -0,0 +1,66 @@
+// Requests and responses of the HTTP server, and the limits of what it accepts.
+
+#pragma once
+
+#include "core/instant.h"
+#include "core/verdict.h"
+
+#include <kj/async.h>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace hawthornpin {
+
+struct api_request {
+    std::string m_method;
+    // Without the percent encoding.
+    std::string m_path;
+    std::string m_query;
+    std::string m_body;
+    std::string m_authorization;
+    std::string m_prefer;
+    std::string m_budget_ms;
+    std::string m_host;
+    // Values of the headers in api_limits::m_extra_headers, in that order; empty for missing headers.
+    std::vector<std::string> m_extra_headers;
+    // Set if the input exceeded a limit of the server; the body is then empty.
+    reason m_input_fault = reason::none;
+};
+
+struct api_response {
+    unsigned m_status = 200;
+    std::string m_body;
+    std::string m_content_type = "application/json";
+    // Values of further headers; empty ones are not sent.
+    std::string m_verdict;
+    std::string m_retry_after;
+    // Closes the connection without a response: the client has disconnected, or a stand-in simulates a fault.
+    bool m_is_connection_dropped = false;
+    // Asks the client to send further requests over another connection.
+    bool m_is_last_on_connection = false;
+};
+
+// A caller whose request takes longer than this is probed, because its connection may have gone silent
+// without an end of the stream. TCP's keep-alive probes begin no earlier.
+inline constexpr milliseconds caller_probe_after{1'000};
+// A caller that has not answered the probe within this time has left. A job whose caller submits it again 1.3
+// s after its connection broke is stopped by then.
+inline constexpr milliseconds caller_probe_timeout{100};
+
+struct api_limits {
+    std::size_t m_max_body_bytes = 16 * 1024 * 1024;
+    std::size_t m_max_header_bytes = 8 * 1024;
+    // A connection on which nothing is transferred for this long is closed, unless a request is being
+    // handled.
+    unsigned m_idle_timeout_seconds = 30;
+    // Names of further request headers that the handler needs.
+    std::vector<std::string> m_extra_headers;
+    // Cancels the handler's promise when the client closes its connection, instead of letting it finish.
+    bool m_is_cancelled_on_disconnect = false;
+};
+
+using api_handler = std::function<kj::Promise<api_response>(api_request)>;
+
+} // namespace hawthornpin
--- /dev/null
+++ b/http/server_connection.cpp
@@ -0,0 +1,197 @@
+// Requests of one connection: limits, the call of the handler, disconnects and the response.
+
+#include "http/server_connection.h"
+
+#include "core/event_loop.h"
+#include "core/logging.h"
+
+#include <kj/debug.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace hawthornpin {
+
+namespace {
+
+// Bytes of a body that are read at once: at first as many as most bodies have at the most, then as many as
+// were received already.
+constexpr std::size_t least_read_size = 4 * 1024;
+constexpr std::size_t max_read_size = 64 * 1024;
+
+kj::HttpServerSettings make_settings(const server_context& context, kj::HttpServerCallbacks& callbacks,
+                                     kj::HttpServerErrorHandler& error_handler)
+{
+    kj::HttpServerSettings settings;
+    const auto idle_timeout = static_cast<std::int64_t>(context.m_limits.m_idle_timeout_seconds);
+    settings.headerTimeout = idle_timeout * kj::SECONDS;
+    settings.pipelineTimeout = idle_timeout * kj::SECONDS;
+    // What is left of a body that is too large is read, so that the client can read the response.
+    settings.canceledUploadGracePeriod = idle_timeout * kj::SECONDS;
+    settings.canceledUploadGraceBytes = context.m_limits.m_max_body_bytes;
+    settings.callbacks = callbacks;
+    settings.errorHandler = error_handler;
+    return settings;
+}
+
+} // namespace
+
+// A request that is being handled: counted as in progress, and ended when its client disconnects.
+class server_connection::exchange {
+public:
+    exchange(server_context& context, server_stream& socket) : m_context(context), m_socket(socket)
+    {
+        ++m_context.m_in_progress;
+        if (!m_context.m_limits.m_is_cancelled_on_disconnect)
+            return;
+        m_socket.set_hangup_callback([this] { m_disconnected.fulfiller->fulfill(); });
+        m_probe = probe_client().eagerlyEvaluate(nullptr);
+    }
+    ~exchange()
+    {
+        m_socket.set_hangup_callback({});
+        --m_context.m_in_progress;
+    }
+    exchange(const exchange&) = delete;
+    exchange& operator=(const exchange&) = delete;
+
+    // Fulfilled when the client has disconnected. May be called only once.
+    kj::Promise<void> when_disconnected() { return kj::mv(m_disconnected.promise); }
+
+private:
+    // Treats a client as disconnected whose connection has gone silent without an end of the stream.
+    kj::Promise<void> probe_client()
+    {
+        return after_delay(caller_probe_after.count()).then([this] {
+            m_socket.probe_peer();
+            return after_delay(caller_probe_timeout.count()).then([this] {
+                if (m_socket.end_probe(2 * caller_probe_timeout))
+                    return;
+                log_event(log_level::warning, "caller_silent");
+                m_disconnected.fulfiller->fulfill();
+            });
+        });
+    }
+
+    server_context& m_context;
+    server_stream& m_socket;
+    kj::PromiseFulfillerPair<void> m_disconnected = kj::newPromiseAndFulfiller<void>();
+    kj::Promise<void> m_probe = nullptr;
+};
+
+server_connection::server_connection(server_context& context, file_descriptor socket)
+    : server_connection(context,
+                        kj::heap<server_stream>(std::move(socket), context.m_limits.m_idle_timeout_seconds))
+{
+}
+
+server_connection::server_connection(server_context& context, kj::Own<server_stream> socket)
+    : m_context(context), m_socket(*socket), m_output(kj::mv(socket)),
+      m_http(m_context.m_clock, m_context.m_headers.table(), *this, make_settings(context, *this, *this))
+{
+}
+
+kj::Promise<void> server_connection::serve()
+{
+    return m_http.listenHttpCleanDrain(m_output)
+        .then([this](bool /*is_reusable*/) { return m_output.when_flushed(); })
+        .catch_([](kj::Exception&& error) {
+            // Clients may disconnect at any time.
+            if (error.getType() != kj::Exception::Type::DISCONNECTED)
+                log_event(log_level::warning, "connection_failed",
+                          {{"detail", error.getDescription().cStr()}});
+        });
+}
+
+kj::Promise<void> server_connection::request(kj::HttpMethod method, kj::StringPtr url,
+                                             const kj::HttpHeaders& headers, kj::AsyncInputStream& body,
+                                             Response& response)
+{
+    auto received = kj::heap<api_request>(m_context.m_headers.read_head(method, url, headers));
+    m_is_closing = asks_to_close(headers);
+    const std::uint64_t announced_bytes = body.tryGetLength().orDefault(0);
+    if (count_header_bytes(headers) > m_context.m_limits.m_max_header_bytes)
+        received->m_input_fault = reason::header_too_large;
+    else if (announced_bytes > m_context.m_limits.m_max_body_bytes)
+        received->m_input_fault = reason::body_too_large;
+    if (received->m_input_fault != reason::none)
+        return handle(kj::mv(*received), response);
+    if (m_context.m_headers.expects_continue(headers)) {
+        static constexpr kj::StringPtr interim_response = "HTTP/1.1 100 Continue\r\n\r\n"_kj;
+        m_output.write(interim_response.begin(), interim_response.size());
+    }
+    auto reading = read_body(body, *received);
+    return reading.then([this, received = kj::mv(received), &response]() mutable {
+        return handle(kj::mv(*received), response);
+    });
+}
+
+kj::Promise<void> server_connection::read_body(kj::AsyncInputStream& body, api_request& request) const
+{
+    const std::size_t size = request.m_body.size();
+    const std::size_t read_size = std::clamp(size, least_read_size, max_read_size);
+    request.m_body.resize(size + read_size);
+    return body.tryRead(request.m_body.data() + size, 1, read_size)
+        .then([this, &body, &request, size](std::size_t received) -> kj::Promise<void> {
+            request.m_body.resize(size + received);
+            if (received == 0)
+                return kj::READY_NOW;
+            if (request.m_body.size() <= m_context.m_limits.m_max_body_bytes)
+                return read_body(body, request);
+            request.m_input_fault = reason::body_too_large;
+            request.m_body.clear();
+            return kj::READY_NOW;
+        });
+}
+
+kj::Promise<void> server_connection::handle(api_request request, Response& response)
+{
+    // The rest of the input may be unread.
+    m_is_closing = m_is_closing || request.m_input_fault != reason::none;
+    auto current = kj::heap<exchange>(m_context, m_socket);
+    auto answered = kj::evalNow([&] {
+                        return m_context.m_handler(std::move(request));
+                    }).catch_([](kj::Exception&& failure) -> api_response {
+        log_event(log_level::warning, "request_failed", {{"detail", failure.getDescription().cStr()}});
+        return {500, "", "text/plain", "may_have_run", "", false};
+    });
+    if (m_context.m_limits.m_is_cancelled_on_disconnect) {
+        answered = answered.exclusiveJoin(current->when_disconnected().then([] {
+            api_response dropped;
+            dropped.m_is_connection_dropped = true;
+            return dropped;
+        }));
+    }
+    return answered
+        .then([this, &response](api_response&& answer) { return respond(std::move(answer), response); })
+        .attach(kj::mv(current));
+}
+
+kj::Promise<void> server_connection::respond(api_response&& answer, Response& response)
+{
+    if (answer.m_is_connection_dropped) {
+        m_socket.shut_down();
+        return KJ_EXCEPTION(DISCONNECTED, "the connection was closed without a response");
+    }
+    m_is_closing = m_is_closing || answer.m_is_last_on_connection;
+    auto stream = response.send(answer.m_status, reason_phrase(answer.m_status),
+                                m_context.m_headers.make_headers(answer), answer.m_body.size());
+    if (answer.m_body.empty())
+        return kj::READY_NOW;
+    auto text = kj::heap<std::string>(std::move(answer.m_body));
+    auto written = stream->write(text->data(), text->size());
+    return written.attach(kj::mv(stream), kj::mv(text));
+}
+
+kj::Promise<void> server_connection::handleClientProtocolError(kj::HttpHeaders::ProtocolError error,
+                                                               Response& response)
+{
+    log_event(log_level::warning, "request_unreadable", {{"detail", error.description.cStr()}});
+    api_response answer;
+    answer.m_status = error.statusCode;
+    answer.m_verdict = "not_run";
+    answer.m_body = "{}";
+    return respond(std::move(answer), response);
+}
+
+} // namespace hawthornpin
--- a/http/server_stream.cpp
+++ b/http/server_stream.cpp
@@ -1,272 +1,160 @@
-// GIO stream types on top of a server_socket: a pair of pollable streams, and sources that check its
-// readiness.
+// Socket calls of an accepted connection.
 
 #include "http/server_stream.h"
 
+#include "core/event_loop.h"
+
+#include <kj/debug.h>
+
+#include <algorithm>
 #include <cerrno>
+#include <cstring>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <utility>
 
 namespace hawthornpin {
 
 namespace {
 
-using socket_pointer = std::shared_ptr<server_socket>;
-
-// Instances of the types that are registered below. GLib allocates and frees them, so their members are
-// created and destroyed by hand.
-struct stream_half {
-    // The base instance, a GInputStream or a GOutputStream; large enough for either.
-    union {
-        GInputStream m_input;
-        GOutputStream m_output;
-    };
-    socket_pointer* m_socket;
-};
-
-struct server_stream {
-    GIOStream m_base;
-    GInputStream* m_input;
-    GOutputStream* m_output;
-    socket_pointer* m_socket;
-};
-
-// Source that is ready when its socket is; dispatching it calls nothing.
-struct readiness_source {
-    GSource m_base;
-    socket_pointer* m_socket;
-    bool m_is_for_input;
-};
-
-server_socket& socket_of(gpointer half)
-{
-    return **static_cast<stream_half*>(half)->m_socket;
-}
-
-gssize to_gio_result(const transfer_result& result, GError** error)
-{
-    switch (result.m_status) {
-    case transfer_status::done:
-        return static_cast<gssize>(result.m_size);
-    case transfer_status::would_block:
-        g_set_error_literal(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK, "nothing can be transferred yet");
-        break;
-    case transfer_status::timed_out:
-        g_set_error_literal(error, G_IO_ERROR, G_IO_ERROR_TIMED_OUT, "the connection was idle for too long");
-        break;
-    case transfer_status::failed:
-        g_set_error_literal(error, G_IO_ERROR, g_io_error_from_errno(result.m_error_number),
-                            g_strerror(result.m_error_number));
-        break;
-    }
-    return -1;
-}
-
-gboolean is_ready(GSource* source)
-{
-    const auto* self = reinterpret_cast<readiness_source*>(source);
-    const server_socket& socket = **self->m_socket;
-    return (self->m_is_for_input ? socket.is_readable() : socket.is_writable()) ? TRUE : FALSE;
-}
+int open_streams = 0;
 
-gboolean prepare_source(GSource* source, gint* timeout)
+bool would_block()
 {
-    *timeout = -1;
-    return is_ready(source);
+    return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
 }
 
-gboolean dispatch_source(GSource* /*source*/, GSourceFunc /*callback*/, gpointer /*data*/)
+kj::Exception make_disconnected_error(const char* what)
 {
-    return G_SOURCE_CONTINUE;
+    return KJ_EXCEPTION(DISCONNECTED, what, std::strerror(errno));
 }
 
-void finalize_source(GSource* source)
-{
-    delete reinterpret_cast<readiness_source*>(source)->m_socket;
-}
-
-// GIO sets a dummy closure on the source, which GLib accepts only for sources that have a closure callback.
-gboolean ignore_closure(gpointer /*data*/)
-{
-    return G_SOURCE_CONTINUE;
-}
-
-GSource* new_pollable_source(gpointer stream, GCancellable* cancellable, bool is_for_input)
-{
-    static GSourceFuncs functions = {prepare_source,  is_ready,       dispatch_source,
-                                     finalize_source, ignore_closure, nullptr};
-    GSource* source = g_source_new(&functions, sizeof(readiness_source));
-    auto* readiness = reinterpret_cast<readiness_source*>(source);
-    readiness->m_socket = new socket_pointer(*static_cast<stream_half*>(stream)->m_socket);
-    readiness->m_is_for_input = is_for_input;
-    server_socket& socket = socket_of(stream);
-    g_source_set_ready_time(source,
-                            is_for_input ? socket.start_read_timeout() : socket.start_write_timeout());
-    GSource* pollable = g_pollable_source_new_full(stream, source, cancellable);
-    g_source_unref(source);
-    return pollable;
-}
-
-gssize read_stream(GInputStream* stream, void* buffer, gsize size, GCancellable* /*cancellable*/,
-                   GError** error)
-{
-    return to_gio_result(socket_of(stream).read(buffer, size), error);
-}
-
-gssize read_pollable(GPollableInputStream* stream, void* buffer, gsize size, GError** error)
-{
-    return to_gio_result(socket_of(stream).read(buffer, size), error);
-}
-
-gboolean is_pollable_readable(GPollableInputStream* stream)
-{
-    return socket_of(stream).is_readable() ? TRUE : FALSE;
-}
-
-GSource* create_input_source(GPollableInputStream* stream, GCancellable* cancellable)
-{
-    return new_pollable_source(stream, cancellable, true);
-}
-
-gssize write_stream(GOutputStream* stream, const void* buffer, gsize size, GCancellable* /*cancellable*/,
-                    GError** error)
-{
-    return to_gio_result(socket_of(stream).write(buffer, size), error);
-}
-
-gssize write_pollable(GPollableOutputStream* stream, const void* buffer, gsize size, GError** error)
-{
-    return to_gio_result(socket_of(stream).write(buffer, size), error);
-}
-
-gboolean is_pollable_writable(GPollableOutputStream* stream)
-{
-    return socket_of(stream).is_writable() ? TRUE : FALSE;
-}
-
-GSource* create_output_source(GPollableOutputStream* stream, GCancellable* cancellable)
-{
-    return new_pollable_source(stream, cancellable, false);
-}
+} // namespace
 
-// Frees the members of a stream_half, then those of its base type.
-void finalize_half(GObject* object)
+server_stream::server_stream(file_descriptor socket, unsigned idle_timeout_seconds)
+    : m_socket(std::move(socket)), m_watch(m_socket.number()), m_idle_timeout_ms(idle_timeout_seconds * 1'000)
 {
-    delete reinterpret_cast<stream_half*>(object)->m_socket;
-    const auto type = G_TYPE_FROM_INSTANCE(object);
-    G_OBJECT_CLASS(g_type_class_peek(g_type_parent(type)))->finalize(object);
+    const int enabled = 1;
+    ::setsockopt(m_socket.number(), IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled));
+    ++open_streams;
 }
 
-void init_input_class(gpointer type_class, gpointer /*data*/)
+server_stream::~server_stream() noexcept(false)
 {
-    G_OBJECT_CLASS(type_class)->finalize = finalize_half;
-    G_INPUT_STREAM_CLASS(type_class)->read_fn = read_stream;
+    --open_streams;
 }
 
-void init_output_class(gpointer type_class, gpointer /*data*/)
+int server_stream::count_open()
 {
-    G_OBJECT_CLASS(type_class)->finalize = finalize_half;
-    G_OUTPUT_STREAM_CLASS(type_class)->write_fn = write_stream;
+    return open_streams;
 }
 
-void init_pollable_input(gpointer interface, gpointer /*data*/)
+kj::Promise<void> server_stream::within_idle_timeout(kj::Promise<void> ready) const
 {
-    auto* methods = static_cast<GPollableInputStreamInterface*>(interface);
-    methods->is_readable = is_pollable_readable;
-    methods->create_source = create_input_source;
-    methods->read_nonblocking = read_pollable;
+    return ready.exclusiveJoin(after_delay(m_idle_timeout_ms).then([]() -> kj::Promise<void> {
+        return KJ_EXCEPTION(DISCONNECTED, "the connection was idle for too long");
+    }));
 }
 
-void init_pollable_output(gpointer interface, gpointer /*data*/)
+kj::Promise<std::size_t> server_stream::read(void* buffer, std::size_t min_bytes, std::size_t max_bytes)
 {
-    auto* methods = static_cast<GPollableOutputStreamInterface*>(interface);
-    methods->is_writable = is_pollable_writable;
-    methods->create_source = create_output_source;
-    methods->write_nonblocking = write_pollable;
+    return tryRead(buffer, min_bytes, max_bytes).then([min_bytes](std::size_t count) {
+        if (count < min_bytes)
+            kj::throwRecoverableException(
+                KJ_EXCEPTION(DISCONNECTED, "the connection ended inside a message"));
+        return count;
+    });
 }
 
-GInputStream* get_input(GIOStream* stream)
+kj::Promise<std::size_t> server_stream::tryRead(void* buffer, std::size_t min_bytes, std::size_t max_bytes)
 {
-    return reinterpret_cast<server_stream*>(stream)->m_input;
+    return fill(static_cast<kj::byte*>(buffer), min_bytes, max_bytes, 0);
 }
 
-GOutputStream* get_output(GIOStream* stream)
+kj::Promise<std::size_t> server_stream::fill(kj::byte* buffer, std::size_t min_bytes, std::size_t max_bytes,
+                                             std::size_t done)
 {
-    return reinterpret_cast<server_stream*>(stream)->m_output;
+    while (done < min_bytes && !std::exchange(m_is_drained, false)) {
+        const std::size_t room = max_bytes - done;
+        const ssize_t received = ::recv(m_socket.number(), buffer + done, room, MSG_DONTWAIT);
+        if (received == 0)
+            return done;
+        if (received < 0 && !would_block())
+            return make_disconnected_error("read failed");
+        if (received < 0)
+            break;
+        done += static_cast<std::size_t>(received);
+        // After a hang-up no later event reports the end of the stream, so it must be read.
+        m_is_drained = static_cast<std::size_t>(received) < room && !m_watch.has_hung_up();
+    }
+    if (done >= min_bytes)
+        return done;
+    return within_idle_timeout(m_watch.when_readable()).then([this, buffer, min_bytes, max_bytes, done] {
+        return fill(buffer, min_bytes, max_bytes, done);
+    });
 }
 
-gboolean close_stream(GIOStream* stream, GCancellable* /*cancellable*/, GError** /*error*/)
+kj::Promise<void> server_stream::write(const void* buffer, std::size_t size)
 {
-    (*reinterpret_cast<server_stream*>(stream)->m_socket)->close();
-    return TRUE;
+    const ssize_t sent = ::send(m_socket.number(), buffer, size, MSG_DONTWAIT | MSG_NOSIGNAL);
+    if (sent < 0 && !would_block())
+        return make_disconnected_error("write failed");
+    const auto done = static_cast<std::size_t>(std::max<ssize_t>(sent, 0));
+    if (done == size)
+        return kj::READY_NOW;
+    const auto* rest = static_cast<const kj::byte*>(buffer) + done;
+    return within_idle_timeout(m_watch.when_writable()).then([this, rest, left = size - done] {
+        return write(rest, left);
+    });
 }
 
-void finalize_stream(GObject* object)
+kj::Promise<void> server_stream::write(kj::ArrayPtr<const kj::ArrayPtr<const kj::byte>> pieces)
 {
-    auto* self = reinterpret_cast<server_stream*>(object);
-    g_object_unref(self->m_input);
-    g_object_unref(self->m_output);
-    delete self->m_socket;
-    G_OBJECT_CLASS(g_type_class_peek(G_TYPE_IO_STREAM))->finalize(object);
+    if (pieces.size() == 0)
+        return kj::READY_NOW;
+    return write(pieces.front().begin(), pieces.front().size()).then([this, pieces] {
+        return write(pieces.slice(1, pieces.size()));
+    });
 }
 
-void init_stream_class(gpointer type_class, gpointer /*data*/)
+kj::Promise<void> server_stream::whenWriteDisconnected()
 {
-    G_OBJECT_CLASS(type_class)->finalize = finalize_stream;
-    auto* methods = G_IO_STREAM_CLASS(type_class);
-    methods->get_input_stream = get_input;
-    methods->get_output_stream = get_output;
-    methods->close_fn = close_stream;
+    return kj::NEVER_DONE;
 }
 
-GType input_type()
+void server_stream::shutdownWrite()
 {
-    static const GType type = [] {
-        const GType registered = g_type_register_static_simple(
-            G_TYPE_INPUT_STREAM, "HawthornpinServerInput", sizeof(GInputStreamClass), init_input_class,
-            sizeof(stream_half), nullptr, G_TYPE_FLAG_NONE);
-        const GInterfaceInfo pollable = {init_pollable_input, nullptr, nullptr};
-        g_type_add_interface_static(registered, G_TYPE_POLLABLE_INPUT_STREAM, &pollable);
-        return registered;
-    }();
-    return type;
+    ::shutdown(m_socket.number(), SHUT_WR);
 }
 
-GType output_type()
+void server_stream::abortRead()
 {
-    static const GType type = [] {
-        const GType registered = g_type_register_static_simple(
-            G_TYPE_OUTPUT_STREAM, "HawthornpinServerOutput", sizeof(GOutputStreamClass), init_output_class,
-            sizeof(stream_half), nullptr, G_TYPE_FLAG_NONE);
-        const GInterfaceInfo pollable = {init_pollable_output, nullptr, nullptr};
-        g_type_add_interface_static(registered, G_TYPE_POLLABLE_OUTPUT_STREAM, &pollable);
-        return registered;
-    }();
-    return type;
+    ::shutdown(m_socket.number(), SHUT_RD);
 }
 
-GType stream_type()
+void server_stream::probe_peer()
 {
-    static const GType type =
-        g_type_register_static_simple(G_TYPE_IO_STREAM, "HawthornpinServerStream", sizeof(GIOStreamClass),
-                                      init_stream_class, sizeof(server_stream), nullptr, G_TYPE_FLAG_NONE);
-    return type;
+    // Once keep-alive is on, a connection that was idle for longer than this is probed at once.
+    constexpr int idle_seconds = 1;
+    const int enabled = 1;
+    ::setsockopt(m_socket.number(), SOL_SOCKET, SO_KEEPALIVE, &enabled, sizeof(enabled));
+    ::setsockopt(m_socket.number(), IPPROTO_TCP, TCP_KEEPIDLE, &idle_seconds, sizeof(idle_seconds));
 }
 
-gpointer new_half(GType type, const socket_pointer& socket)
+bool server_stream::end_probe(milliseconds span)
 {
-    auto* half = static_cast<stream_half*>(g_object_new(type, nullptr));
-    half->m_socket = new socket_pointer(socket);
-    return half;
+    tcp_info info{};
+    socklen_t length = sizeof(info);
+    const bool is_known = ::getsockopt(m_socket.number(), IPPROTO_TCP, TCP_INFO, &info, &length) == 0;
+    const int disabled = 0;
+    ::setsockopt(m_socket.number(), SOL_SOCKET, SO_KEEPALIVE, &disabled, sizeof(disabled));
+    return !is_known || std::min(info.tcpi_last_ack_recv, info.tcpi_last_data_recv) <= span.count();
 }
 
-} // namespace
-
-GIOStream* new_server_stream(const socket_pointer& socket)
+void server_stream::shut_down()
 {
-    auto* stream = static_cast<server_stream*>(g_object_new(stream_type(), nullptr));
-    stream->m_input = static_cast<GInputStream*>(new_half(input_type(), socket));
-    stream->m_output = static_cast<GOutputStream*>(new_half(output_type(), socket));
-    stream->m_socket = new socket_pointer(socket);
-    return &stream->m_base;
+    ::shutdown(m_socket.number(), SHUT_RDWR);
 }
 
 } // namespace hawthornpin
--- a/http/server_stream.h
+++ b/http/server_stream.h
@@ -1,17 +1,58 @@
-// A server's connection as a GIO stream, which libsoup requires.
+// An accepted connection as a KJ stream with an idle timeout.
 
 #pragma once
 
-#include "http/server_socket.h"
+#include "core/glib_stream.h"
+#include "core/reactor.h"
 
-#include <gio/gio.h>
+#include <kj/async-io.h>
 
-#include <memory>
+#include <functional>
 
 namespace hawthornpin {
 
-// Creates a stream, of which the caller owns one reference. Closing or freeing the stream closes the socket;
-// other owners may keep the server_socket object for longer.
-GIOStream* new_server_stream(const std::shared_ptr<server_socket>& socket);
+class server_stream final : public kj::AsyncIoStream {
+public:
+    // A read or write during which nothing is transferred for the idle timeout fails.
+    server_stream(file_descriptor socket, unsigned idle_timeout_seconds);
+    ~server_stream() noexcept(false);
+    KJ_DISALLOW_COPY(server_stream);
+
+    // Number of connections that clients have open to the HTTP servers of this process.
+    static int count_open();
+
+    kj::Promise<std::size_t> read(void* buffer, std::size_t min_bytes, std::size_t max_bytes) override;
+    kj::Promise<std::size_t> tryRead(void* buffer, std::size_t min_bytes, std::size_t max_bytes) override;
+    kj::Promise<void> write(const void* buffer, std::size_t size) override;
+    kj::Promise<void> write(kj::ArrayPtr<const kj::ArrayPtr<const kj::byte>> pieces) override;
+    kj::Promise<void> whenWriteDisconnected() override;
+    void shutdownWrite() override;
+    void abortRead() override;
+
+    // Calls `action` once the peer has closed its side or the connection has failed, immediately if that has
+    // already happened. An empty action removes the callback.
+    void set_hangup_callback(std::function<void()> action) { m_watch.set_hangup_callback(std::move(action)); }
+
+    // Asks the peer's TCP to acknowledge that the connection still exists. Has an effect only if nothing was
+    // received for a second.
+    void probe_peer();
+    // Ends the probe. Whether the peer has been heard within `span`; true if the system does not tell.
+    bool end_probe(milliseconds span);
+
+    // Shuts down both directions: the peer sees the end of the connection, and pending transfers fail.
+    void shut_down();
+
+private:
+    kj::Promise<std::size_t> fill(kj::byte* buffer, std::size_t min_bytes, std::size_t max_bytes,
+                                  std::size_t done);
+    kj::Promise<void> within_idle_timeout(kj::Promise<void> ready) const;
+
+    file_descriptor m_socket;
+    descriptor_watch m_watch;
+    unsigned m_idle_timeout_ms;
+    // Whether the last read emptied the socket; another one before the socket is ready again would find
+    // nothing.
+    bool m_is_drained = false;
+};
 
 } // namespace hawthornpin
--- a/main/process_gauges.cpp
+++ b/main/process_gauges.cpp
@@ -4,7 +4,7 @@
 
 #include "core/glib_stream.h"
 #include "core/reactor.h"
-#include "http/server_socket.h"
+#include "http/server_stream.h"
 
 #include <fstream>
 #include <sys/resource.h>
@@ -38,7 +38,7 @@
     counts.set_gauge("process_cpu_seconds", to_seconds(usage.ru_utime) + to_seconds(usage.ru_stime));
     counts.set_gauge("process_resident_bytes", read_resident_bytes());
     counts.set_gauge("event_loop_iterations", static_cast<double>(reactor::instance().iterations()));
-    counts.set_gauge("http_connections", server_socket::count_open());
+    counts.set_gauge("http_connections", server_stream::count_open());
     const stream_totals& totals = process_stream_totals();
     counts.set_gauge("rpc_bytes_in", static_cast<double>(totals.m_bytes_in));
     counts.set_gauge("rpc_bytes_out", static_cast<double>(totals.m_bytes_out));
--- a/tests/http/server_stream_test.cpp
+++ b/tests/http/server_stream_test.cpp
@@ -6,6 +6,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <netinet/in.h>
@@ -38,9 +39,12 @@
 
     void send_request(const std::string& path, const std::string& body) const
     {
-        const std::string text = "POST " + path +
-                                 " HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(body.size()) +
-                                 "\r\n\r\n" + body;
+        send_text("POST " + path + " HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(body.size()) +
+                  "\r\n\r\n" + body);
+    }
+
+    void send_text(const std::string& text) const
+    {
         REQUIRE(::send(m_socket.number(), text.data(), text.size(), 0) == static_cast<ssize_t>(text.size()));
     }
 
@@ -63,6 +67,21 @@
         return received;
     }
 
+    // Runs the loop until `end` has arrived at the end of the input or the server has closed the connection.
+    std::string receive_until(const std::string& end)
+    {
+        std::string received;
+        while (!received.ends_with(end) && !m_is_closed)
+            received += receive(1);
+        return received;
+    }
+
+    // Lets the server read what was sent.
+    void run_loop()
+    {
+        run_until_complete(m_loop, after_delay(1).then([] { return true; }));
+    }
+
     // Reads the rest of a response that the server has sent completely.
     void receive_rest()
     {
@@ -208,4 +227,84 @@
     CHECK(is_over);
 }
 
+TEST_CASE("a client that expects permission to send its body gets it, unless the body is too large")
+{
+    served_client client([](const api_request& request) -> kj::Promise<api_response> {
+        return make_text(request.m_input_fault == reason::none ? request.m_body : "refused");
+    });
+    client.send_text("POST /job HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n");
+    CHECK(client.receive_until("\r\n\r\n") == "HTTP/1.1 100 Continue\r\n\r\n");
+    client.send_text("body");
+    CHECK(client.receive_until("body").starts_with("HTTP/1.1 200 OK\r\n"));
+    client.send_text(
+        "POST /job HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 99999999\r\n\r\n");
+    CHECK(client.receive_until("refused").starts_with("HTTP/1.1 200 OK\r\n"));
+}
+
+TEST_CASE("a body without a declared length is read completely, up to the limit")
+{
+    served_client client([](const api_request& request) -> kj::Promise<api_response> {
+        return make_text(request.m_input_fault == reason::body_too_large
+                             ? "too large"
+                             : "size " + std::to_string(request.m_body.size()) + ".");
+    });
+    const std::string head = "POST /job HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    client.send_text(head + "5\r\nabcde\r\n3\r\nfgh\r\n0\r\n\r\n");
+    CHECK(client.receive_until("size 8.").ends_with("size 8."));
+    constexpr std::size_t chunk_bytes = 0x10000;
+    client.send_text(head);
+    for (std::size_t sent = 0; sent <= api_limits().m_max_body_bytes; sent += chunk_bytes) {
+        client.send_text("10000\r\n" + std::string(chunk_bytes, 'x') + "\r\n");
+        client.run_loop();
+    }
+    CHECK(client.receive_until("too large").find("Connection: close") != std::string::npos);
+}
+
+TEST_CASE("a client that asks to close the connection gets its response and then the end of the stream")
+{
+    served_client client([](const api_request&) -> kj::Promise<api_response> {
+        return make_text(std::string(large_body_bytes, 'x') + "end");
+    });
+    client.send_text("GET /job HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    CHECK(client.receive_until("end").find("Connection: close") != std::string::npos);
+    CHECK(client.receive_until("more").empty());
+    CHECK(client.is_closed());
+}
+
+TEST_CASE("the path of a request is decoded, its query is not")
+{
+    served_client client([](const api_request& request) -> kj::Promise<api_response> {
+        return make_text("<" + request.m_path + "|" + request.m_query + ">");
+    });
+    const auto ask = [&](const std::string& target) {
+        client.send_text("GET " + target + " HTTP/1.1\r\nHost: h\r\n\r\n");
+        const std::string text = client.receive_until(">");
+        return text.substr(std::min(text.find('<'), text.size()));
+    };
+    CHECK(ask("/a%20b/c?key=%20") == "</a b/c|key=%20>");
+    CHECK(ask("http://h:80/a?b") == "</a|b>");
+    CHECK(ask("/") == "</|>");
+    CHECK(ask("/%zz") == "</%zz|>");
+}
+
+TEST_CASE("a request that can't be parsed is refused as not run")
+{
+    served_client client([](const api_request&) -> kj::Promise<api_response> { return make_text("done"); });
+    client.send_text("GET /job\r\nno header\r\n\r\n");
+    const std::string text = client.receive_until("{}");
+    CHECK(text.starts_with("HTTP/1.1 400"));
+    CHECK(text.find("Hawthornpin-Verdict: not_run") != std::string::npos);
+}
+
+TEST_CASE(
+    "the handler's failure is reported as a request that may have run, also if a connection of it broke")
+{
+    served_client client([](const api_request&) -> kj::Promise<api_response> {
+        return KJ_EXCEPTION(DISCONNECTED, "another connection");
+    });
+    client.send_request("/job", "{}");
+    const std::string text = client.receive_until("may_have_run\r\n\r\n");
+    CHECK(text.starts_with("HTTP/1.1 500"));
+}
+
 } // namespace hawthornpin
