An object that a repeated JSON member replaced is not used after it was freed

Cause: the detector of repeated members kept pointers to objects of a document that is still being parsed. A member given twice frees the object that it replaces. parse_collected() then added a reference to freed memory and removed its members, and an object that the parser put at the same address counted as ambiguous and lost its members. What operators saw: nothing, or a process ended by the allocator; an entry of another writer with such a member is enough.

Change: the detector holds a reference to each object that it has seen. Evidence: json_object_ref: assertion 'object->ref_count > 0' failed, in the existing test of odd entries, as a message that no test noticed. Found on the way, when the tests of the HTTP server were run.

--- a/core/json.cpp
+++ b/core/json.cpp
@@ -3,23 +3,45 @@
 #include "core/json.h"
 
 #include <algorithm>
+#include <map>
 #include <set>
 
 namespace hawthornpin {
 
 namespace {
 
-// Records the members of each object during parsing; a repeated member makes the document ambiguous.
-struct duplicate_key_detector {
-    std::set<std::pair<const JsonObject*, std::string>> m_seen;
+// Records the members of each object during parsing; a repeated member makes the document ambiguous. Keeps
+// the objects alive, because the parser frees one that a repeated member replaces, and may reuse its address.
+class duplicate_key_detector {
+public:
+    duplicate_key_detector() = default;
+    ~duplicate_key_detector()
+    {
+        for (const auto& [object, members] : m_members)
+            json_object_unref(object);
+    }
+    duplicate_key_detector(const duplicate_key_detector&) = delete;
+    duplicate_key_detector& operator=(const duplicate_key_detector&) = delete;
+
+    void record_member(JsonObject* object, const char* name)
+    {
+        const auto [position, is_new] = m_members.try_emplace(object);
+        if (is_new)
+            json_object_ref(object);
+        if (!position->second.emplace(name).second)
+            m_ambiguous.insert(object);
+    }
+
+    const std::set<JsonObject*>& ambiguous() const { return m_ambiguous; }
+
+private:
+    std::map<JsonObject*, std::set<std::string>> m_members;
     std::set<JsonObject*> m_ambiguous;
 };
 
 void on_object_member(JsonParser* /*parser*/, JsonObject* object, const char* name, gpointer data)
 {
-    auto* detector = static_cast<duplicate_key_detector*>(data);
-    if (!detector->m_seen.emplace(object, name).second)
-        detector->m_ambiguous.insert(object);
+    static_cast<duplicate_key_detector*>(data)->record_member(object, name);
 }
 
 void remove_members(JsonObject* object)
@@ -282,7 +304,7 @@
     if (!document)
         return std::nullopt;
     g_signal_handlers_disconnect_by_data(parser, &detector);
-    if (!detector.m_ambiguous.empty()) {
+    if (!detector.ambiguous().empty()) {
         why = reason::duplicate_key;
         return std::nullopt;
     }
@@ -301,13 +323,8 @@
     if (!document)
         return std::nullopt;
     g_signal_handlers_disconnect_by_data(parser, &detector);
-    // One may contain another, which must outlive the removal.
-    for (JsonObject* ambiguous : detector.m_ambiguous)
-        json_object_ref(ambiguous);
-    for (JsonObject* ambiguous : detector.m_ambiguous)
+    for (JsonObject* ambiguous : detector.ambiguous())
         remove_members(ambiguous);
-    for (JsonObject* ambiguous : detector.m_ambiguous)
-        json_object_unref(ambiguous);
     return document;
 }
 
