Homes share the agents evenly

Cause: the share of agents was bounded from above only, rounded up, so that the homes ranked last were left with what remained: of 51 agents and 12 homes one home had a single agent, the others 5. The header promised as many as the others, give or take one. What callers saw: refusals at homes with one worker while others had room.

Change: only as many homes as there are agents left over get one more.

The test of even shares now has a lower bound and 47 and 51 agents: red before (1 agent where 4 are due).

--- a/membership/home_choice.cpp
+++ b/membership/home_choice.cpp
@@ -57,17 +57,21 @@
     std::map<std::string, std::vector<home_candidate>> ranked_homes;
     if (homes.empty())
         return ranked_homes;
-    // Rendezvous hashing with bounded loads: a home with a full share is skipped.
-    const std::size_t share = (agents.size() + homes.size() - 1) / homes.size();
+    // Rendezvous hashing with bounded loads: a home with a full share is skipped. Only as many homes as there
+    // are agents left over have one more; otherwise the last homes would be left with less than the others.
+    const std::size_t share = agents.size() / homes.size();
+    std::size_t left_over = agents.size() % homes.size();
     std::map<std::string, std::size_t> loads;
     const auto rank_homes = [&](const home_candidate& agent) {
         auto ranked = choose_lowest_ranked(homes, agent.m_id, homes.size());
         auto first = std::find(ranked.begin(), ranked.end(), agent);
         if (first == ranked.end())
-            first = std::find_if(ranked.begin(), ranked.end(),
-                                 [&](const home_candidate& home) { return loads[home.m_id] < share; });
+            first = std::find_if(ranked.begin(), ranked.end(), [&](const home_candidate& home) {
+                return loads[home.m_id] < share + (left_over > 0 ? 1 : 0);
+            });
         std::rotate(ranked.begin(), first, first + 1);
-        ++loads[ranked.front().m_id];
+        if (++loads[ranked.front().m_id] > share)
+            --left_over;
         ranked.resize(std::min(count, ranked.size()));
         ranked_homes[agent.m_id] = std::move(ranked);
     };
--- a/tests/membership/home_choice_test.cpp
+++ b/tests/membership/home_choice_test.cpp
@@ -71,7 +71,7 @@
 TEST_CASE("homes are the first home of nearly as many agents each, and of themselves")
 {
     const home_choice_limits limits;
-    for (const std::size_t count : {25, 59, 60, 160}) {
+    for (const std::size_t count : {25, 47, 51, 59, 60, 160}) {
         CAPTURE(count);
         const auto agents = make_agents(count);
         const auto homes = choose_homes(agents, limits, false);
@@ -83,8 +83,10 @@
             ++agents_by_home[ranked_homes.front().m_id];
         }
         CHECK(agents_by_home.size() == homes.size());
-        for (const auto& [home, first_of] : agents_by_home)
+        for (const auto& [home, first_of] : agents_by_home) {
             CHECK(first_of <= (count + homes.size() - 1) / homes.size());
+            CHECK(first_of >= count / homes.size());
+        }
         for (const home_candidate& home : homes)
             CHECK(ranked.at(home.m_id).front() == home);
     }
