Entries compare homes by their room for each agent

Cause: an entry took the home that lacks the least room in all. In an overload a home with few agents lacks little, because it refuses most of what it gets, and so attracted further jobs: the least loaded server is the one that refuses. What callers saw: jobs refused by one small home after the other of their three tries.

Change: homes are compared by the room that the job would leave for each of their agents, which, if negative, measures the wait.

Evidence: home_table_test, a small home without room: red before (the small one chosen 20 times of 20), passes now.

--- a/routing/home_table.cpp
+++ b/routing/home_table.cpp
@@ -20,9 +20,12 @@
     return home.m_status.m_free_milli - home.m_unreported_milli;
 }
 
-bool has_more_room(const home_view& left, const home_view& right)
+// Room that would be left for each agent of the home, in thousandths of a core; if negative, a measure of the
+// wait. Not the room of all its agents: a small home that is full lacks little room, and would attract the
+// jobs of a service that is overloaded.
+double estimate_relative_room(const home_view& home, std::int64_t demand_milli)
 {
-    return estimate_room(left) >= estimate_room(right);
+    return static_cast<double>(estimate_room(home) - demand_milli) / home.m_status.m_usable_agents;
 }
 
 void begin_session(home_table& table, home_view& home)
@@ -69,14 +72,15 @@
     const std::size_t step =
         available.size() > 1 ? 1 + random_below(table.m_random, available.size() - 1) : 0;
     const std::string& second = available[(drawn + step) % available.size()];
-    const std::string& roomier =
-        has_more_room(table.m_homes.at(first), table.m_homes.at(second)) ? first : second;
-    if (estimate_room(table.m_homes.at(roomier)) >= demand_milli)
+    const auto room = [&](const std::string& id) {
+        return estimate_relative_room(table.m_homes.at(id), demand_milli);
+    };
+    const std::string& roomier = room(first) >= room(second) ? first : second;
+    if (room(roomier) >= 0)
         return roomier;
     return *std::max_element(
-        available.begin(), available.end(), [&table](const std::string& left, const std::string& right) {
-            return estimate_room(table.m_homes.at(left)) < estimate_room(table.m_homes.at(right));
-        });
+        available.begin(), available.end(),
+        [&room](const std::string& left, const std::string& right) { return room(left) < room(right); });
 }
 
 entry_heartbeat make_entry_heartbeat(const home_table& table, const std::string& home)
--- a/routing/home_table.h
+++ b/routing/home_table.h
@@ -70,8 +70,8 @@
 void set_chosen_homes(home_table& table, const std::vector<home_candidate>& homes);
 
 // Chooses the home for a new job with this processor demand, in thousandths of a core: of two responding
-// homes drawn at random the one with more room or, if that is too small for the job, the one with the most
-// room of all. Empty if no home responds.
+// homes drawn at random the one with more room for each of its agents or, if that is too small for the job,
+// the one with the most such room of all. Empty if no home responds.
 std::optional<std::string> choose_home(home_table& table, const std::set<std::string>& excluded,
                                        std::int64_t demand_milli, instant now);
 
--- a/tests/routing/home_table_test.cpp
+++ b/tests/routing/home_table_test.cpp
@@ -78,6 +78,17 @@
         CHECK(choose_home(m_table, {}, 20'000, at_ms(1'010)) == "c");
 }
 
+TEST_CASE_FIXTURE(home_table_fixture,
+                  "a small home without room does not attract the jobs of an overloaded service")
+{
+    set_chosen_homes(m_table, {{"a", "10.0.0.1:1"}, {"b", "10.0.0.2:1"}, {"c", "10.0.0.3:1"}});
+    answer("a", 1'005, {0, 6, false, -4'000});
+    answer("b", 1'005, {0, 1, false, -1'500});
+    answer("c", 1'005, {0, 6, false, -5'000});
+    for (int job = 0; job < 20; ++job)
+        CHECK(choose_home(m_table, {}, 2'400, at_ms(1'010)) == "a");
+}
+
 TEST_CASE_FIXTURE(home_table_fixture, "heartbeats are due at their interval, one at a time for each home")
 {
     CHECK(take_due_home_heartbeats(m_table, at_ms(1'100)).size() == 2);
