Only admitted jobs count as demand that arrives above a priority

Cause: submit_job recorded the demand of a job before it was admitted, so a refused job, and one that was tried at three homes, counted each time as demand that takes room from lower priorities. What callers saw: jobs of the lowest priority refused in a burst of another, for demand that was never served.

--- a/dispatch/job_scheduler.cpp
+++ b/dispatch/job_scheduler.cpp
@@ -250,12 +250,12 @@
     if (scheduler.m_jobs.contains(request.m_id))
         return;
     live_job job = make_live_job(scheduler, request, queue, caller_timeout, now);
-    record_demand(scheduler.m_demand[queue.m_service], queue.m_priority, initial_demand(request), now);
     const auto refusal = check_admission(scheduler, job, now);
     if (refusal) {
         refuse(scheduler, request.m_id, *refusal);
         return;
     }
+    record_demand(scheduler.m_demand[queue.m_service], queue.m_priority, initial_demand(request), now);
     live_job& admitted = scheduler.m_jobs.emplace(request.m_id, std::move(job)).first->second;
     for (std::uint32_t step = 0; step < admitted.m_steps.size(); ++step) {
         if (admitted.m_steps[step].m_unfinished_dependencies == 0)
--- a/dispatch/job_scheduler.h
+++ b/dispatch/job_scheduler.h
@@ -195,7 +195,7 @@
 
     agent_table m_agents;
     duration_estimator m_estimator;
-    // Demand of the submitted jobs, whether they were admitted or not, by service.
+    // Demand of the admitted jobs, by service.
     std::map<std::string, demand_meter> m_demand;
     std::map<std::string, live_job> m_jobs;
     std::set<ready_key> m_ready;
