A burst of one queue takes nothing from the usual load of others

Cause: the priority of a queue decided alone who gets room, so that a burst of one queue took the room of all lower ones, whatever these had before.

Change: an entry compares each queue's present load with its usual one. What exceeds it by more than chance explains, and by more than the service's other queues have grown, is forwarded with a priority behind all others. The rate that the estimate leaves a low priority at the least is a tenth of the releases instead of a twentieth, since it is the difference of two estimates of what varies much.

--- a/dispatch/job_admission.cpp
+++ b/dispatch/job_admission.cpp
@@ -96,7 +96,7 @@
     const auto meter = scheduler.m_demand.find(service);
     const double arriving = meter == scheduler.m_demand.end() ? 0 : rate_above(meter->second, priority, now);
     // A low priority is left a share, because both rates are estimates of what varies much.
-    constexpr double least_share = 0.05;
+    constexpr double least_share = 0.1;
     const double released =
         relative_release_rate(scheduler, service) * static_cast<double>(load.m_busy_milli);
     const double rate = std::max(released - arriving, least_share * released);
@@ -180,6 +180,14 @@
     return demand;
 }
 
+double declared_work(const work_request& request)
+{
+    double work = 0;
+    for (const job_step& step : request.m_steps)
+        work += static_cast<double>(step.m_per_task.m_cpu_milli) * step.m_task_count * step.m_estimate_ms;
+    return work;
+}
+
 std::int64_t free_for_new_jobs(const job_scheduler& scheduler, instant now)
 {
     std::int64_t free = 0;
--- a/dispatch/job_admission.h
+++ b/dispatch/job_admission.h
@@ -29,6 +29,9 @@
 // Processor demand of the tasks of a job that can start at once, in thousandths of a core.
 std::int64_t initial_demand(const work_request& request);
 
+// Processor time that a job is declared to need, in thousandths of a core for a millisecond.
+double declared_work(const work_request& request);
+
 // Free processors of the workers that this home orders from, less what its ready tasks demand, in thousandths
 // of a core.
 std::int64_t free_for_new_jobs(const job_scheduler& scheduler, instant now);
--- a/main/platform_entry.h
+++ b/main/platform_entry.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "admission/burst_detector.h"
 #include "admission/limits.h"
 #include "admission/overload_control.h"
 #include "config/queue_index.h"
@@ -144,6 +145,8 @@
     // Bounds how many jobs are submitted to a further home, so that an overload does not multiply its own
     // work.
     retry_budget m_retries = make_home_retry_budget();
+    // By service.
+    std::map<std::string, burst_detector> m_bursts;
     // Refuses jobs while this process is short of processor time.
     overload_control m_overload;
     instant m_homes_chosen_at;
--- a/main/platform_entry_callers.cpp
+++ b/main/platform_entry_callers.cpp
@@ -135,10 +135,15 @@
     if (is_known)
         return answer;
     m_arrivals[id] = {boot_now(), queue.m_name};
+    queue_contract ranked = queue;
+    if (record_arrival(m_bursts[queue.m_service], queue.m_name, declared_work(*job), boot_now())) {
+        m_metrics.count_labelled("burst_jobs", queue.m_name);
+        ranked.m_priority = burst_priority(queue.m_priority);
+    }
     if (is_forwarding())
-        forward_job({*job, queue, boot_now() + read_caller_timeout(request), {}});
+        forward_job({*job, ranked, boot_now() + read_caller_timeout(request), {}});
     else
-        m_home.submit(*job, queue, read_caller_timeout(request));
+        m_home.submit(*job, ranked, read_caller_timeout(request));
     return answer;
 }
 
--- a/main/platform_entry_homes.cpp
+++ b/main/platform_entry_homes.cpp
@@ -94,6 +94,7 @@
     log_event(log_level::info, "job_handed_on",
               {{"job", id},
                {"queue", job.m_queue.m_name},
+               {"priority", std::to_string(job.m_queue.m_priority)},
                {"home", *home},
                {"jobs_there", std::to_string(m_home_table.m_homes.at(*home).m_jobs.size())},
                {"configuration", std::to_string(m_configuration->directory().m_version)}});
--- a/tests/model/load_test.cpp
+++ b/tests/model/load_test.cpp
@@ -83,4 +83,23 @@
     }
 }
 
+// Guards against a burst that takes the share of jobs whose priority is lower but whose load is as usual.
+TEST_CASE("model: one kind's burst does not starve jobs of lower priority")
+{
+    constexpr double most_of_it = 0.9;
+    model_settings settings = make_busy_service();
+    settings.m_duration_ms = 9'000;
+    const model_result calm = run_load(settings);
+    model_job_kind& bursting = settings.m_job_kinds.at(1);
+    REQUIRE(bursting.m_name == medium);
+    bursting.m_burst_factor = 1.8;
+    bursting.m_burst_start_ms = 4'000;
+    bursting.m_burst_length_ms = 4'000;
+    const model_result burst = run_load(settings);
+    for (const std::string& kind : {wide_and_short, long_running}) {
+        CAPTURE(kind);
+        CHECK(share_on_time(burst, kind) >= most_of_it * share_on_time(calm, kind));
+    }
+}
+
 } // namespace hawthornpin::model
--- a/tests/model/model_processes.h
+++ b/tests/model/model_processes.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "admission/burst_detector.h"
 #include "admission/limits.h"
 #include "admission/overload_control.h"
 #include "membership/home_assignment.h"
@@ -61,6 +62,7 @@
     // Homes that refused a job.
     std::map<std::string, std::set<std::string>> m_refused_by;
     retry_budget m_retries = make_home_retry_budget();
+    burst_detector m_bursts;
     overload_control m_overload;
 };
 
@@ -82,6 +84,8 @@
     long long m_arrived_ms = 0;
     bool m_has_started = false;
     bool m_is_refused = false;
+    // Whether its last entry counts it as one of a burst.
+    bool m_is_burst = false;
     int m_answers = 0;
     // Attempts that were submitted and not refused. While there are any, the job may run.
     int m_open_attempts = 0;
--- a/tests/model/platform_model.cpp
+++ b/tests/model/platform_model.cpp
@@ -382,6 +382,8 @@
     if (kind) {
         queue.m_name = m_settings.m_job_kinds[*kind].m_name;
         queue.m_priority = m_settings.m_job_kinds[*kind].m_priority;
+        if (m_job_statuses.at(job).m_is_burst)
+            queue.m_priority = burst_priority(queue.m_priority);
     }
     queue.m_service = "svc";
     queue.m_max_attempts = 2;
--- a/tests/model/platform_model_fronts.cpp
+++ b/tests/model/platform_model_fronts.cpp
@@ -18,6 +18,7 @@
     entry.m_retries = make_home_retry_budget();
     entry.m_refused_by.clear();
     entry.m_overload = overload_control();
+    entry.m_bursts = burst_detector();
     entry.m_homes.m_self = entry.m_id;
     entry.m_homes.m_random.seed(m_settings.m_seed + entry.m_incarnation);
     set_chosen_homes(entry.m_homes,
@@ -75,6 +76,11 @@
         refuse_at_entry(job);
         return;
     }
+    if (is_received && is_new) {
+        job_status& status = m_job_statuses.at(job);
+        status.m_is_burst = record_arrival(entry.m_bursts, make_queue_contract(job).m_name,
+                                           declared_work(status.m_request), now());
+    }
     const auto chosen =
         is_received ? choose_home(entry.m_homes, entry.m_refused_by[job], demand, now()) : std::nullopt;
     if (!is_received) {
