--- a/tests/dispatch/job_priority_test.cpp
+++ b/tests/dispatch/job_priority_test.cpp
@@ -62,6 +62,23 @@
     CHECK_FALSE(refuses(0));
 }
 
+TEST_CASE_FIXTURE(scheduler_fixture, "a refused job is no demand that lower priorities wait for")
+{
+    add_agent("a", 0);
+    const work_request request = make_long_request("high", 4);
+    constexpr int jobs = 20;
+    for (int index = 0; index < jobs; ++index)
+        submit(make_long_request("high-" + std::to_string(index), 4), 1, caller_timeout_ms, 0);
+    const auto refused = static_cast<int>(take_answers().size());
+    REQUIRE(refused > 0);
+    REQUIRE(refused < jobs);
+    demand_meter admitted;
+    for (int index = refused; index < jobs; ++index)
+        record_demand(admitted, 0, initial_demand(request), at_ms(1));
+    CHECK(rate_above(m_scheduler.m_demand["svc"], 1, at_ms(1)) ==
+          doctest::Approx(rate_above(admitted, 1, at_ms(1))));
+}
+
 TEST_CASE("demand counts for lower priorities only, and fades")
 {
     demand_meter meter;
