--- a/tests/http/api_server_test.cpp
+++ b/tests/http/api_server_test.cpp
@@ -216,6 +216,7 @@
 
     constexpr int connections = 100;
     std::vector<raw_client> idle_clients;
+    idle_clients.reserve(connections);
     for (int index = 0; index < connections; ++index)
         idle_clients.push_back(server.connect());
     server.warm_up(idle_clients);
