--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -1,4 +1,4 @@
-// A worker runs a task and its answer is lost; the repeated start is answered 503.
+// A worker with tasks at work is emptied and taken away.
 
 #include "../stand_ins/deployment.hh"
 
@@ -8,19 +8,28 @@
 
 namespace {
 
-constexpr int job_count = 200;
-constexpr long long job_interval_ms = 50;
-// The mean work of a seat-hold, and that of every tenth here; the most is 240.
-constexpr long long work_ms = 60;
-constexpr long long long_work_ms = 150;
-// One of the first 40 answers or more is lost: 2.5%.
-constexpr int least_starts = 40;
-// The agent repeats a start that was not answered after 100 ms, unless a listing shows the run before.
-constexpr long long repeated_after_ms = 110;
+// Bounds of the deployment.
+constexpr long long drain_ms = 2000;
+// The worker needs this long to end once its deregistration is acknowledged; a stop may take 50 ms.
+constexpr long long end_ms = 40;
+// The longest work of a booking-confirm.
+constexpr long long work_ms = 3600;
 
-std::string job_id(int number)
+// The longest time for which two runs of one task were at work.
+long long find_overlap(const std::vector<observed_run>& runs)
 {
-    return "00000000000f" + std::to_string(1000 + number);
+    long long longest = 0;
+    for (const observed_run& left : runs) {
+        for (const observed_run& right : runs) {
+            if (left.m_task != right.m_task || left.m_number >= right.m_number)
+                continue;
+            const long long left_end = left.m_end < 0 ? now_ms() : left.m_end;
+            const long long right_end = right.m_end < 0 ? now_ms() : right.m_end;
+            longest =
+                std::max(longest, std::min(left_end, right_end) - std::max(left.m_begin, right.m_begin));
+        }
+    }
+    return longest;
 }
 
 } // namespace
@@ -29,76 +38,33 @@
 {
     record lines(arguments[1]);
     const bool has_trouble = std::strcmp(arguments[2], "0") != 0;
+    const bool is_reset = std::strcmp(arguments[2], "2") == 0;
     deployment system(lines);
-    if (!system.start({{"seat-hold", "/seat/"}}))
+    if (!system.start({{"booking-confirm", "/booking/"}}))
         return conclude(lines, 2, "the deployment did not start");
-    std::mutex mutex;
-    int starts = 0;
-    std::string affected_run;
-    int starts_of_run = 0;
-    for (const auto& started : system.m_workers) {
-        worker& here = *started;
-        here.set_interceptor(
-            [&](const http_message& request, connection& from) -> std::optional<std::string> {
-                if (request.m_path != "/hawthornpin/run-start")
-                    return std::nullopt;
-                const std::string task = json_text(request.m_body, "task");
-                const bool is_long =
-                    json_text(request.m_body, "spec").ends_with(" " + std::to_string(long_work_ms));
-                int number = 0;
-                {
-                    const std::lock_guard lock(mutex);
-                    ++starts;
-                    if (has_trouble && affected_run.empty() && is_long && starts > least_starts &&
-                        here.hold_left() > repeated_after_ms)
-                        affected_run = task;
-                    if (affected_run.empty() || task != affected_run)
-                        return std::nullopt;
-                    number = ++starts_of_run;
-                }
-                if (number == 1) {
-                    here.run_start(request.m_body);
-                    lines.write("the answer to this start is lost");
-                    from.keep_silent();
-                    return "";
-                }
-                if (number > 2)
-                    return std::nullopt;
-                lines.write("the repeated start of " + task + " is answered 503");
-                return format_response(503, "{}");
-            });
-    }
-    std::vector<int> status(job_count, 0);
-    std::vector<std::thread> callers;
-    const long long begin = now_ms();
-    for (int number = 0; number < job_count; ++number) {
-        sleep_until(begin + number * job_interval_ms);
-        callers.emplace_back([&, number] {
-            const long long work = number % 10 == 9 ? long_work_ms : work_ms;
-            const std::string job = make_job("1600 " + std::to_string(work), 1, 1600, work_ms);
-            status[static_cast<std::size_t>(number)] =
-                system.submit(number % deployment::entry_count, "/seat/" + job_id(number), job, 1500)
-                    .m_status;
-        });
-    }
-    for (std::thread& caller : callers)
+    http_message answer;
+    std::thread caller([&] {
+        const std::string job = make_job("1600 " + std::to_string(work_ms), 4, 1600, work_ms);
+        answer = system.submit(0, "/booking/00000000000000e1", job, 10'000);
+    });
+    sleep_ms(200);
+    const auto first = system.m_seen.runs();
+    if (first.empty()) {
         caller.join();
-    int refused = 0;
-    int refused_and_started = 0;
-    int completed = 0;
-    for (int number = 0; number < job_count; ++number) {
-        const int answer = status[static_cast<std::size_t>(number)];
-        completed += answer == 200 ? 1 : 0;
-        const bool is_refused = answer == 429 || answer == 503;
-        refused += is_refused ? 1 : 0;
-        for (const observed_run& run : system.m_seen.runs())
-            refused_and_started += is_refused && run.m_task.starts_with(job_id(number)) ? 1 : 0;
+        return conclude(lines, 2, "no task started");
+    }
+    worker& leaving = system.find_worker(first.front().m_worker);
+    if (has_trouble) {
+        const long long acknowledged_at = leaving.drain();
+        sleep_until(acknowledged_at + drain_ms + 300);
+        leaving.deregister(is_reset);
+        sleep_ms(is_reset ? 2'000 : end_ms);
+        leaving.crash();
     }
-    if (completed == 0 || (has_trouble && starts_of_run < 2))
-        return conclude(lines, 2, "no job was completed, or no start was affected");
-    return conclude(lines, refused_and_started > 0 ? 1 : 0,
-                    "REFUSED: " + std::to_string(refused_and_started) + " tasks started of the " +
-                        std::to_string(refused) + " jobs that were refused; " + std::to_string(completed) +
-                        " of " + std::to_string(job_count) + " completed; " + std::to_string(starts) +
-                        " starts were sent");
+    caller.join();
+    const long long overlap = find_overlap(system.m_seen.runs());
+    const std::string text = "TWICE: two runs of one task were at work at the same time for " +
+                             std::to_string(overlap) + " ms; the job was answered " +
+                             std::to_string(answer.m_status);
+    return conclude(lines, overlap > 0 ? 1 : 0, text);
 }
--- a/review/5/case.cc
+++ b/review/5/case.cc
@@ -1,5 +1,4 @@
-// A request that submits a job arrives again seconds after the job was cancelled and answered. With TROUBLE=2
-// instead: a client moves to another zone and cancels its job there, at another entry.
+// The entries' open connections to the store go silent; new ones work.
 
 #include "../stand_ins/deployment.hh"
 
@@ -9,70 +8,58 @@
 
 namespace {
 
+constexpr int entry_count = deployment::entry_count;
 // Bounds of the deployment.
-constexpr long long cancel_ms = 3000;
-constexpr long long stop_ms = 50;
-// The mean work of a booking-confirm, and the most.
-constexpr long long work_ms = 900;
-constexpr long long longest_work_ms = 3600;
-// The repeated request arrives this long after the answer to the first.
-constexpr long long repeated_after_ms = 4000;
-
-const char* const job_id = "00000000000000d1";
-
-struct late_work {
-    int m_started = 0;
-    int m_ran_on = 0;
-};
-
-late_work count_late_work(const std::vector<observed_run>& runs, long long acknowledged_at)
-{
-    late_work late;
-    for (const observed_run& run : runs) {
-        const bool is_of_job = run.m_task.starts_with(job_id);
-        late.m_started += is_of_job && run.m_begin > acknowledged_at + cancel_ms ? 1 : 0;
-        late.m_ran_on +=
-            is_of_job && (run.m_end < 0 || run.m_end > acknowledged_at + cancel_ms + stop_ms) ? 1 : 0;
-    }
-    return late;
-}
+constexpr long long contact_ms = 3000;
+constexpr long long config_apply_ms = 2000;
 
 } // namespace
 
 int main(int, char** arguments)
 {
     record lines(arguments[1]);
-    const bool is_repeated = std::strcmp(arguments[2], "1") == 0;
-    const bool has_moved = std::strcmp(arguments[2], "2") == 0;
+    const bool has_trouble = std::strcmp(arguments[2], "0") != 0;
     deployment system(lines);
-    if (!system.start({{"booking-confirm", "/booking/"}}))
+    if (!system.start({{"old", "/old/"}}))
         return conclude(lines, 2, "the deployment did not start");
-    const std::string path = std::string("/booking/") + job_id;
-    const std::string other = "/booking/00000000000000d2";
-    const long long work = has_moved ? longest_work_ms : work_ms;
-    const long long deadline = has_moved ? 10'000 : 1'500;
-    const std::string job = make_job("1600 " + std::to_string(work), 4, 1600, work);
-    std::thread first([&] { system.submit(0, path, job, deadline); });
-    std::thread second([&] { system.submit(0, other, job, deadline); });
-    sleep_ms(200);
-    // The connection of the submission stays with its node; a new one goes to a node of the client's zone.
-    if (has_moved)
-        lines.write("one of the two clients of this zone moves to the zone of entry-1");
-    const auto cancelled = system.cancel(has_moved ? 1 : 0, path);
+    for (int entry = 0; entry < entry_count; ++entry) {
+        const std::string id = "00000000000000a" + std::to_string(entry);
+        if (system.submit(entry, "/old/" + id, make_job("500 100", 1, 500, 100), 1500).m_status != 200)
+            return conclude(lines, 2, "a job before the disruption was not completed");
+    }
+    const long long silent_at = now_ms();
+    if (has_trouble) {
+        system.m_store->silence_open_connections();
+        lines.write("the open connections to the store go silent");
+    }
+    // From here on all machines are in touch again, and the store is stable.
+    sleep_until(silent_at + contact_ms + 50);
+    system.configure(2, {{"new", "/new/"}});
     const long long acknowledged_at = now_ms();
-    first.join();
-    second.join();
-    sleep_until(acknowledged_at + repeated_after_ms);
-    if (is_repeated) {
-        lines.write("the request that submitted the job arrives again");
-        system.submit(0, path, job, deadline);
+    sleep_until(acknowledged_at + config_apply_ms + 20);
+    int not_found = 0;
+    int ran_old = 0;
+    int in_force = 0;
+    for (int round = 0; round < 40; ++round) {
+        for (int entry = 0; entry < entry_count; ++entry) {
+            const std::string id = "000000000000b" + std::to_string(100 + round) + std::to_string(entry);
+            const std::string job = make_job("100 10", 1, 100, 10);
+            const long long sent_after = now_ms() - acknowledged_at;
+            const auto fresh = system.submit(entry, "/new/" + id.substr(1), job, 1500);
+            const auto dropped = system.submit(entry, "/old/c" + id.substr(2), job, 1500);
+            not_found += fresh.m_status == 404 ? 1 : 0;
+            ran_old += dropped.m_status == 200 ? 1 : 0;
+            in_force += fresh.m_status == 200 && dropped.m_status == 404 ? 1 : 0;
+            if (fresh.m_status == 404 || dropped.m_status == 200)
+                lines.write("entry-" + std::to_string(entry) + " acts by the old version, " +
+                            std::to_string(sent_after) + " ms after the acknowledgement");
+        }
+        sleep_ms(10);
     }
-    if (system.m_seen.runs().empty() || (cancelled.m_status != 200 && cancelled.m_status != 410))
-        return conclude(lines, 2, "no task ran, or the cancelling was not acknowledged");
-    const late_work late = count_late_work(system.m_seen.runs(), acknowledged_at);
-    return conclude(lines, late.m_started + late.m_ran_on > 0 ? 1 : 0,
-                    "UNASKED: the DELETE was answered " + std::to_string(cancelled.m_status) + "; " +
-                        std::to_string(late.m_started) + " tasks of the job started over " +
-                        std::to_string(cancel_ms) + " ms after that, and " + std::to_string(late.m_ran_on) +
-                        " were at work " + std::to_string(cancel_ms + stop_ms) + " ms after it or later");
+    const std::string counts = std::to_string(not_found) + " requests for the new route were answered 404, " +
+                               std::to_string(ran_old) + " jobs of the dropped route ran, " +
+                               std::to_string(in_force) + " pairs were handled by the new version";
+    if (not_found + ran_old > 0)
+        return conclude(lines, 1, "CONFIG: " + counts);
+    return in_force == 0 ? conclude(lines, 2, counts) : conclude(lines, 0, counts);
 }
--- a/review/stand_ins/support.hh
+++ b/review/stand_ins/support.hh
@@ -75,6 +75,9 @@
     std::string m_buffer;
 };
 
+// A listening socket at IP:port; -1 on failure.
+int listen_at(const std::string& address);
+
 // Connects to IP:port; the connection is not open on failure.
 std::unique_ptr<connection> connect_to(const std::string& address);
 
