--- a/review/stand_ins/deployment.cc
+++ b/review/stand_ins/deployment.cc
@@ -135,6 +135,7 @@
 {
     m_entries.clear();
     m_agents.clear();
+    m_relays.clear();
     m_workers.clear();
     m_store.reset();
     const char* logs = std::getenv("KEEP_LOGS");
@@ -252,7 +253,15 @@
     for (int index = 0; index < agent_count; ++index) {
         const std::string name = "agent-" + std::to_string(index);
         write_settings(name, agent_ip(index), index % entry_count, false);
-        m_agents.push_back(start_program(name, agent_command));
+        std::string command = agent_command;
+        if (m_has_relays) {
+            command += " --peer-listen-port " + std::to_string(m_first_port + first_peer_port + 1);
+            m_relays.push_back(std::make_unique<relay>(agent_ip(index) + port(first_peer_port),
+                                                       agent_ip(index) + port(first_peer_port + 1)));
+            if (!m_relays.back()->start())
+                return false;
+        }
+        m_agents.push_back(start_program(name, command));
         m_workers.push_back(std::make_unique<worker>(settings_of_worker(index), m_seen));
         if (!m_workers.back()->start())
             return false;
--- a/review/stand_ins/deployment.hh
+++ b/review/stand_ins/deployment.hh
@@ -4,6 +4,7 @@
 
 #pragma once
 
+#include "relay.hh"
 #include "store.hh"
 #include "worker.hh"
 
@@ -64,6 +65,11 @@
     worker_settings settings_of_worker(int index) const;
     worker& find_worker(const std::string& id);
 
+    // If set before start(), a relay passes the calls of other processes on to each agent. The agents then
+    // get the option --peer-listen-port beside the command of the deploy file.
+    bool m_has_relays = false;
+    std::vector<std::unique_ptr<relay>> m_relays;
+
     static constexpr int entry_count = 4;
     static constexpr int agent_count = 11;
     static constexpr const char* host = "orders.example";
