A run counts as not begun only on proof; its end and that proof are told apart

Cause: the start's answer was lost, the repeated start met an unhealthy worker (503). The run guard then stopped the run and handed the result `refused` on, whatever the worker listed as its end; the home read `refused` as not begun. One word stood for two facts: why an order ended, and whether the run may have begun.

Change: an outcome carries a verdict beside its result. The guard sets it to may_have_run when a start call goes out, back to not_run only if the worker answers that this call did nothing and no earlier call is without an answer, and to ran when the worker acknowledges or lists the run. The home goes by the verdict alone. On the wire it is a new field; from an older sender only `not_started` counts as not begun. A repetition of an order whose run has ended hands on the verdict of that run. Besides, a run whose repeated start is refused is no longer stopped at once: the next listing tells whether the first start began it, and then it is left to finish. Log events run_ended and run_returned tell the verdict, start_refused whether an earlier start is unanswered.

The case in run_guard_test that expected the stop at once now expects a listing without the run first, then the same stop and settling, and checks the verdict; a further case checks that a run that began is not stopped.

--- a/dispatch/guarded_runs.cpp
+++ b/dispatch/guarded_runs.cpp
@@ -6,6 +6,25 @@
 
 namespace hawthornpin {
 
+bool proves_no_effect(start_answer answer)
+{
+    switch (answer) {
+    case start_answer::fenced:
+    case start_answer::deadline_passed:
+    case start_answer::no_room:
+    case start_answer::other_life:
+    case start_answer::unhealthy:
+    case start_answer::malformed:
+        return true;
+    // The worker has closed this run or a later one of its task, which a start that was carried out precedes.
+    case start_answer::run_too_old:
+    case start_answer::started:
+    case start_answer::unanswered:
+        break;
+    }
+    return false;
+}
+
 void add_pending_outcome(run_guard& guard, const home_identity& home, const run_outcome& outcome)
 {
     const auto found = guard.m_homes.find(home);
@@ -16,11 +35,11 @@
 run_iterator end_run(run_guard& guard, run_iterator position, run_result result, instant now)
 {
     const guarded_run& run = position->second;
-    const bool has_started = run.m_phase == run_phase::running || run.m_phase == run_phase::stopping;
+    const bool has_started = run.m_started != instant();
     const auto duration =
         has_started ? std::chrono::duration_cast<milliseconds>(now - run.m_started) : milliseconds(0);
-    add_pending_outcome(guard, run.m_home, {position->first, result, duration});
-    guard.m_ended[position->first] = now + guard.m_limits.m_ended_retention;
+    add_pending_outcome(guard, run.m_home, {position->first, result, duration, run.m_verdict});
+    guard.m_ended[position->first] = {now + guard.m_limits.m_ended_retention, run.m_verdict};
     return guard.m_runs.erase(position);
 }
 
--- a/dispatch/guarded_runs.h
+++ b/dispatch/guarded_runs.h
@@ -8,6 +8,9 @@
 
 using run_iterator = std::map<run_id, guarded_run>::iterator;
 
+// Whether the answer proves that the start call had no effect.
+bool proves_no_effect(start_answer answer);
+
 // Keeps the outcome until its home has acknowledged it.
 void add_pending_outcome(run_guard& guard, const home_identity& home, const run_outcome& outcome);
 
--- a/dispatch/job_outcomes.cpp
+++ b/dispatch/job_outcomes.cpp
@@ -118,9 +118,7 @@
     release_run(scheduler, agent);
     withdraw_order(scheduler.m_channels[agent], outcome.m_run);
     --found->second.m_open_runs;
-    const bool is_unstarted =
-        outcome.m_result == run_result::not_started || outcome.m_result == run_result::refused;
-    found->second.m_has_begun = found->second.m_has_begun || !is_unstarted;
+    found->second.m_has_begun = found->second.m_has_begun || outcome.m_verdict != verdict::not_run;
     if (outcome.m_result == run_result::done)
         finish_task(scheduler, found->second, outcome, now);
     else
@@ -143,7 +141,7 @@
     for (const auto& [id, job] : scheduler.m_jobs) {
         for (const ordered_run& ordered : list_ordered_runs(job)) {
             if (ordered.m_agent == agent)
-                lost.push_back({ordered.m_run, run_result::lost, milliseconds(0)});
+                lost.push_back({ordered.m_run, run_result::lost, milliseconds(0), verdict::may_have_run});
         }
     }
     for (const run_outcome& outcome : lost)
--- a/dispatch/run_guard.cpp
+++ b/dispatch/run_guard.cpp
@@ -22,11 +22,12 @@
 }
 
 // Refuses the order permanently: its home is notified that it was not started, so a repetition of it must not
-// start.
-void refuse_order(run_guard& guard, const home_identity& home, const run_order& order, instant now)
+// start. The verdict is that of the run, which an earlier copy of the order may have started.
+void refuse_order(run_guard& guard, const home_identity& home, const run_order& order, verdict known,
+                  instant now)
 {
-    add_pending_outcome(guard, home, {order.m_run, run_result::not_started, milliseconds(0)});
-    guard.m_ended[order.m_run] = now + guard.m_limits.m_ended_retention;
+    add_pending_outcome(guard, home, {order.m_run, run_result::not_started, milliseconds(0), known});
+    guard.m_ended[order.m_run] = {now + guard.m_limits.m_ended_retention, known};
 }
 
 bool is_order_acceptable(const run_guard& guard, const run_order& order, instant clock_seen, instant now)
@@ -43,10 +44,18 @@
     const auto known = guard.m_runs.find(order.m_run);
     if (known != guard.m_runs.end() && known->second.m_home == batch.m_home)
         return;
-    const bool has_ended = guard.m_ended.contains(order.m_run);
+    if (known != guard.m_runs.end()) {
+        refuse_order(guard, batch.m_home, order, known->second.m_verdict, now);
+        return;
+    }
+    const auto ended = guard.m_ended.find(order.m_run);
+    if (ended != guard.m_ended.end()) {
+        refuse_order(guard, batch.m_home, order, ended->second.m_verdict, now);
+        return;
+    }
     const instant clock_seen{microseconds(batch.m_clock_seen)};
-    if (known != guard.m_runs.end() || has_ended || !is_order_acceptable(guard, order, clock_seen, now)) {
-        refuse_order(guard, batch.m_home, order, now);
+    if (!is_order_acceptable(guard, order, clock_seen, now)) {
+        refuse_order(guard, batch.m_home, order, verdict::not_run, now);
         return;
     }
     guarded_run run;
@@ -135,15 +144,21 @@
     return waiting;
 }
 
+void send_start(guarded_run& run, guard_actions& actions)
+{
+    run.m_is_call_open = true;
+    run.m_verdict = verdict::may_have_run;
+    actions.m_starts.push_back(run.m_order);
+}
+
 void collect_starts(run_guard& guard, guard_actions& actions, instant now)
 {
     if (!has_recent_listing(guard, now))
         return;
     for (auto& [id, run] : guard.m_runs) {
-        if (run.m_phase == run_phase::starting && !run.m_is_call_open && run.m_next_call_at <= now) {
-            run.m_is_call_open = true;
-            actions.m_starts.push_back(run.m_order);
-        }
+        const bool is_due = !run.m_is_call_open && !run.m_refused_start && run.m_next_call_at <= now;
+        if (run.m_phase == run_phase::starting && is_due)
+            send_start(run, actions);
     }
     if (state_of(guard, now) != agent_state::serving)
         return;
@@ -153,8 +168,7 @@
             continue;
         room = room - run->m_order.m_needs;
         run->m_phase = run_phase::starting;
-        run->m_is_call_open = true;
-        actions.m_starts.push_back(run->m_order);
+        send_start(*run, actions);
     }
     if (!actions.m_starts.empty())
         extend_lease_end(guard, now);
@@ -235,7 +249,7 @@
     stop_stalled_runs(guard, now);
     collect_starts(guard, actions, now);
     collect_stops(guard, actions, now);
-    std::erase_if(guard.m_ended, [now](const auto& item) { return item.second < now; });
+    std::erase_if(guard.m_ended, [now](const auto& item) { return item.second.m_remembered_until < now; });
     return actions;
 }
 
--- a/dispatch/run_guard.h
+++ b/dispatch/run_guard.h
@@ -57,17 +57,30 @@
 
 enum class run_phase { waiting, starting, running, stopping };
 
+// A worker's refusal of a start.
+struct refused_start {
+    // Result that is reported if the run did not begin.
+    run_result m_result = run_result::refused;
+    instant m_answered_at;
+};
+
 // A run that the guard is responsible for.
 struct guarded_run {
     run_order m_order;
     home_identity m_home;
     run_phase m_phase = run_phase::waiting;
     instant m_received;
+    // Unset until the worker has answered or listed that the run began.
     instant m_started;
     // Whether a start or stop call is in progress; no second call for the run is made before it ends.
     bool m_is_call_open = false;
     // Whether a start call was not answered: the run may have started, whatever later answers report.
     bool m_has_unanswered_start = false;
+    // Invariant: not_run while every start call was answered that it had no effect.
+    verdict m_verdict = verdict::not_run;
+    // A refusal of a repeated start, while an earlier one has no answer: the next listing tells whether the
+    // run began.
+    std::optional<refused_start> m_refused_start;
     // When the worker answered the stop; the run has ended if a listing requested more than
     // m_stop_settle_time later does not contain it.
     std::optional<instant> m_stop_answered_at;
@@ -93,6 +106,12 @@
     std::vector<run_id> m_stops;
 };
 
+// A run that is over, remembered so that a repeated order does not start it again.
+struct ended_run {
+    instant m_remembered_until;
+    verdict m_verdict = verdict::may_have_run;
+};
+
 // State of one agent. Invariant: the needs of all runs that are not waiting fit the worker's capacity, and
 // every run has a home in m_homes.
 struct run_guard {
@@ -121,8 +140,7 @@
 
     std::map<run_id, guarded_run> m_runs;
     std::map<home_identity, guarded_home> m_homes;
-    // Ended runs and when to remove them from this map.
-    std::map<run_id, instant> m_ended;
+    std::map<run_id, ended_run> m_ended;
     // Orphaned runs, of earlier agents or late orders, and when they were last listed as running. They occupy
     // capacity until they have ended, so nothing starts while there are any.
     std::map<run_id, instant> m_orphans;
--- a/dispatch/run_guard_worker.cpp
+++ b/dispatch/run_guard_worker.cpp
@@ -36,6 +36,14 @@
     guard.m_worker_started.reset();
 }
 
+void begin_run(guarded_run& run, instant now)
+{
+    run.m_phase = run_phase::running;
+    run.m_verdict = verdict::ran;
+    run.m_started = now;
+    run.m_progress_at = now;
+}
+
 void apply_listed_runs(run_guard& guard, const run_listing& listing, instant now)
 {
     guard.m_orphans_to_stop.clear();
@@ -47,11 +55,9 @@
             continue;
         }
         guarded_run& run = found->second;
-        if (run.m_phase == run_phase::starting) {
-            run.m_phase = run_phase::running;
-            run.m_started = now;
-            run.m_progress_at = now;
-        }
+        if (run.m_phase == run_phase::starting)
+            begin_run(run, now);
+        run.m_verdict = verdict::ran;
         if (listed.m_percent != run.m_percent) {
             run.m_percent = listed.m_percent;
             run.m_progress_at = now;
@@ -84,6 +90,7 @@
         const auto found = guard.m_runs.find(end.m_run);
         if (found == guard.m_runs.end() || found->second.m_phase == run_phase::waiting)
             continue;
+        found->second.m_verdict = verdict::ran;
         end_run(guard, found, to_result(found->second, end.m_end_kind), now);
     }
 }
@@ -101,7 +108,11 @@
     for (const listed_run& listed : listing.m_running)
         running.insert(listed.m_run);
     for (auto position = guard.m_runs.begin(); position != guard.m_runs.end();) {
-        const guarded_run& run = position->second;
+        guarded_run& run = position->second;
+        // The unanswered start may still be carried out: the stop makes sure that it has no effect.
+        if (run.m_phase == run_phase::starting && run.m_refused_start &&
+            run.m_refused_start->m_answered_at < asked_at)
+            request_stop(run, run.m_refused_start->m_result, now);
         const bool is_stop_complete =
             run.m_stop_answered_at && *run.m_stop_answered_at + settle_time < asked_at;
         const bool was_started = run.m_phase == run_phase::running && run.m_started + settle_time < asked_at;
@@ -196,14 +207,14 @@
     guarded_run& run = found->second;
     if (answer == start_answer::unanswered)
         run.m_has_unanswered_start = true;
+    if (proves_no_effect(answer) && !run.m_has_unanswered_start && run.m_verdict == verdict::may_have_run)
+        run.m_verdict = verdict::not_run;
     // A listing or a stop may have overtaken the answer.
     if (run.m_phase != run_phase::starting)
         return;
     run.m_is_call_open = false;
     if (answer == start_answer::started) {
-        run.m_phase = run_phase::running;
-        run.m_started = now;
-        run.m_progress_at = now;
+        begin_run(run, now);
         return;
     }
     switch (answer) {
@@ -218,7 +229,7 @@
         const bool is_unhealthy = answer == start_answer::unhealthy;
         const run_result result = is_unhealthy ? run_result::refused : run_result::failed;
         if (run.m_has_unanswered_start)
-            request_stop(run, result, now);
+            run.m_refused_start = refused_start{result, now};
         else
             end_run(guard, found, result, now);
         break;
--- a/main/job_home.cpp
+++ b/main/job_home.cpp
@@ -67,6 +67,7 @@
             log_event(log_level::info, "run_returned",
                       {{"run", to_text(outcome.m_run)},
                        {"result", to_text(outcome.m_result)},
+                       {"verdict", std::string(to_text(outcome.m_verdict))},
                        {"agent", status.m_identity.m_id}});
         }
     }
--- a/main/platform_agent.cpp
+++ b/main/platform_agent.cpp
@@ -212,6 +212,7 @@
         log_event(log_level::info, "run_ended",
                   {{"run", to_text(outcome.m_run)},
                    {"result", to_text(outcome.m_result)},
+                   {"verdict", std::string(to_text(outcome.m_verdict))},
                    {"ran_ms", std::to_string(outcome.m_duration.count())},
                    {"entry", home.m_id},
                    {"worker", worker_id()}});
--- a/main/platform_agent_worker.cpp
+++ b/main/platform_agent_worker.cpp
@@ -58,9 +58,13 @@
                 on_other_incarnation(m_guard, now);
             m_metrics.count_labelled("start_answers", to_text(answer));
             if (answer != start_answer::started) {
+                const auto known = m_guard.m_runs.find(run);
+                const bool is_earlier_unanswered =
+                    known != m_guard.m_runs.end() && known->second.m_has_unanswered_start;
                 log_event(log_level::warning, "start_refused",
                           {{"run", to_text(run)},
                            {"answer", to_text(answer)},
+                           {"earlier_unanswered", is_earlier_unanswered ? "true" : "false"},
                            {"fence", std::to_string(m_guard.m_fence)}});
             }
             on_start_answer(m_guard, run, answer, now);
--- a/rpc/hawthornpin.capnp
+++ b/rpc/hawthornpin.capnp
@@ -182,6 +182,8 @@
   run @0 :RunRef;
   result @1 :UInt8;
   durationMs @2 :UInt32;
+  # One more than the verdict; 0 from a sender that does not tell it.
+  verdict @3 :UInt8;
 }
 
 struct JobStep {
--- a/rpc/hawthornpin.capnp.h
+++ b/rpc/hawthornpin.capnp.h
@@ -3365,6 +3365,8 @@
 
   inline  ::uint32_t getDurationMs() const;
 
+  inline  ::uint8_t getVerdict() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3406,6 +3408,9 @@
   inline  ::uint32_t getDurationMs();
   inline void setDurationMs( ::uint32_t value);
 
+  inline  ::uint8_t getVerdict();
+  inline void setVerdict( ::uint8_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -9779,6 +9784,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint8_t RunOutcome::Reader::getVerdict() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t RunOutcome::Builder::getVerdict() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RunOutcome::Builder::setVerdict( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t JobStep::Reader::getTaskCount() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/rpc/run_wire.cpp
+++ b/rpc/run_wire.cpp
@@ -27,6 +27,15 @@
     return static_cast<std::uint32_t>(std::clamp<std::int64_t>(value.count(), 0, UINT32_MAX));
 }
 
+// What the result alone allows to conclude holds for senders that do not tell the verdict.
+verdict read_verdict(std::uint8_t value, run_result result)
+{
+    if (value == 0)
+        return result == run_result::not_started ? verdict::not_run : verdict::may_have_run;
+    const auto known = static_cast<verdict>(value - 1);
+    return known <= verdict::ran ? known : verdict::may_have_run;
+}
+
 bool is_same_step(const run_order& left, const run_order& right)
 {
     const task_id& one = left.m_run.m_task;
@@ -178,6 +187,7 @@
         write_run(to[index].initRun(), from[index].m_run);
         to[index].setResult(static_cast<std::uint8_t>(from[index].m_result));
         to[index].setDurationMs(to_wire_ms(from[index].m_duration));
+        to[index].setVerdict(static_cast<std::uint8_t>(static_cast<unsigned>(from[index].m_verdict) + 1));
     }
 }
 
@@ -187,8 +197,9 @@
     for (const auto outcome : from) {
         if (outcome.getResult() >= run_result_count)
             continue;
-        outcomes.push_back({read_run(outcome.getRun()), static_cast<run_result>(outcome.getResult()),
-                            milliseconds(outcome.getDurationMs())});
+        const auto result = static_cast<run_result>(outcome.getResult());
+        outcomes.push_back({read_run(outcome.getRun()), result, milliseconds(outcome.getDurationMs()),
+                            read_verdict(outcome.getVerdict(), result)});
     }
     return outcomes;
 }
--- a/tests/dispatch/job_scheduler_test.cpp
+++ b/tests/dispatch/job_scheduler_test.cpp
@@ -57,7 +57,7 @@
     add_agent("a", 0);
     submit(make_request("j", 1), 1);
     const auto orders = take_orders(1);
-    report("a", 1, {{orders.at(0).second, run_result::not_started, milliseconds(0)}}, 300);
+    report("a", 1, {{orders.at(0).second, run_result::not_started, milliseconds(0), verdict::not_run}}, 300);
     advance(m_scheduler, at_ms(300));
     const auto answers = take_answers();
     REQUIRE(answers.size() == 1);
--- a/tests/dispatch/run_guard_test.cpp
+++ b/tests/dispatch/run_guard_test.cpp
@@ -228,12 +228,24 @@
     {
         on_start_answer(m_guard, make_run(0), start_answer::unhealthy, at_ms(111));
         CHECK(results().empty());
+        list({}, {}, 112);
+        CHECK(results().empty());
         CHECK(advance(m_guard, at_ms(112)).m_stops.size() == 1);
         on_stop_answer(m_guard, make_run(0), true, at_ms(113));
         list({}, {}, 150);
         CHECK(results().empty());
         list({}, {}, 250);
         CHECK(results() == std::vector<run_result>{run_result::refused});
+        CHECK(m_guard.m_homes.at(entry).m_outcomes.front().m_verdict == verdict::may_have_run);
+    }
+    SUBCASE("by a listing after a refusal, and the run that the first call began is not stopped")
+    {
+        on_start_answer(m_guard, make_run(0), start_answer::unhealthy, at_ms(111));
+        CHECK(advance(m_guard, at_ms(111)).m_starts.empty());
+        list({{make_run(0), 3}}, {}, 112);
+        CHECK(advance(m_guard, at_ms(112)).m_stops.empty());
+        list({}, {{1, make_run(0), run_end::done}}, 150);
+        CHECK(results() == std::vector<run_result>{run_result::done});
     }
 }
 
@@ -246,6 +258,7 @@
     order({make_order(0)}, 61, 61, 3);
     CHECK(advance(m_guard, at_ms(61)).m_starts.empty());
     CHECK(results() == std::vector<run_result>{run_result::done, run_result::not_started});
+    CHECK(m_guard.m_homes.at(entry).m_outcomes.back().m_verdict == verdict::ran);
 }
 
 TEST_CASE_FIXTURE(guard_fixture, "a new incarnation of the worker ends all runs and raises the fence")
--- a/tests/model/platform_model.cpp
+++ b/tests/model/platform_model.cpp
@@ -40,6 +40,11 @@
     return static_cast<int>(random_below(m_random, 1'000)) < thousandths;
 }
 
+bool platform_model::draw_fault(int thousandths)
+{
+    return thousandths > 0 && random_chance(thousandths);
+}
+
 void platform_model::at(long long when, std::function<void()> action)
 {
     m_events.emplace(std::max(when, m_now), std::move(action));
@@ -194,10 +199,15 @@
     const bool is_long = random_chance(m_settings.m_faults.m_long_run);
     const auto duration = is_long ? 2'500LL : draw_task_ms(order.m_run);
     const auto answer = std::make_shared<start_answer>(start_answer::unanswered);
-    const auto carry_out = [this, &agent, order, fence, deadline, duration, answer] {
+    const bool is_refused = draw_fault(m_settings.m_faults.m_refuse_start);
+    const auto carry_out = [this, &agent, order, fence, deadline, duration, answer, is_refused] {
         model_worker& worker = *agent.m_worker;
         if (!worker.is_up())
             return;
+        if (is_refused) {
+            *answer = start_answer::unhealthy;
+            return;
+        }
         const resources used_before = worker.used();
         const auto runs_before = worker.occupying_runs().size();
         *answer = worker.start(order, fence, deadline, duration, m_now);
--- a/tests/model/platform_model.h
+++ b/tests/model/platform_model.h
@@ -34,6 +34,8 @@
     int m_suspend_entry = 0;
     int m_cut_link = 0;
     int m_restart_worker = 0;
+    // A start is refused by an unhealthy worker, also if the run began by an earlier call.
+    int m_refuse_start = 0;
     int m_long_run = 0;
     // A caller's connection breaks at the caller's side only: the entry that it waits at receives no end of
     // the stream, and the caller submits the job again. Only with forwarding.
@@ -156,6 +158,9 @@
 
     // Draws whether something with this probability happens.
     bool random_chance(int thousandths);
+    // Like random_chance(), but draws nothing for a fault that is off: the schedules of the other faults keep
+    // their seeds.
+    bool draw_fault(int thousandths);
     // Schedules the action for this time.
     void at(long long when, std::function<void()> action);
     // Runs the action at the process after the delay, or when the process resumes if it is suspended then.
--- a/tests/model/platform_model_test.cpp
+++ b/tests/model/platform_model_test.cpp
@@ -31,6 +31,13 @@
     return faults;
 }
 
+model_faults all_faults_of_workers()
+{
+    model_faults faults = all_faults();
+    faults.m_refuse_start = 30;
+    return faults;
+}
+
 model_result run_model(std::uint64_t seed, const model_faults& faults,
                        model_defect defect = model_defect::none, bool is_forwarding = false)
 {
@@ -112,9 +119,21 @@
     }
 }
 
+// Guards against refusing a job as not run although its task ran: its first start was not answered, and the
+// repeated one was refused.
+TEST_CASE("model: unhealthy workers that refuse repeated starts break no rule")
+{
+    model_faults faults;
+    faults.m_long_run = 50;
+    faults.m_lose_worker_answer = 200;
+    faults.m_refuse_start = 200;
+    run_schedules(faults);
+}
+
 TEST_CASE("model: all faults together break no rule")
 {
     run_schedules(all_faults());
+    run_schedules(all_faults_of_workers());
 }
 
 TEST_CASE("model: every defect is detected")
--- a/world/run_messages.h
+++ b/world/run_messages.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "core/instant.h"
+#include "core/verdict.h"
 #include "world/work_request.h"
 
 #include <cstdint>
@@ -41,13 +42,13 @@
     friend bool operator==(const run_order&, const run_order&) = default;
 };
 
-// How an order ended.
+// How an order ended. Whether the run may have begun is told by the verdict beside it.
 enum class run_result : std::uint8_t {
     done,
     failed,
-    // Never started, and never will be.
+    // This order started nothing, and never will.
     not_started,
-    // Possibly started; nothing of it is running any more.
+    // Ended for a reason that is not known; nothing of it is running any more.
     lost,
     // Stopped by order of its home, or because its home stopped responding.
     stopped,
@@ -55,7 +56,7 @@
     stalled,
     // The worker has already received this run's number or a higher one for the task.
     superseded,
-    // The worker refused it because the worker is unhealthy; nothing ran.
+    // The worker refused a start because the worker is unhealthy.
     refused,
 };
 inline constexpr std::uint8_t run_result_count = static_cast<std::uint8_t>(run_result::refused) + 1;
@@ -67,6 +68,8 @@
     run_result m_result = run_result::done;
     // From the acknowledgement of the start until the worker listed the end; zero if the run did not start.
     milliseconds m_duration{0};
+    // not_run only if no start call can have had an effect.
+    verdict m_verdict = verdict::may_have_run;
 
     friend bool operator==(const run_outcome&, const run_outcome&) = default;
 };
