Only the statuses that the protocol names prove that a start had no effect

Callers could see: 429 `not_run` for a job whose task began.

Cause: the worker client took every status but 200, 400, 409 and 421 as "unhealthy, has done nothing". The protocol says so of 429 and 503 only; after a 500 or 504 the task may be at work.

Change: other statuses are `unexpected`. The run then counts as possibly begun, and the next listing tells whether it is left to run or stopped before its task is tried elsewhere, as after a lost answer.

Evidence: rows for 500 and 504 in client_contract_test, and a row of run_verdict_test for all later events; they name the new answer, so they can't be built before the change.

--- a/dispatch/guarded_runs.cpp
+++ b/dispatch/guarded_runs.cpp
@@ -19,6 +19,7 @@
     // The worker has closed this run or a later one of its task, which a start that was carried out precedes.
     case start_answer::run_too_old:
     case start_answer::started:
+    case start_answer::unexpected:
     case start_answer::unanswered:
         break;
     }
--- a/dispatch/run_guard.h
+++ b/dispatch/run_guard.h
@@ -78,8 +78,8 @@
     bool m_has_unanswered_start = false;
     // Invariant: not_run while every start call was answered that it had no effect.
     verdict m_verdict = verdict::not_run;
-    // A refusal of a repeated start, while an earlier one has no answer: the next listing tells whether the
-    // run began.
+    // A refusal after which the run may have begun all the same, by an earlier start without an answer: the
+    // next listing tells.
     std::optional<refused_start> m_refused_start;
     // When the worker answered the stop; the run has ended if a listing requested more than
     // m_stop_settle_time later does not contain it.
--- a/dispatch/run_guard_worker.cpp
+++ b/dispatch/run_guard_worker.cpp
@@ -225,10 +225,11 @@
         end_run(guard, found, run_result::superseded, now);
         break;
     case start_answer::unhealthy:
+    case start_answer::unexpected:
     case start_answer::malformed: {
-        const bool is_unhealthy = answer == start_answer::unhealthy;
-        const run_result result = is_unhealthy ? run_result::refused : run_result::failed;
-        if (run.m_has_unanswered_start)
+        const bool is_malformed = answer == start_answer::malformed;
+        const run_result result = is_malformed ? run_result::failed : run_result::refused;
+        if (run.m_verdict != verdict::not_run)
             run.m_refused_start = refused_start{result, now};
         else
             end_run(guard, found, result, now);
--- a/tests/dispatch/run_verdict_test.cpp
+++ b/tests/dispatch/run_verdict_test.cpp
@@ -185,7 +185,7 @@
     constexpr start_answer answers[] = {
         start_answer::started,         start_answer::fenced,     start_answer::run_too_old,
         start_answer::deadline_passed, start_answer::no_room,    start_answer::unhealthy,
-        start_answer::malformed,       start_answer::unanswered,
+        start_answer::malformed,       start_answer::unexpected, start_answer::unanswered,
     };
     constexpr last_event events[] = {
         last_event::listed_done,       last_event::listed_failed,       last_event::listed_stopped,
--- a/tests/platform/client_contract_test.cpp
+++ b/tests/platform/client_contract_test.cpp
@@ -102,6 +102,8 @@
         {400, "", start_answer::malformed},
         {429, "", start_answer::unhealthy},
         {503, "", start_answer::unhealthy},
+        {500, "", start_answer::unexpected},
+        {504, "", start_answer::unexpected},
     };
     for (const answer_case& row : cases) {
         CAPTURE(row.m_http_status);
--- a/world/worker_report.cpp
+++ b/world/worker_report.cpp
@@ -23,6 +23,8 @@
         return "unhealthy";
     case start_answer::malformed:
         return "malformed";
+    case start_answer::unexpected:
+        return "unexpected";
     case start_answer::unanswered:
         break;
     }
--- a/world/worker_report.h
+++ b/world/worker_report.h
@@ -83,6 +83,8 @@
     other_life,
     unhealthy,
     malformed,
+    // An answer that the protocol does not name: the run may have been started.
+    unexpected,
     // No answer: the run may have been started, or may still be started later.
     unanswered,
 };
