An order older than the agent's memory of ended runs is not reported as not run

Callers could see: 429 `not_run` for a job whose task ran.

Cause: an agent remembers ended runs for 2 s. A home that was suspended for longer repeats an unanswered order with the old value of the agent's clock; the agent had forgotten the run, refused the order as too old, and called the run not begun.

Change: an order whose clock value is older than that memory is refused with the verdict may_have_run. All copies of an order carry the same clock value or a later one than the first, so a younger order that is unknown was never accepted, and stays not_run.

Evidence: the test in run_guard_test failed before (verdict not_run where may_have_run is right), and passes.

--- a/dispatch/run_guard.cpp
+++ b/dispatch/run_guard.cpp
@@ -55,7 +55,10 @@
     }
     const instant clock_seen{microseconds(batch.m_clock_seen)};
     if (!is_order_acceptable(guard, order, clock_seen, now)) {
-        refuse_order(guard, batch.m_home, order, verdict::not_run, now);
+        // A copy that was accepted when it was new may have run, and be forgotten by now.
+        const bool is_remembered = now <= clock_seen + guard.m_limits.m_ended_retention;
+        const verdict known_verdict = is_remembered ? verdict::not_run : verdict::may_have_run;
+        refuse_order(guard, batch.m_home, order, known_verdict, now);
         return;
     }
     guarded_run run;
--- a/tests/dispatch/run_guard_test.cpp
+++ b/tests/dispatch/run_guard_test.cpp
@@ -261,6 +261,25 @@
     CHECK(m_guard.m_homes.at(entry).m_outcomes.back().m_verdict == verdict::ran);
 }
 
+// Guards against refusing a job as not run although its task ran: its home, suspended meanwhile, repeats the
+// order after the agent has forgotten the run.
+TEST_CASE_FIXTURE(guard_fixture, "an order older than the memory of ended runs is not reported as not run")
+{
+    run(0, 1);
+    list({}, {{1, make_run(0), run_end::done}}, 60);
+    acknowledge_outcomes(m_guard, entry, 1);
+    const long long forgotten_at = 61 + m_guard.m_limits.m_ended_retention.count();
+    list({}, {}, forgotten_at);
+    advance(m_guard, at_ms(forgotten_at));
+    order({make_order(0)}, forgotten_at, 1, 2);
+    REQUIRE(results() == std::vector<run_result>{run_result::not_started});
+    CHECK(m_guard.m_homes.at(entry).m_outcomes.front().m_verdict == verdict::may_have_run);
+    // A younger order that comes too late can't have been accepted before.
+    order({make_order(1)}, forgotten_at, 100, 3);
+    REQUIRE(results().size() == 2);
+    CHECK(m_guard.m_homes.at(entry).m_outcomes.back().m_verdict == verdict::not_run);
+}
+
 TEST_CASE_FIXTURE(guard_fixture, "a new incarnation of the worker ends all runs and raises the fence")
 {
     run(0, 1);
