A worker that deregisters keeps its runs until their end is proved

Cause: on_worker_left() reported all begun runs of the worker as lost at once, and the home ordered them elsewhere with its next message. It was the only path to that result without a listed end or a lapsed lease. But a worker ends its tasks only after the acknowledgement (a stop may take stop_ms), and if that is lost it stays up for seconds, with a lease that the agent went on renewing.

Change: a deregistration stops the runs of the worker and ends the renewal of its lease. A run is over once the worker lists its end, or lists neither run nor end after the stop was answered and has settled, or when the lease has lapsed. Waiting orders are returned at once. A worker that reports `ready` again, or a new incarnation, is used again.

Evidence: no test of ours made a worker deregister.

--- a/dispatch/run_guard.h
+++ b/dispatch/run_guard.h
@@ -123,6 +123,9 @@
     // one.
     std::int64_t m_fence = 0;
     bool m_is_shutting_down = false;
+    // Set when the worker deregisters, until it reports that it serves again. Its lease is not renewed
+    // meanwhile: it may end at any moment, without a sign.
+    bool m_has_worker_left = false;
 
     // From the last listing: the start of the worker's incarnation, the worker's clock, and when that was
     // read.
@@ -153,7 +156,8 @@
 
 // Handles a worker's report. Late reports and those of an earlier incarnation are ignored.
 void on_worker_report(run_guard& guard, const worker_report& report, instant now);
-// Handles the report that a worker has left. Reports about workers of other agents are ignored.
+// Handles the report that a worker leaves: stops its runs, each of which has ended only once the worker lists
+// that, or the lease has lapsed. Reports about workers of other agents are ignored.
 void on_worker_left(run_guard& guard, const std::string& worker, instant now);
 
 // Creates the next renewal to send to the worker. It extends no lease while there is no recent listing.
--- a/dispatch/run_guard_worker.cpp
+++ b/dispatch/run_guard_worker.cpp
@@ -14,12 +14,9 @@
 // Pause between two attempts at a start that the worker had no room for.
 constexpr milliseconds room_retry_pause{10};
 
-// A new incarnation of the worker knows nothing of the earlier one: raises the fence, and expects ends to be
-// numbered from the start.
-void begin_worker_incarnation(run_guard& guard, instant now)
+// Returns the waiting runs and stops all others, to be reported as lost.
+void stop_worker_runs(run_guard& guard, instant now)
 {
-    // A start call in progress may have reached the new incarnation: a stop under the higher fence makes sure
-    // that each run has ended.
     for (auto position = guard.m_runs.begin(); position != guard.m_runs.end();) {
         if (position->second.m_phase == run_phase::waiting) {
             position = end_run(guard, position, run_result::not_started, now);
@@ -28,6 +25,15 @@
         request_stop(position->second, run_result::lost, now);
         ++position;
     }
+}
+
+// A new incarnation of the worker knows nothing of the earlier one: raises the fence, and expects ends to be
+// numbered from the start.
+void begin_worker_incarnation(run_guard& guard, instant now)
+{
+    // A start call in progress may have reached the new incarnation: a stop under the higher fence makes sure
+    // that each run has ended.
+    stop_worker_runs(guard, now);
     guard.m_orphans.clear();
     guard.m_orphans_to_stop.clear();
     ++guard.m_fence;
@@ -136,6 +142,8 @@
         return;
     const bool was_known = guard.m_report.has_value();
     guard.m_report = report;
+    if (!is_same_incarnation || !report.m_is_draining)
+        guard.m_has_worker_left = false;
     if (was_known && !is_same_incarnation)
         begin_worker_incarnation(guard, now);
 }
@@ -145,7 +153,8 @@
     if (!guard.m_report || guard.m_report->m_identity.m_id != worker)
         return;
     guard.m_report->m_is_draining = true;
-    mark_worker_runs_lost(guard, now);
+    guard.m_has_worker_left = true;
+    stop_worker_runs(guard, now);
 }
 
 renewal begin_renewal(run_guard& guard, instant now)
@@ -157,7 +166,7 @@
     asked.m_last_seen = guard.m_last_seen;
     asked.m_asked_at = now;
     // A worker whose answers do not arrive may still receive renewals, which must not keep it running.
-    if (has_recent_listing(guard, now)) {
+    if (has_recent_listing(guard, now) && !guard.m_has_worker_left) {
         asked.m_deadline_ms = next_deadline_ms(guard, now);
         extend_lease_end(guard, now);
     }
--- a/tests/dispatch/run_guard_test.cpp
+++ b/tests/dispatch/run_guard_test.cpp
@@ -333,6 +333,66 @@
     CHECK(results().size() == 2);
 }
 
+// Guards against two runs of a task at the same time: its worker deregistered, and the task was started
+// elsewhere before the worker had ended.
+TEST_CASE_FIXTURE(guard_fixture, "the runs of a worker that deregisters are not over until that is proved")
+{
+    run(0, 1);
+    order({make_order(1), make_order(2), make_order(3), make_order(4)}, 2, 2, 2);
+    REQUIRE(advance(m_guard, at_ms(2)).m_starts.size() == 3);
+    list({{make_run(0), 1}}, {}, 3);
+    on_worker_left(m_guard, "i-1", at_ms(10));
+    // The run that still waited; the starts of the others may have been carried out.
+    CHECK(results() == std::vector<run_result>{run_result::not_started});
+    CHECK(advance(m_guard, at_ms(10)).m_stops.size() == 4);
+    SUBCASE("by a listed end")
+    {
+        list({}, {{1, make_run(0), run_end::stopped}}, 20);
+        CHECK(results() == std::vector<run_result>{run_result::not_started, run_result::lost});
+    }
+    SUBCASE("by a listing long enough after the answer to the stop")
+    {
+        on_stop_answer(m_guard, make_run(0), true, at_ms(12));
+        list({}, {}, 50);
+        CHECK(results().size() == 1);
+        list({}, {}, 113);
+        CHECK(results() == std::vector<run_result>{run_result::not_started, run_result::lost});
+    }
+    SUBCASE("by the end of the lease, which is not renewed any more")
+    {
+        const auto lease = m_guard.m_limits.m_worker_lease.count();
+        CHECK_FALSE(begin_renewal(m_guard, at_ms(11)).m_deadline_ms.has_value());
+        order({}, 300, 300, 3);
+        advance(m_guard, at_ms(3 + lease));
+        CHECK(results().size() == 1);
+        advance(m_guard, at_ms(4 + lease * 105 / 100));
+        CHECK(results().size() == 5);
+    }
+}
+
+TEST_CASE_FIXTURE(guard_fixture, "a worker that reports again after it deregistered is used again")
+{
+    on_worker_left(m_guard, "i-1", at_ms(10));
+    CHECK(state_of(m_guard, at_ms(10)) == agent_state::leaving);
+    worker_report draining = make_report(2);
+    draining.m_is_draining = true;
+    on_worker_report(m_guard, draining, at_ms(11));
+    CHECK_FALSE(begin_renewal(m_guard, at_ms(11)).m_deadline_ms.has_value());
+    SUBCASE("in the same incarnation")
+    {
+        on_worker_report(m_guard, make_report(3), at_ms(12));
+    }
+    SUBCASE("in a new incarnation")
+    {
+        on_worker_report(m_guard, make_report(1, 99), at_ms(12));
+        run_listing listing;
+        listing.m_started_unix_ms = 99;
+        on_run_listing(m_guard, listing, begin_renewal(m_guard, at_ms(13)), at_ms(13));
+    }
+    CHECK(state_of(m_guard, at_ms(13)) == agent_state::serving);
+    CHECK(begin_renewal(m_guard, at_ms(13)).m_deadline_ms.has_value());
+}
+
 TEST_CASE_FIXTURE(guard_fixture, "a run without progress is stopped and reported as stalled")
 {
     run(0, 1);
--- a/tests/model/model_worker.cpp
+++ b/tests/model/model_worker.cpp
@@ -19,6 +19,7 @@
 void model_worker::begin_incarnation(long long now)
 {
     m_is_up = true;
+    m_is_draining = false;
     m_incarnation_started = now;
     m_report_sequence = 0;
     m_fence = 0;
@@ -136,6 +137,7 @@
     report.m_identity = {m_id, m_incarnation_started};
     report.m_service = "svc";
     report.m_capacity = m_capacity;
+    report.m_is_draining = m_is_draining;
     report.m_sequence = ++m_report_sequence;
     return report;
 }
--- a/tests/model/model_worker.h
+++ b/tests/model/model_worker.h
@@ -26,6 +26,8 @@
     // Starts a new incarnation under the same id, without any state of the previous one.
     void begin_incarnation(long long now);
     void crash() { m_is_up = false; }
+    // From now on, the worker reports that it is draining.
+    void begin_draining() { m_is_draining = true; }
 
     // Advances to `now`: ends the runs that are done, stopped or whose lease has lapsed.
     void advance(long long now);
@@ -42,7 +44,10 @@
     worker_report make_report(long long now);
     std::int64_t clock_ms(long long now) const;
 
+    const std::string& id() const { return m_id; }
+    long long incarnation_started() const { return m_incarnation_started; }
     bool is_up() const { return m_is_up; }
+    bool is_draining() const { return m_is_draining; }
     // Runs that occupy capacity: those that run and those that are being stopped.
     std::vector<run_id> occupying_runs() const;
     resources used() const;
@@ -64,6 +69,7 @@
     std::string m_id;
     resources m_capacity;
     bool m_is_up = true;
+    bool m_is_draining = false;
     long long m_incarnation_started = 0;
     std::int64_t m_report_sequence = 0;
     std::int64_t m_fence = 0;
--- a/tests/model/platform_model_faults.cpp
+++ b/tests/model/platform_model_faults.cpp
@@ -48,6 +48,49 @@
     });
 }
 
+void platform_model::drain_worker(agent_process& agent)
+{
+    // Shorter than the tasks, so that some are at work when the worker leaves.
+    constexpr long long drain_ms = 60;
+    model_worker& worker = *agent.m_worker;
+    if (!worker.is_up() || worker.is_draining())
+        return;
+    worker.begin_draining();
+    deliver(agent, 1, [this, &agent, report = worker.make_report(m_now)] {
+        on_worker_report(agent.m_guard, report, now());
+    });
+    at(m_now + drain_ms,
+       [this, &agent, started = worker.incarnation_started()] { deregister_worker(agent, started); });
+}
+
+void platform_model::deregister_worker(agent_process& agent, long long incarnation_started)
+{
+    constexpr long long end_ms = 40;
+    constexpr long long end_unacknowledged_ms = 2'000;
+    const model_worker& worker = *agent.m_worker;
+    if (!worker.is_up() || worker.incarnation_started() != incarnation_started)
+        return;
+    const bool is_answer_lost = draw_fault(m_settings.m_faults.m_lose_worker_answer);
+    deliver(agent, 1, [this, &agent, id = worker.id(), incarnation_started, is_answer_lost] {
+        on_worker_left(agent.m_guard, id, now());
+        step_agent(agent);
+        if (!is_answer_lost)
+            at(m_now + end_ms,
+               [this, &agent, incarnation_started] { end_worker(agent, incarnation_started); });
+    });
+    at(m_now + end_unacknowledged_ms,
+       [this, &agent, incarnation_started] { end_worker(agent, incarnation_started); });
+}
+
+void platform_model::end_worker(agent_process& agent, long long incarnation_started)
+{
+    model_worker& worker = *agent.m_worker;
+    if (!worker.is_up() || worker.incarnation_started() != incarnation_started)
+        return;
+    worker.crash();
+    at(m_now + random_fault_ms(), [this, &worker] { worker.begin_incarnation(m_now); });
+}
+
 void platform_model::inject_faults()
 {
     const model_faults& faults = m_settings.m_faults;
@@ -58,6 +101,8 @@
             agent->m_suspended_until = m_now + random_fault_ms();
         if (random_chance(faults.m_restart_worker))
             agent->m_worker->begin_incarnation(m_now);
+        if (draw_fault(faults.m_remove_worker))
+            drain_worker(*agent);
         for (const auto& home : m_home_processes) {
             if (!random_chance(faults.m_cut_link))
                 continue;
--- a/tests/model/platform_model_test.cpp
+++ b/tests/model/platform_model_test.cpp
@@ -35,6 +35,7 @@
 {
     model_faults faults = all_faults();
     faults.m_refuse_start = 30;
+    faults.m_remove_worker = 10;
     return faults;
 }
 
@@ -130,6 +131,18 @@
     run_schedules(faults);
 }
 
+// Guards against two runs of a task at the same time: its worker deregistered, and the task was started
+// elsewhere before the worker had ended.
+TEST_CASE("model: workers that deregister break no rule, with their acknowledgement lost or not")
+{
+    model_faults faults;
+    faults.m_long_run = 50;
+    faults.m_remove_worker = 20;
+    run_schedules(faults);
+    faults.m_lose_worker_answer = 200;
+    run_schedules(faults);
+}
+
 TEST_CASE("model: all faults together break no rule")
 {
     run_schedules(all_faults());
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -120,11 +120,27 @@
 
 void soak_faults::inject_worker_fault(soak_worker& worker, unsigned duration_ms)
 {
-    switch (draw(3)) {
+    switch (draw(6)) {
     case 0:
         print_fault("worker restarted", 0);
         return worker.restart();
     case 1:
+        print_fault("worker leaves", 0);
+        return worker.leave(false);
+    case 2:
+        print_fault("worker leaves, acknowledgement lost", 0);
+        return worker.leave(true);
+    case 3:
+        // A refusal alone proves that nothing began; together they don't.
+        print_fault("worker answers lost and starts refused", duration_ms);
+        worker.set_losing_answers(true);
+        worker.set_refusing_starts(true);
+        m_tasks.add(after_delay(duration_ms).then([&worker] {
+            worker.set_losing_answers(false);
+            worker.set_refusing_starts(false);
+        }));
+        return;
+    case 4:
         print_fault("worker answers lost", duration_ms);
         worker.set_losing_answers(true);
         m_tasks.add(after_delay(duration_ms).then([&worker] { worker.set_losing_answers(false); }));
--- a/tests/soak/soak_worker.cpp
+++ b/tests/soak/soak_worker.cpp
@@ -15,6 +15,11 @@
 constexpr unsigned report_interval_ms = 500;
 constexpr unsigned report_timeout_ms = 1'000;
 constexpr unsigned restart_ms = 1'000;
+// Shorter than most tasks, so that some are at work when the worker deregisters.
+constexpr unsigned drain_ms = 40;
+// Time until the worker ends once its deregistration is acknowledged, and if it is not.
+constexpr unsigned end_ms = 40;
+constexpr unsigned end_unacknowledged_ms = 2'000;
 // Delay of starts that are carried out late: longer than the timeout of any call.
 constexpr unsigned start_delay_ms = 700;
 // One call in this many is affected while a fault of calls is active.
@@ -113,6 +118,30 @@
     }));
 }
 
+void soak_worker::leave(bool is_acknowledgement_lost)
+{
+    if (!m_worker.is_up() || m_worker.is_draining())
+        return;
+    m_worker.begin_draining();
+    m_tasks.add(send_report()
+                    .then([](const http_response&) { return after_delay(drain_ms); })
+                    .then([this, is_acknowledgement_lost] { return deregister(is_acknowledgement_lost); }));
+}
+
+kj::Promise<void> soak_worker::deregister(bool is_acknowledgement_lost)
+{
+    return call_agent("/deregister", "{}")
+        .then([is_acknowledgement_lost](const http_response& response) {
+            const bool is_acknowledged =
+                response.m_transport == http_transport::answered && !is_acknowledgement_lost;
+            return after_delay(is_acknowledged ? end_ms : end_unacknowledged_ms);
+        })
+        .then([this, started = m_incarnation_started] {
+            if (m_incarnation_started == started)
+                restart();
+        });
+}
+
 void soak_worker::advance()
 {
     if (!m_worker.is_up())
@@ -167,6 +196,10 @@
             return kj::NEVER_DONE;
         });
     }
+    // Often the repetition of the start whose answer was lost.
+    const bool is_next_faulty = m_calls % calls_per_fault == 1;
+    if (is_start && m_is_refusing_starts && is_next_faulty)
+        return make_answer(503, "");
     api_response response = is_start ? start(document->root()) : stop(document->root());
     response.m_is_connection_dropped = m_is_losing_answers && is_faulty;
     return response;
@@ -245,24 +278,33 @@
     return response;
 }
 
-kj::Promise<void> soak_worker::run_report_loop()
+kj::Promise<http_response> soak_worker::call_agent(const char* call, std::string body)
+{
+    http_request request;
+    request.m_method = "POST";
+    request.m_url = "http://" + m_report_address + "/hawthornpin/instances/" + m_id + call;
+    request.m_body = std::move(body);
+    request.m_can_reuse_connection = true;
+    return m_reports.send_within(request, report_timeout_ms);
+}
+
+kj::Promise<http_response> soak_worker::send_report()
 {
     const worker_report report = m_worker.make_report(now_ms());
     json_writer body;
     body.begin_object().key("service").text("svc").key("address").text("127.0.0.1:1").key("zone").text("z");
-    body.key("version").text("v1").key("slots").integer(8).key("state").text("ready");
+    body.key("version").text("v1").key("slots").integer(8).key("state");
+    body.text(report.m_is_draining ? "draining" : "ready");
     body.key("capacity").begin_object().key("cpu").integer(report.m_capacity.m_cpu_milli);
     body.key("mem_mb").integer(report.m_capacity.m_memory_mib).key("gpu").integer(0).end_object();
     body.key("labels").begin_array().text("a").end_array();
     body.key("born").integer(m_incarnation_started).key("seq").integer(report.m_sequence).end_object();
-    http_request request;
-    request.m_method = "POST";
-    request.m_url = "http://" + m_report_address + "/hawthornpin/instances/" + m_id + "/heartbeat";
-    request.m_body = body.to_string();
-    request.m_can_reuse_connection = true;
-    auto sent = m_worker.is_up()
-                    ? m_reports.send_within(request, report_timeout_ms).then([](http_response) {})
-                    : kj::Promise<void>(kj::READY_NOW);
+    return call_agent("/heartbeat", body.to_string());
+}
+
+kj::Promise<void> soak_worker::run_report_loop()
+{
+    auto sent = m_worker.is_up() ? send_report().ignoreResult() : kj::Promise<void>(kj::READY_NOW);
     return sent.then([] { return after_delay(report_interval_ms); }).then([this] {
         return run_report_loop();
     });
--- a/tests/soak/soak_worker.h
+++ b/tests/soak/soak_worker.h
@@ -29,9 +29,14 @@
 
     // Crashes, and starts a new incarnation under the same id after a second.
     void restart();
+    // Drains, deregisters and ends, soon after the acknowledgement or, if that is lost, seconds later. A new
+    // incarnation starts as after a crash.
+    void leave(bool is_acknowledgement_lost);
     // Whether some answers to starts and stops are lost, and whether some starts are carried out late.
     void set_losing_answers(bool is_on) { m_is_losing_answers = is_on; }
     void set_delaying_starts(bool is_on) { m_is_delaying_starts = is_on; }
+    // Whether some starts are refused as by an unhealthy worker, also if the run began before.
+    void set_refusing_starts(bool is_on) { m_is_refusing_starts = is_on; }
 
     bool is_idle() const { return m_worker.occupying_runs().empty(); }
 
@@ -43,6 +48,10 @@
     api_response start(const json_object& request);
     api_response stop(const json_object& request);
     kj::Promise<void> run_report_loop();
+    kj::Promise<http_response> send_report();
+    // Calls the agent; an answer may take report_timeout_ms.
+    kj::Promise<http_response> call_agent(const char* call, std::string body);
+    kj::Promise<void> deregister(bool is_acknowledgement_lost);
     // Advances the worker to the current time and reports ended runs to the verifier.
     void advance();
     api_response make_answer(unsigned status, const char* reason) const;
@@ -56,6 +65,7 @@
     std::set<run_id> m_occupying_runs;
     bool m_is_losing_answers = false;
     bool m_is_delaying_starts = false;
+    bool m_is_refusing_starts = false;
     std::size_t m_calls = 0;
     api_server m_server;
     http_client m_reports;
