--- a/tests/soak/fault_proxy.cpp
+++ b/tests/soak/fault_proxy.cpp
@@ -104,6 +104,8 @@
         .then([this, &through, &chunk, is_inbound](std::size_t size) -> kj::Promise<void> {
             if (size == 0)
                 return kj::READY_NOW;
+            if (through.m_is_blocked)
+                return kj::NEVER_DONE;
             auto due =
                 m_mode == link_mode::delayed ? after_delay(delay_ms) : kj::Promise<void>(kj::READY_NOW);
             return due.then([this, &through, &chunk, is_inbound, size] {
