Control calls to a target have a time-out, and all time-outs reach the pool

Users of the project's own interface could see: leases of running tasks lapse, after connections between agent and target had gone silent.

Cause: stops and renewals of leases were sent without a time-out. Two stops on silent connections held both connections for control calls for ever, and renewals waited behind them.

Calls that run tasks keep the task's budget as their only limit.

Evidence: "a target whose connections have gone silent ..." in silent_connections_test failed before (no status after two stops), passes now. Looked at besides: a link between our processes is one per peer and is dropped after 250 ms without an answer; the addresses of other entries are read through the store's client; callers' idle connections carry no call of ours.

--- a/http/target_client.cpp
+++ b/http/target_client.cpp
@@ -10,7 +10,8 @@
 namespace {
 
 constexpr unsigned control_connections = 2;
-constexpr unsigned status_timeout_ms = 1'000;
+// Calls that the target answers at once; its tasks may take as long as their budget.
+constexpr unsigned control_timeout_ms = 1'000;
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_conflict = 409;
 constexpr unsigned status_gone = 410;
@@ -83,7 +84,8 @@
 
 kj::Promise<void> target_client::stop(const std::string& grant)
 {
-    return m_control.send({"DELETE", m_url + "/tasks/" + grant, "", {}}).ignoreResult();
+    return m_control.send_within({"DELETE", m_url + "/tasks/" + grant, "", {}}, control_timeout_ms)
+        .ignoreResult();
 }
 
 kj::Promise<void> target_client::renew(const std::vector<std::string>& grants, milliseconds lease)
@@ -93,17 +95,18 @@
     for (const std::string& grant : grants)
         writer.text(grant);
     writer.end_array().end_object();
-    return m_control.send({"POST", m_url + "/lease", writer.to_string(), {}}).ignoreResult();
+    return m_control.send_within({"POST", m_url + "/lease", writer.to_string(), {}}, control_timeout_ms)
+        .ignoreResult();
 }
 
 kj::Promise<std::optional<target_status>> target_client::status()
 {
-    auto answered = m_control.send({"GET", m_url + "/status", "", {}}).then([](http_response&& response) {
-        const bool is_ok = response.m_transport == http_transport::answered && response.m_status == status_ok;
-        return is_ok ? parse_status(response.m_body) : std::optional<target_status>();
-    });
-    auto timed_out = after_delay(status_timeout_ms).then([] { return std::optional<target_status>(); });
-    return answered.exclusiveJoin(kj::mv(timed_out));
+    return m_control.send_within({"GET", m_url + "/status", "", {}}, control_timeout_ms)
+        .then([](http_response&& response) {
+            const bool is_ok =
+                response.m_transport == http_transport::answered && response.m_status == status_ok;
+            return is_ok ? parse_status(response.m_body) : std::optional<target_status>();
+        });
 }
 
 } // namespace hawthornpin
--- a/tests/platform/silent_connections_test.cpp
+++ b/tests/platform/silent_connections_test.cpp
@@ -7,6 +7,7 @@
 
 #include "core/event_loop.h"
 #include "http/api_server.h"
+#include "http/target_client.h"
 #include "tests/soak/fault_proxy.h"
 
 #include <doctest/doctest.h>
@@ -106,6 +107,26 @@
     CHECK(accepted == 2);
 }
 
+// Guards against stops of tasks that wait for ever: two of them held all connections for control calls, those
+// for renewals of leases included.
+TEST_CASE("a target whose connections have gone silent is asked on new ones after one time-out")
+{
+    silenceable_server server(
+        [](const api_request&) { return make_text_response(R"({"slots":8,"running":0})"); });
+    target_client client(silenceable_server::proxy_address, 8);
+    // Two calls at a time leave two connections.
+    auto first = client.status();
+    REQUIRE(run_until_complete(server.m_loop, client.status()));
+    REQUIRE(run_until_complete(server.m_loop, kj::mv(first)));
+    server.silence_open_connections();
+    constexpr unsigned control_timeout_ms = 1'000;
+    background_tasks stops;
+    stops.add(client.stop("a"));
+    stops.add(client.stop("b"));
+    run_until_complete(server.m_loop, after_delay(control_timeout_ms + 200).then([] { return true; }));
+    CHECK(run_until_complete(server.m_loop, client.status()));
+}
+
 // The time from the silence on: the store's call is not answered, and the next one uses a new connection. The
 // bound is that within which machines are in touch again, so that a change must be in force.
 TEST_CASE("a changed configuration is in force in time after all connections to the store have gone silent")
