An order whose stop has arrived before it is not started

Cause: a message with an order stalled on one connection; the home gave the connection up after 250 ms and sent the stop of that run on a new one. The agent ignored the stop of a run that it did not know, and took the order when it arrived, as it was younger than the home lease. The home's next message kept that lease, so nobody stopped the run, and the caller's next attempt started the task elsewhere.

An order that arrives after its stop is returned as not started.

--- a/dispatch/run_guard.cpp
+++ b/dispatch/run_guard.cpp
@@ -72,7 +72,13 @@
 void stop_ordered_run(run_guard& guard, const order_batch& batch, const run_id& id, instant now)
 {
     const auto found = guard.m_runs.find(id);
-    if (found == guard.m_runs.end() || found->second.m_home != batch.m_home)
+    if (found == guard.m_runs.end()) {
+        // On another connection, a stop can overtake the order: the run must not start when that arrives.
+        guard.m_ended.try_emplace(id,
+                                  ended_run{now + guard.m_limits.m_ended_retention, verdict::may_have_run});
+        return;
+    }
+    if (found->second.m_home != batch.m_home)
         return;
     if (found->second.m_phase == run_phase::waiting)
         end_run(guard, found, run_result::not_started, now);
--- a/tests/dispatch/run_guard_test.cpp
+++ b/tests/dispatch/run_guard_test.cpp
@@ -249,6 +249,25 @@
     }
 }
 
+// Guards against two runs of a task at the same time: the stop of a run overtook its order on another
+// connection, the run started after its job was cancelled, and the caller submitted the job again.
+TEST_CASE_FIXTURE(guard_fixture, "an order whose stop has arrived before it is not started")
+{
+    order_batch stop;
+    stop.m_home = entry;
+    stop.m_clock_seen = clock_at_ms(1);
+    stop.m_number = 2;
+    stop.m_stops = {make_run(0)};
+    accept_orders(m_guard, stop, at_ms(1));
+    const long long late = m_guard.m_limits.m_home_lease.count();
+    list({}, {}, late);
+    order({make_order(0), make_order(1)}, late, 1);
+    const auto starts = advance(m_guard, at_ms(late)).m_starts;
+    REQUIRE(starts.size() == 1);
+    CHECK(starts.front().m_run == make_run(1));
+    CHECK(results() == std::vector<run_result>{run_result::not_started});
+}
+
 TEST_CASE_FIXTURE(guard_fixture, "a repeated order has no further effect, during the run and after it")
 {
     run(0, 1);
--- a/tests/model/platform_model_test.cpp
+++ b/tests/model/platform_model_test.cpp
@@ -143,6 +143,16 @@
     run_schedules(faults);
 }
 
+// Guards against two runs of a task at the same time: the stop of a run overtook its order.
+TEST_CASE("model: delayed messages that overtake each other break no rule, in the schedule that once did")
+{
+    constexpr std::uint64_t seed = 574;
+    model_faults faults;
+    faults.m_long_run = 50;
+    faults.m_delay_message = 50;
+    CHECK(run_model(seed, faults, model_defect::none, true).m_violation == "");
+}
+
 TEST_CASE("model: all faults together break no rule")
 {
     run_schedules(all_faults());
