--- a/tests/main/docs_test.cpp
+++ b/tests/main/docs_test.cpp
@@ -55,6 +55,7 @@
           "platform_entry_callers", "platform_entry_homes", "platform_process", "loop_watch"})
         sources += read_page(std::string("main/") + file + ".cpp");
     sources += read_page("platform/directory_follower.cpp");
+    sources += read_page("platform/http_client.cpp");
     sources += read_page("http/server_connection.cpp");
     const std::size_t begin = page.find("| event |");
     const std::string events = page.substr(begin, page.find("**Refused", begin) - begin);
--- a/tests/model/platform_model.cpp
+++ b/tests/model/platform_model.cpp
@@ -181,6 +181,15 @@
                                        [&address](const auto& item) { return item->m_id == address; });
         register_with(agent, **home);
     }
+    if (m_settings.m_defect == model_defect::trusts_refusals_of_repeated_starts) {
+        for (auto& [id, run] : agent.m_guard.m_runs) {
+            if (run.m_phase != run_phase::starting || !run.m_refused_start)
+                continue;
+            run.m_phase = run_phase::stopping;
+            run.m_stop_result = run.m_refused_start->m_result;
+            run.m_next_call_at = now();
+        }
+    }
     const guard_actions actions = advance(agent.m_guard, now());
     for (const run_order& order : actions.m_starts)
         call_start(agent, order);
@@ -284,7 +293,12 @@
         if (guarded.m_outcomes.empty() || home == m_home_processes.end() ||
             !agent.m_reporting_to.insert(session).second)
             continue;
-        const auto outcomes = guarded.m_outcomes;
+        auto outcomes = guarded.m_outcomes;
+        for (run_outcome& outcome : outcomes) {
+            if (m_settings.m_defect == model_defect::trusts_refusals_of_repeated_starts &&
+                outcome.m_result == run_result::refused)
+                outcome.m_verdict = verdict::not_run;
+        }
         const agent_status status = make_status(agent, &session);
         call(
             agent, **home, call_timeout_ms,
--- a/tests/model/platform_model.h
+++ b/tests/model/platform_model.h
@@ -61,6 +61,11 @@
     keeps_runs_of_lost_homes,
     // A home does not end the jobs of an entry that has stopped sending heartbeats.
     keeps_jobs_of_lost_entries,
+    // An agent stops a run whose repeated start was refused and reports it as not begun, though an earlier
+    // start is unanswered.
+    trusts_refusals_of_repeated_starts,
+    // An agent reports the runs of a worker that deregisters as ended at once.
+    ends_runs_of_leaving_workers,
     // An entry does not notice that a caller's connection has gone silent.
     keeps_jobs_of_silent_callers,
 };
--- a/tests/model/platform_model_faults.cpp
+++ b/tests/model/platform_model_faults.cpp
@@ -90,6 +90,11 @@
     const bool is_answer_lost = draw_fault(m_settings.m_faults.m_lose_worker_answer);
     deliver(agent, 1, [this, &agent, id = worker.id(), incarnation_started, is_answer_lost] {
         on_worker_left(agent.m_guard, id, now());
+        if (m_settings.m_defect == model_defect::ends_runs_of_leaving_workers) {
+            for (const auto& [run, state] : std::exchange(agent.m_guard.m_runs, {}))
+                agent.m_guard.m_homes.at(state.m_home)
+                    .m_outcomes.push_back({run, run_result::lost, milliseconds(0), state.m_verdict});
+        }
         step_agent(agent);
         if (!is_answer_lost)
             at(m_now + end_ms,
--- a/tests/model/platform_model_test.cpp
+++ b/tests/model/platform_model_test.cpp
@@ -178,10 +178,16 @@
         {model_defect::ignores_orphaned_runs, "ignores_orphaned_runs"},
         {model_defect::keeps_runs_of_lost_homes, "keeps_runs_of_lost_homes"},
         {model_defect::keeps_jobs_of_lost_entries, "keeps_jobs_of_lost_entries"},
+        {model_defect::trusts_refusals_of_repeated_starts, "trusts_refusals_of_repeated_starts"},
+        {model_defect::ends_runs_of_leaving_workers, "ends_runs_of_leaving_workers"},
         {model_defect::keeps_jobs_of_silent_callers, "keeps_jobs_of_silent_callers"},
     };
     model_faults faults = all_faults();
     faults.m_delay_message = 50;
+    model_faults worker_faults;
+    worker_faults.m_lose_worker_answer = 200;
+    worker_faults.m_refuse_start = 200;
+    worker_faults.m_remove_worker = 20;
     for (const auto& [defect, text] : cases) {
         const std::string name = text;
         CAPTURE(name);
@@ -192,8 +198,11 @@
         model_faults silent_callers;
         silent_callers.m_lose_caller = 200;
         silent_callers.m_long_run = 50;
+        const bool is_of_workers = defect == model_defect::trusts_refusals_of_repeated_starts ||
+                                   defect == model_defect::ends_runs_of_leaving_workers;
+        const bool is_of_callers = defect == model_defect::keeps_jobs_of_silent_callers;
         const model_faults& played =
-            defect == model_defect::keeps_jobs_of_silent_callers ? silent_callers : faults;
+            is_of_callers ? silent_callers : (is_of_workers ? worker_faults : faults);
         bool is_detected = false;
         for (std::uint64_t seed = 1; seed <= schedule_count && !is_detected; ++seed)
             is_detected = !run_model(seed, played, defect, is_forwarding).m_violation.empty();
