Age of callers' requests when they are read: measured, logged, counted

Cause: none of the hypotheses about whole jobs that run twice could be told apart, because nothing records for how long a request waited unread at an entry, or for how long nothing had been heard from its caller.

What callers saw: nothing of this; the change decides nothing yet.

Change: the reactor knows when it last reported all events, so an input that it reports now can't have arrived before. A connection keeps that time for the first byte of each request, also across the accept queue, a half-read body and further requests; a request of one segment has the system's own time of its arrival. `request_age_seconds` has it for each submission, `request_read_late` logs those that waited half a second or more, with the silence of the caller's connection and its stated deadline.

--- a/core/metrics.cpp
+++ b/core/metrics.cpp
@@ -39,7 +39,7 @@
 };
 
 constexpr std::array<std::string_view, distribution_count> distribution_names = {
-    "job_response", "queue_wait", "task_run", "home_answer", "loop_delay", "room_wait"};
+    "job_response", "queue_wait", "task_run", "home_answer", "loop_delay", "room_wait", "request_age"};
 
 const std::vector<double> reported_quantiles = {0.5, 0.9, 0.99, 0.999};
 
--- a/core/metrics.h
+++ b/core/metrics.h
@@ -55,8 +55,16 @@
     static_cast<std::size_t>(counter::rpc_authentication_failures) + 1;
 
 // Measured durations, in seconds.
-enum class distribution { job_response, queue_wait, task_run, home_answer, loop_delay, room_wait };
-inline constexpr std::size_t distribution_count = 6;
+enum class distribution {
+    job_response,
+    queue_wait,
+    task_run,
+    home_answer,
+    loop_delay,
+    room_wait,
+    request_age
+};
+inline constexpr std::size_t distribution_count = 7;
 
 // All metrics of a process. Owned by the process's main object and passed by reference; not thread-safe.
 class metrics {
--- a/core/reactor.cpp
+++ b/core/reactor.cpp
@@ -27,7 +27,9 @@
     return singleton;
 }
 
-reactor::reactor() : m_poll_descriptor(::epoll_create1(EPOLL_CLOEXEC))
+reactor::reactor()
+    : m_poll_descriptor(::epoll_create1(EPOLL_CLOEXEC)), m_poll_began_at(boot_now()),
+      m_reported_until(m_poll_began_at)
 {
     static GSourceFuncs functions = {prepare, check, dispatch, nullptr, nullptr, nullptr};
     GSource* source = g_source_new(&functions, sizeof(poll_source));
@@ -51,6 +53,7 @@
 {
     reactor& self = *reinterpret_cast<poll_source*>(source)->m_reactor;
     ++self.m_iterations;
+    self.m_poll_began_at = boot_now();
     *timeout = -1;
     if (self.m_timers.empty())
         return FALSE;
@@ -70,6 +73,8 @@
     // iteration.
     if (g_source_query_unix_fd(source, polled->m_poll_tag) != 0)
         self.handle_descriptor_events();
+    else
+        self.m_reported_until = self.m_poll_began_at;
     const bool is_timer_due =
         !self.m_timers.empty() && self.m_timers.begin()->first <= g_source_get_time(source);
     return is_timer_due || self.m_has_handled_events ? TRUE : FALSE;
@@ -116,13 +121,16 @@
     // Further events are handled in the next iteration.
     constexpr int max_events = 64;
     std::array<epoll_event, max_events> events;
+    const instant polled_at = boot_now();
     const int count = ::epoll_wait(m_poll_descriptor, events.data(), max_events, 0);
     for (int index = 0; index < count; ++index) {
         const epoll_event& event = events.at(static_cast<std::size_t>(index));
         const auto watch = m_watches.find(event.data.fd);
         if (watch != m_watches.end())
-            watch->second->on_events(event.events);
+            watch->second->on_events(event.events, m_reported_until);
     }
+    if (count >= 0 && count < max_events)
+        m_reported_until = polled_at;
 }
 
 descriptor_watch::descriptor_watch(int descriptor, interest wanted) : m_descriptor(descriptor)
@@ -169,11 +177,18 @@
     changed.m_waiter = nullptr;
 }
 
-void descriptor_watch::on_events(std::uint32_t events)
+instant descriptor_watch::unread_since() const
+{
+    return m_unread_since.value_or(reactor::instance().m_reported_until);
+}
+
+void descriptor_watch::on_events(std::uint32_t events, instant unreported_since)
 {
     constexpr std::uint32_t failures = EPOLLERR | EPOLLHUP;
     const bool is_end = (events & (EPOLLRDHUP | failures)) != 0;
     m_has_hung_up = m_has_hung_up || is_end;
+    if ((events & EPOLLIN) != 0 && !m_unread_since)
+        m_unread_since = unreported_since;
     if ((events & (EPOLLIN | EPOLLRDHUP | failures)) != 0)
         set_ready(m_readable);
     if ((events & (EPOLLOUT | failures)) != 0)
--- a/core/reactor.h
+++ b/core/reactor.h
@@ -6,6 +6,8 @@
 
 #pragma once
 
+#include "core/instant.h"
+
 #include <glib.h>
 #include <kj/async.h>
 
@@ -38,6 +40,13 @@
     void mark_read_blocked() { m_readable.m_is_ready = false; }
     void mark_write_blocked() { m_writable.m_is_ready = false; }
 
+    // No later than the arrival of the oldest input that was not read yet, by the clock of boot_now().
+    // Callers must record with mark_drained() that a read left nothing.
+    instant unread_since() const;
+    void mark_drained() { m_unread_since.reset(); }
+    // For a descriptor that had unread input before it was watched.
+    void set_unread_since(instant when) { m_unread_since = when; }
+
     // Calls `action` once has_hung_up() is true, immediately if it already is. An empty action removes the
     // callback.
     void set_hangup_callback(std::function<void()> action);
@@ -57,13 +66,15 @@
 
     static kj::Promise<void> wait(direction& awaited);
     static void set_ready(direction& changed);
-    void on_events(std::uint32_t events);
+    // `unreported_since` is when the poll before this one began.
+    void on_events(std::uint32_t events, instant unreported_since);
 
     int m_descriptor;
     direction m_readable;
     direction m_writable;
     bool m_has_hung_up = false;
     std::function<void()> m_hangup_callback;
+    std::optional<instant> m_unread_since;
 };
 
 // Fulfils a promise once after a delay, unless it is destroyed before.
@@ -119,6 +130,9 @@
     int m_poll_descriptor;
     poll_source* m_source;
     std::uint64_t m_iterations = 0;
+    instant m_poll_began_at;
+    // All events that occurred before this time have been reported to their watches.
+    instant m_reported_until;
     // Whether descriptor events were handled in this iteration of the loop.
     bool m_has_handled_events = false;
     timer_map m_timers;
--- a/http/api_messages.h
+++ b/http/api_messages.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "admission/request_age.h"
 #include "core/instant.h"
 #include "core/verdict.h"
 
@@ -25,6 +26,7 @@
     std::string m_host;
     // Values of the headers in api_limits::m_extra_headers, in that order; empty for missing headers.
     std::vector<std::string> m_extra_headers;
+    request_age m_age;
     // Set if the input exceeded a limit of the server; the body is then empty.
     reason m_input_fault = reason::none;
 };
--- a/http/api_server.cpp
+++ b/http/api_server.cpp
@@ -57,19 +57,24 @@
 
 bool api_server::accept_all()
 {
+    const instant unread_since = m_listener_watch->unread_since();
     while (true) {
         file_descriptor accepted(
             ::accept4(m_listener.number(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
         if (accepted.is_open())
-            serve(std::move(accepted));
+            serve(std::move(accepted), unread_since);
+        else if (errno == EAGAIN || errno == EWOULDBLOCK) {
+            m_listener_watch->mark_drained();
+            return true;
+        }
         else if (errno != ECONNABORTED && errno != EINTR)
-            return errno == EAGAIN || errno == EWOULDBLOCK;
+            return false;
     }
 }
 
-void api_server::serve(file_descriptor socket)
+void api_server::serve(file_descriptor socket, instant unread_since)
 {
-    auto connection = kj::heap<server_connection>(m_context, std::move(socket));
+    auto connection = kj::heap<server_connection>(m_context, std::move(socket), unread_since);
     auto served = connection->serve();
     m_tasks.add(served.attach(kj::mv(connection)));
 }
--- a/http/api_server.h
+++ b/http/api_server.h
@@ -36,7 +36,8 @@
     kj::Promise<void> accept_pending();
     // Accepts and serves the waiting connections; false if descriptors or memory ran out.
     bool accept_all();
-    void serve(file_descriptor socket);
+    // The client connected no earlier than `unread_since`.
+    void serve(file_descriptor socket, instant unread_since);
 
     server_context m_context;
     // The connections.
--- a/http/server_connection.cpp
+++ b/http/server_connection.cpp
@@ -79,9 +79,10 @@
     kj::Promise<void> m_probe = nullptr;
 };
 
-server_connection::server_connection(server_context& context, file_descriptor socket)
-    : server_connection(context,
-                        kj::heap<server_stream>(std::move(socket), context.m_limits.m_idle_timeout_seconds))
+server_connection::server_connection(server_context& context, file_descriptor socket, instant unread_since)
+    : server_connection(
+          context,
+          kj::heap<server_stream>(std::move(socket), context.m_limits.m_idle_timeout_seconds, unread_since))
 {
 }
 
@@ -148,6 +149,7 @@
 {
     // The rest of the input may be unread.
     m_is_closing = m_is_closing || request.m_input_fault != reason::none;
+    request.m_age = m_socket.take_request_age(boot_now());
     auto current = kj::heap<exchange>(m_context, m_socket);
     auto answered = kj::evalNow([&] {
                         return m_context.m_handler(std::move(request));
--- a/http/server_connection.h
+++ b/http/server_connection.h
@@ -33,7 +33,8 @@
                                 private kj::HttpServerCallbacks,
                                 private kj::HttpServerErrorHandler {
 public:
-    server_connection(server_context& context, file_descriptor socket);
+    // The client sent nothing before `unread_since`.
+    server_connection(server_context& context, file_descriptor socket, instant unread_since);
 
     // Serves one request after the other. Fulfilled when the connection can be closed.
     kj::Promise<void> serve();
--- a/http/server_stream.cpp
+++ b/http/server_stream.cpp
@@ -8,9 +8,10 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <cstddef>
 #include <cstring>
+#include <linux/tcp.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <utility>
 
@@ -25,6 +26,22 @@
     return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
 }
 
+// What the system tells of a connection; empty if it tells nothing.
+std::optional<tcp_info> read_tcp_info(int socket)
+{
+    tcp_info info{};
+    socklen_t length = sizeof(info);
+    constexpr std::size_t needed = offsetof(tcp_info, tcpi_data_segs_in) + sizeof(info.tcpi_data_segs_in);
+    if (::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &length) != 0 || length < needed)
+        return std::nullopt;
+    return info;
+}
+
+milliseconds time_since_heard(const tcp_info& info)
+{
+    return milliseconds(std::min(info.tcpi_last_ack_recv, info.tcpi_last_data_recv));
+}
+
 kj::Exception make_disconnected_error(const char* what)
 {
     return KJ_EXCEPTION(DISCONNECTED, what, std::strerror(errno));
@@ -32,9 +49,11 @@
 
 } // namespace
 
-server_stream::server_stream(file_descriptor socket, unsigned idle_timeout_seconds)
-    : m_socket(std::move(socket)), m_watch(m_socket.number()), m_idle_timeout_ms(idle_timeout_seconds * 1'000)
+server_stream::server_stream(file_descriptor socket, unsigned idle_timeout_seconds, instant unread_since)
+    : m_socket(std::move(socket)), m_watch(m_socket.number()),
+      m_idle_timeout_ms(idle_timeout_seconds * 1'000), m_last_read_since(unread_since)
 {
+    m_watch.set_unread_since(unread_since);
     const int enabled = 1;
     ::setsockopt(m_socket.number(), IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled));
     ++open_streams;
@@ -77,16 +96,23 @@
 {
     while (done < min_bytes && !std::exchange(m_is_drained, false)) {
         const std::size_t room = max_bytes - done;
+        const instant unread_since = m_watch.unread_since();
         const ssize_t received = ::recv(m_socket.number(), buffer + done, room, MSG_DONTWAIT);
         if (received == 0)
             return done;
         if (received < 0 && !would_block())
             return make_disconnected_error("read failed");
-        if (received < 0)
+        if (received < 0) {
+            m_watch.mark_drained();
             break;
+        }
         done += static_cast<std::size_t>(received);
+        m_last_read_since = unread_since;
+        m_request_began_at = m_request_began_at.value_or(unread_since);
         // After a hang-up no later event reports the end of the stream, so it must be read.
         m_is_drained = static_cast<std::size_t>(received) < room && !m_watch.has_hung_up();
+        if (m_is_drained)
+            m_watch.mark_drained();
     }
     if (done >= min_bytes)
         return done;
@@ -144,12 +170,28 @@
 
 bool server_stream::end_probe(milliseconds span)
 {
-    tcp_info info{};
-    socklen_t length = sizeof(info);
-    const bool is_known = ::getsockopt(m_socket.number(), IPPROTO_TCP, TCP_INFO, &info, &length) == 0;
+    const auto info = read_tcp_info(m_socket.number());
     const int disabled = 0;
     ::setsockopt(m_socket.number(), SOL_SOCKET, SO_KEEPALIVE, &disabled, sizeof(disabled));
-    return !is_known || std::min(info.tcpi_last_ack_recv, info.tcpi_last_data_recv) <= span.count();
+    return !info || time_since_heard(*info) <= span;
+}
+
+request_age server_stream::take_request_age(instant now)
+{
+    // Resolution of the times in tcp_info, which are rounded down.
+    constexpr milliseconds tcp_clock_tick{10};
+    const instant began_at = std::exchange(m_request_began_at, std::nullopt).value_or(m_last_read_since);
+    const auto info = read_tcp_info(m_socket.number());
+    if (!info)
+        return {began_at, began_at};
+    const std::uint32_t segments =
+        info->tcpi_data_segs_in - std::exchange(m_request_segments, info->tcpi_data_segs_in);
+    request_age age{began_at, now - time_since_heard(*info)};
+    // The time of the last segment is that of the whole request if there was no other.
+    if (segments == 1)
+        age.m_received_at =
+            std::max(began_at, now - milliseconds(info->tcpi_last_data_recv) - tcp_clock_tick);
+    return age;
 }
 
 void server_stream::shut_down()
--- a/http/server_stream.h
+++ b/http/server_stream.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "admission/request_age.h"
 #include "core/glib_stream.h"
 #include "core/reactor.h"
 
@@ -13,8 +14,9 @@
 
 class server_stream final : public kj::AsyncIoStream {
 public:
-    // A read or write during which nothing is transferred for the idle timeout fails.
-    server_stream(file_descriptor socket, unsigned idle_timeout_seconds);
+    // A read or write during which nothing is transferred for the idle timeout fails. The first input arrived
+    // no earlier than `unread_since`.
+    server_stream(file_descriptor socket, unsigned idle_timeout_seconds, instant unread_since);
     ~server_stream() noexcept(false);
     KJ_DISALLOW_COPY(server_stream);
 
@@ -33,6 +35,10 @@
     // already happened. An empty action removes the callback.
     void set_hangup_callback(std::function<void()> action) { m_watch.set_hangup_callback(std::move(action)); }
 
+    // The age of the request that was read completely since the last call. A pipelined request counts as
+    // received when the connection was last read from.
+    request_age take_request_age(instant now);
+
     // Asks the peer's TCP to acknowledge that the connection still exists. Has an effect only if nothing was
     // received for a second.
     void probe_peer();
@@ -53,6 +59,12 @@
     // Whether the last read emptied the socket; another one before the socket is ready again would find
     // nothing.
     bool m_is_drained = false;
+    // No later than the arrival of the first byte that was read since the last request; empty if none was.
+    std::optional<instant> m_request_began_at;
+    // The same of the last byte that was read.
+    instant m_last_read_since;
+    // Segments with data that had been received when the last request was complete.
+    std::uint32_t m_request_segments = 0;
 };
 
 } // namespace hawthornpin
--- a/main/platform_entry.h
+++ b/main/platform_entry.h
@@ -72,6 +72,8 @@
     kj::Promise<api_response> on_caller_request(const api_request& request);
     kj::Promise<api_response> submit(const queue_contract& queue, const std::string& id,
                                      const api_request& request);
+    // Observes the age of a submission, and logs it if it is read late.
+    void record_age(const std::string& id, const api_request& request, instant now);
     api_response describe_job(const std::string& id) const;
     api_response cancel(const std::string& id);
     kj::Promise<api_response> wait_for_answer(const std::string& id);
--- a/main/platform_entry_callers.cpp
+++ b/main/platform_entry_callers.cpp
@@ -58,6 +58,11 @@
     return std::max(milliseconds(1), milliseconds(value) - answer_margin);
 }
 
+milliseconds age_of(const api_request& request, instant now)
+{
+    return std::chrono::duration_cast<milliseconds>(now - request.m_age.m_received_at);
+}
+
 } // namespace
 
 // Attached to a caller's wait. If it is destroyed before the answer, the caller has disconnected.
@@ -119,6 +124,7 @@
         return make_state_response(cached->second.m_state);
     if (m_leaving_since && *m_leaving_since + serve_while_leaving < boot_now())
         return make_refusal(503, to_text(job_end_reason::shutting_down), milliseconds(0));
+    record_age(id, request, boot_now());
     if (!m_waiters.contains(id) && is_forwarding() && take_refusal(m_overload)) {
         m_metrics.count_labelled("job_ends", queue.m_name + ' ' + to_text(job_end_reason::entry_overload));
         return make_refusal(too_many_requests, to_text(job_end_reason::entry_overload), retry_after_overload);
@@ -147,6 +153,21 @@
     return answer;
 }
 
+void platform_entry::record_age(const std::string& id, const api_request& request, instant now)
+{
+    constexpr milliseconds late{500};
+    const milliseconds age = age_of(request, now);
+    m_metrics.observe(distribution::request_age, std::chrono::duration<double>(age).count());
+    if (age < late)
+        return;
+    const auto silent_for = std::chrono::duration_cast<milliseconds>(now - request.m_age.m_heard_at);
+    log_event(log_level::info, "request_read_late",
+              {{"job", id},
+               {"age_ms", std::to_string(age.count())},
+               {"caller_silent_ms", std::to_string(silent_for.count())},
+               {"deadline_ms", request.m_extra_headers.front()}});
+}
+
 kj::Promise<api_response> platform_entry::wait_for_answer(const std::string& id)
 {
     auto pair = kj::newPromiseAndFulfiller<api_response>();
