Soak: requests that an entry reads after its callers have given up

A submission carries no age: an entry that reads it late counts Deadline-Ms from then.

Change: a seeded mode of the soak (--late-read-rounds). Each round suspends one of three entries. Jobs of three tasks of 900 ms wait in its sockets: on a new connection, on one that has served a request, and with half of the body sent before the suspension. Callers give up after 1,500 ms, leave the connection open and submit the job at another entry 1,300 ms later; the first entry resumes 50 to 300 ms after that. It passes only without a violation, if the first entry answered late and jobs were completed at the other one. The verifier counts violations. The test is known to fail.

--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -2,10 +2,6 @@
 
 #include "tests/soak/soak_callers.h"
 
-#include "core/json.h"
-
-#include "tests/soak/soak_worker.h"
-
 #include <array>
 
 namespace hawthornpin::soak {
@@ -44,13 +40,6 @@
     return job_kinds.back();
 }
 
-std::string draw_id(random_source& random)
-{
-    std::array<char, 17> text{};
-    std::snprintf(text.data(), text.size(), "%016llx", static_cast<unsigned long long>(random()));
-    return text.data();
-}
-
 } // namespace
 
 soak_callers::soak_callers(std::vector<std::string> entries, std::uint64_t seed, double jobs_per_second,
@@ -90,61 +79,46 @@
         m_tasks.add(attempt(draw_job(), attempts));
 }
 
-soak_callers::job_plan soak_callers::draw_job()
+soak_job soak_callers::draw_job()
 {
     const job_kind& kind = draw_kind(m_random);
-    constexpr std::int64_t cpu_milli = 1'600;
     const double factor = std::uniform_real_distribution<double>(0.6, 1.6)(m_random);
     const auto duration = static_cast<long long>(factor * static_cast<double>(kind.m_duration_ms));
-    json_writer body;
-    body.begin_object()
-        .key("spec")
-        .text(make_specification(cpu_milli, duration))
-        .key("best_effort")
-        .flag(true);
-    body.key("phases").begin_array().begin_object().key("count").integer(kind.m_tasks);
-    body.key("cpu").integer(cpu_milli).key("mem_mb").integer(64);
-    body.key("estimate_ms").integer(kind.m_duration_ms).end_object().end_array().end_object();
-    job_plan plan{draw_id(m_random), kind.m_queue, body.to_string()};
-    m_verifier.record_submitted(plan.m_id, kind.m_tasks);
-    return plan;
+    soak_job job = make_job(draw_job_id(m_random), kind.m_queue, kind.m_tasks, duration, kind.m_duration_ms);
+    m_verifier.record_submitted(job.m_id, job.m_tasks);
+    return job;
 }
 
-kj::Promise<void> soak_callers::attempt(job_plan plan, int attempts_left)
+kj::Promise<void> soak_callers::attempt(soak_job job, int attempts_left)
 {
     constexpr unsigned ok = 200;
     constexpr unsigned too_many = 429;
     constexpr unsigned unavailable = 503;
     ++m_open_attempts;
     const std::size_t entry = std::uniform_int_distribution<std::size_t>(0, m_entries.size() - 1)(m_random);
-    http_request request;
-    request.m_method = "POST";
-    request.m_url = "http://" + m_entries[entry] + "/" + plan.m_queue + "/" + plan.m_id;
-    request.m_body = plan.m_body;
-    request.m_headers = {{"Deadline-Ms", std::to_string(caller_timeout_ms)}, {"Host", "soak.example"}};
-    request.m_can_reuse_connection = true;
+    const http_request request = make_submission(m_entries[entry], job, caller_timeout_ms);
     return m_http.send_within(request, caller_timeout_ms)
-        .then([this, plan = std::move(plan), attempts_left](http_response response) -> kj::Promise<void> {
+        .then([this, job = std::move(job), attempts_left](http_response response) -> kj::Promise<void> {
             --m_open_attempts;
             const bool is_answered = response.m_transport == http_transport::answered;
             if (is_answered && response.m_status == ok) {
                 if (response.m_body.find("completed") != std::string::npos)
-                    m_verifier.record_completed(plan.m_id);
+                    m_verifier.record_completed(job.m_id);
                 else
-                    m_verifier.record_unanswered(plan.m_id);
+                    m_verifier.record_unanswered(job.m_id);
                 return kj::READY_NOW;
             }
             if (is_answered && (response.m_status == too_many || response.m_status == unavailable)) {
-                m_verifier.record_refused(plan.m_id);
+                m_verifier.record_refused(job.m_id);
                 return kj::READY_NOW;
             }
-            m_verifier.record_unanswered(plan.m_id);
+            m_verifier.record_unanswered(job.m_id);
             if (attempts_left <= 1 || m_is_stopped)
                 return kj::READY_NOW;
             ++m_open_attempts;
-            return after_delay(resubmit_delay_ms).then([this, plan, attempts_left]() mutable {
+            return after_delay(resubmit_delay_ms).then([this, job, attempts_left]() mutable {
                 --m_open_attempts;
-                return attempt(std::move(plan), attempts_left - 1);
+                return attempt(std::move(job), attempts_left - 1);
             });
         });
 }
--- a/tests/soak/soak_callers.h
+++ b/tests/soak/soak_callers.h
@@ -7,6 +7,7 @@
 #include "core/instant.h"
 #include "core/random.h"
 #include "platform/http_client.h"
+#include "tests/soak/soak_requests.h"
 #include "tests/soak/soak_verifier.h"
 
 #include <memory>
@@ -28,15 +29,9 @@
     bool is_idle() const { return m_open_attempts == 0; }
 
 private:
-    struct job_plan {
-        std::string m_id;
-        std::string m_queue;
-        std::string m_body;
-    };
-
-    job_plan draw_job();
+    soak_job draw_job();
     void submit_due();
-    kj::Promise<void> attempt(job_plan plan, int attempts_left);
+    kj::Promise<void> attempt(soak_job job, int attempts_left);
 
     std::vector<std::string> m_entries;
     random_source m_random;
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -2,6 +2,7 @@
 // verifies what callers and workers see. See tests/soak/run-soak.
 
 #include "core/json.h"
+#include "tests/soak/late_reads.h"
 #include "tests/soak/soak_callers.h"
 #include "tests/soak/soak_faults.h"
 
@@ -45,6 +46,7 @@
     unsigned m_load_ms = 0;
     double m_jobs_per_second = 0;
     unsigned m_idle_connections = 0;
+    std::size_t m_late_read_rounds = 0;
 };
 
 class soak_run {
@@ -73,6 +75,7 @@
         }
         m_callers = std::make_unique<soak_callers>(entries, m_settings.m_seed, m_settings.m_jobs_per_second,
                                                    m_verifier);
+        m_late_reads = std::make_unique<late_reads>(entries, m_settings.m_seed, m_verifier, m_processes);
         return true;
     }
 
@@ -103,6 +106,20 @@
             .then([this] { return report_result(); });
     }
 
+    kj::Promise<bool> play_late_reads()
+    {
+        return after_delay(startup_ms)
+            .then([this] { return m_late_reads->play_rounds(m_settings.m_late_read_rounds); })
+            .then([] { return after_delay(fault_free_ms); })
+            .then([this] {
+                std::cout << m_late_reads->summary() << '\n';
+                const bool is_passed = report_result();
+                if (!m_late_reads->is_conclusive())
+                    std::cout << "inconclusive: too few requests were read late or completed\n";
+                return is_passed && m_late_reads->is_conclusive();
+            });
+    }
+
 private:
     void publish_configuration()
     {
@@ -165,6 +182,7 @@
     soak_processes m_processes;
     soak_faults m_faults;
     std::unique_ptr<soak_callers> m_callers;
+    std::unique_ptr<late_reads> m_late_reads;
     std::size_t m_completed_at_recovery = 0;
 };
 
@@ -187,6 +205,8 @@
         "rate of arrivals");
     add("idle-connections", options::value(&settings.m_idle_connections)->default_value(0),
         "further connections of callers to each entry that stay idle");
+    add("late-read-rounds", options::value(&settings.m_late_read_rounds)->default_value(0),
+        "in place of load and faults: how often an entry is suspended while it has unread requests");
     options::variables_map values;
     options::store(options::parse_command_line(argument_count, arguments, description), values);
     options::notify(values);
@@ -207,7 +227,8 @@
             std::cerr << why.text() << '\n';
             return 1;
         }
-        return run_until_complete(loop, run.run_phases()) ? 0 : 1;
+        auto phases = settings.m_late_read_rounds > 0 ? run.play_late_reads() : run.run_phases();
+        return run_until_complete(loop, kj::mv(phases)) ? 0 : 1;
     }
     catch (const options::error& error) {
         std::cerr << error.what() << '\n';
--- a/tests/soak/soak_verifier.cpp
+++ b/tests/soak/soak_verifier.cpp
@@ -8,6 +8,7 @@
 
 void soak_verifier::record_violation(const std::string& what)
 {
+    ++m_violations;
     if (m_violation.empty())
         m_violation = what;
 }
@@ -78,7 +79,8 @@
 {
     return std::to_string(m_jobs.size()) + " jobs, " + std::to_string(m_completed) + " completed, " +
            std::to_string(m_refused) + " refused, " + std::to_string(m_unanswered) +
-           " attempts unanswered, " + std::to_string(m_starts) + " starts";
+           " attempts unanswered, " + std::to_string(m_starts) + " starts, " + std::to_string(m_violations) +
+           " violations";
 }
 
 } // namespace hawthornpin::soak
--- a/tests/soak/soak_verifier.h
+++ b/tests/soak/soak_verifier.h
@@ -53,6 +53,7 @@
     std::size_t m_completed = 0;
     std::size_t m_refused = 0;
     std::size_t m_unanswered = 0;
+    std::size_t m_violations = 0;
     std::string m_violation;
 };
 
