Soak: callers that give up in different ways, and series of suspensions

Cause looked for: in the soak all callers stated 4,000 ms and closed the connection when they gave up, so that no request outlived its caller.

Change: a caller waits 1,500 ms or 1.0 to 6.0 s. A fifth state no deadline and close the connection when they give up; half of the others leave it open, and use it again after the late answer. One in eight pauses in the middle of the body. Entries are suspended up to three times in a row, for up to 3.2 s, also two entries at a time.

--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -11,7 +11,11 @@
 constexpr unsigned tick_ms = 5;
 // Delay before a job without an answer, or with status 502 or 504, is submitted again.
 constexpr unsigned resubmit_delay_ms = 1'300;
-constexpr unsigned caller_timeout_ms = 4'000;
+// Time that a caller waits for an answer.
+constexpr unsigned min_wait_ms = 1'000;
+constexpr unsigned max_wait_ms = 6'000;
+constexpr unsigned usual_wait_ms = 1'500;
+constexpr unsigned max_pause_ms = 1'500;
 // Attempts of a caller for each job.
 constexpr int attempts = 2;
 constexpr unsigned max_connections = 400;
@@ -44,8 +48,8 @@
 
 soak_callers::soak_callers(std::vector<std::string> entries, std::uint64_t seed, double jobs_per_second,
                            soak_verifier& verifier)
-    : m_entries(std::move(entries)), m_random(seed), m_jobs_per_second(jobs_per_second), m_verifier(verifier),
-      m_http(max_connections)
+    : m_entries(std::move(entries)), m_random(seed), m_behavior_random(~seed),
+      m_jobs_per_second(jobs_per_second), m_verifier(verifier), m_http(max_connections)
 {
 }
 
@@ -89,16 +93,50 @@
     return job;
 }
 
+soak_callers::caller_behavior soak_callers::draw_behavior()
+{
+    auto is_one_in = [this](std::size_t count) { return random_below(m_behavior_random, count) == 0; };
+    caller_behavior behavior;
+    behavior.m_wait_ms = usual_wait_ms;
+    if (is_one_in(2))
+        behavior.m_wait_ms =
+            min_wait_ms + static_cast<unsigned>(random_below(m_behavior_random, max_wait_ms - min_wait_ms));
+    if (is_one_in(8))
+        behavior.m_pause_ms = 1 + static_cast<unsigned>(random_below(m_behavior_random, max_pause_ms));
+    // Nothing tells an entry that a caller has stopped waiting if it states no deadline and stays connected.
+    if (is_one_in(5))
+        return behavior;
+    behavior.m_deadline_ms = behavior.m_wait_ms;
+    behavior.m_leaves_connection_open = is_one_in(2);
+    return behavior;
+}
+
+kj::Promise<http_response> soak_callers::send(const soak_job& job, const caller_behavior& behavior)
+{
+    const std::string& entry = m_entries[random_below(m_random, m_entries.size())];
+    const http_request request = make_submission(entry, job, behavior.m_deadline_ms);
+    if (!behavior.m_leaves_connection_open && behavior.m_pause_ms == 0)
+        return m_http.send_within(request, behavior.m_wait_ms);
+    auto sent = behavior.m_pause_ms == 0 ? m_http.send(request)
+                                         : send_in_halves(entry, request, after_delay(behavior.m_pause_ms));
+    auto given_up = after_delay(behavior.m_wait_ms).then([] { return http_response(); });
+    if (!behavior.m_leaves_connection_open)
+        return sent.exclusiveJoin(kj::mv(given_up));
+    // The request goes on without the caller, and its connection is used again after the answer.
+    auto answer = sent.fork();
+    m_tasks.add(answer.addBranch().ignoreResult());
+    return answer.addBranch().exclusiveJoin(kj::mv(given_up));
+}
+
 kj::Promise<void> soak_callers::attempt(soak_job job, int attempts_left)
 {
     constexpr unsigned ok = 200;
     constexpr unsigned too_many = 429;
     constexpr unsigned unavailable = 503;
     ++m_open_attempts;
-    const std::size_t entry = std::uniform_int_distribution<std::size_t>(0, m_entries.size() - 1)(m_random);
-    const http_request request = make_submission(m_entries[entry], job, caller_timeout_ms);
-    return m_http.send_within(request, caller_timeout_ms)
-        .then([this, job = std::move(job), attempts_left](http_response response) -> kj::Promise<void> {
+    auto answer = send(job, draw_behavior());
+    return answer.then(
+        [this, job = std::move(job), attempts_left](http_response response) -> kj::Promise<void> {
             --m_open_attempts;
             const bool is_answered = response.m_transport == http_transport::answered;
             if (is_answered && response.m_status == ok) {
--- a/tests/soak/soak_callers.h
+++ b/tests/soak/soak_callers.h
@@ -29,12 +29,27 @@
     bool is_idle() const { return m_open_attempts == 0; }
 
 private:
+    // How a caller sends a submission and waits for the answer.
+    struct caller_behavior {
+        // Stated in Deadline-Ms, or not stated.
+        std::optional<unsigned> m_deadline_ms;
+        unsigned m_wait_ms = 0;
+        // Pause in the middle of the body; 0: none.
+        unsigned m_pause_ms = 0;
+        bool m_leaves_connection_open = false;
+    };
+
     soak_job draw_job();
+    caller_behavior draw_behavior();
+    // An answer that takes longer than the caller waits counts as lost.
+    kj::Promise<http_response> send(const soak_job& job, const caller_behavior& behavior);
     void submit_due();
     kj::Promise<void> attempt(soak_job job, int attempts_left);
 
     std::vector<std::string> m_entries;
     random_source m_random;
+    // Separate, so that the same seed draws the same jobs whatever the behavior of their callers.
+    random_source m_behavior_random;
     double m_jobs_per_second;
     soak_verifier& m_verifier;
     instant m_started;
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -14,6 +14,14 @@
 constexpr unsigned fault_interval_ms = 600;
 constexpr unsigned min_fault_ms = 200;
 constexpr unsigned max_fault_ms = 2'500;
+// Interval between series of suspensions; two series may overlap.
+constexpr unsigned series_interval_ms = 2'500;
+constexpr std::size_t max_suspensions = 3;
+constexpr unsigned max_short_suspension_ms = 1'000;
+// Callers that wait for 1.0 to 1.9 s submit a job again during such a suspension.
+constexpr unsigned min_long_suspension_ms = 2'300;
+constexpr unsigned max_long_suspension_ms = 3'200;
+constexpr unsigned max_gap_ms = 300;
 
 void print_fault(const std::string& what, unsigned duration_ms)
 {
@@ -33,6 +41,10 @@
         inject_fault();
         return true;
     });
+    m_series_tick = std::make_unique<timer>(series_interval_ms, [this] {
+        inject_suspensions();
+        return true;
+    });
 }
 
 void soak_faults::inject_fault()
@@ -83,6 +95,39 @@
     }
 }
 
+void soak_faults::inject_suspensions()
+{
+    std::vector<std::string> entries;
+    for (const soak_node& node : m_nodes) {
+        if (!node.m_worker)
+            entries.push_back(node.m_name);
+    }
+    m_tasks.add(suspend_repeatedly(entries[random_below(m_series_random, entries.size())],
+                                   1 + random_below(m_series_random, max_suspensions)));
+}
+
+kj::Promise<void> soak_faults::suspend_repeatedly(std::string name, std::size_t count)
+{
+    const bool is_over = !m_series_tick;
+    if (count == 0 || is_over)
+        return kj::READY_NOW;
+    const bool is_long = random_below(m_series_random, 2) == 0;
+    const auto duration_ms = static_cast<unsigned>(
+        is_long ? min_long_suspension_ms +
+                      random_below(m_series_random, max_long_suspension_ms - min_long_suspension_ms)
+                : 1 + random_below(m_series_random, max_short_suspension_ms));
+    const auto gap_ms = static_cast<unsigned>(random_below(m_series_random, max_gap_ms));
+    std::cout << name << ": ";
+    print_fault("suspended in a series", duration_ms);
+    m_processes.send_signal(name, SIGSTOP);
+    return after_delay(duration_ms)
+        .then([this, name, gap_ms] {
+            m_processes.send_signal(name, SIGCONT);
+            return after_delay(gap_ms);
+        })
+        .then([this, name, count] { return suspend_repeatedly(name, count - 1); });
+}
+
 void soak_faults::inject_link_fault(fault_proxy& link, unsigned duration_ms)
 {
     constexpr std::array<std::pair<link_mode, const char*>, 4> modes = {{
--- a/tests/soak/soak_faults.h
+++ b/tests/soak/soak_faults.h
@@ -30,17 +30,24 @@
 public:
     soak_faults(std::uint64_t seed, std::vector<soak_node>& nodes, soak_store& store,
                 const soak_processes& processes)
-        : m_random(seed), m_nodes(nodes), m_store(store), m_processes(processes)
+        : m_random(seed), m_series_random(~seed), m_nodes(nodes), m_store(store), m_processes(processes)
     {
     }
 
     // Injects a fault at regular intervals until stop(). Faults that last longer still end by themselves.
     void start();
-    void stop() { m_tick.reset(); }
+    void stop()
+    {
+        m_tick.reset();
+        m_series_tick.reset();
+    }
 
 private:
     void inject_fault();
     void inject_process_fault(const soak_node& node, unsigned duration_ms);
+    // Suspends an entry several times, so that requests wait unread in its sockets.
+    void inject_suspensions();
+    kj::Promise<void> suspend_repeatedly(std::string name, std::size_t count);
     void inject_link_fault(fault_proxy& link, unsigned duration_ms);
     void inject_store_fault(unsigned duration_ms);
     void inject_worker_fault(soak_worker& worker, unsigned duration_ms);
@@ -48,11 +55,13 @@
     unsigned draw(unsigned count);
 
     random_source m_random;
+    random_source m_series_random;
     std::vector<soak_node>& m_nodes;
     soak_store& m_store;
     const soak_processes& m_processes;
     background_tasks m_tasks;
     std::unique_ptr<timer> m_tick;
+    std::unique_ptr<timer> m_series_tick;
 };
 
 } // namespace hawthornpin::soak
