Model: requests wait unread at suspended processes; a red test of jobs that run twice then

Cause: the model lost a submission to a suspended entry, where a real one waits in the socket until the process runs again. Nor did the model's entries wait for a home as the real ones do (200 ms), so that after a pause they refused everything. A request that is read late was not played at all.

A caller stops waiting after 1,500 ms, leaves its connection open and submits the job again 1,300 ms later at another entry; the first entry reads the old request, counts the deadline from then, and both run.

Change: submissions to suspended processes wait until these resume. Their callers stop waiting at their deadline, and close the connection, or leave it open with the new fault m_leave_connection. An entry notices the end of a closed connection. Entries keep jobs for two heartbeats while no home is available. A caller submits again only once after each attempt: the model could do so twice if a connection broke after the caller had stopped waiting. No further random numbers are drawn while the new fault is off.

--- a/tests/model/model_processes.h
+++ b/tests/model/model_processes.h
@@ -40,6 +40,8 @@
     long long m_busy_until_us = 0;
     // Whether a call of drain_inbox() is scheduled or in progress.
     bool m_is_draining_inbox = false;
+    // Submissions that were received and not read, with the number of the caller's attempt.
+    std::set<std::pair<std::string, int>> m_unread;
 };
 
 // A process that schedules jobs: an entry or, with forwarding, a home.
@@ -59,6 +61,8 @@
     home_table m_homes;
     // Jobs whose callers wait here, with the number of the caller's attempt.
     std::map<std::string, int> m_callers;
+    // Jobs for which no home is available, and until when they wait for one.
+    std::map<std::string, long long> m_waiting_for_home;
     // Homes that refused a job.
     std::map<std::string, std::set<std::string>> m_refused_by;
     retry_budget m_retries = make_home_retry_budget();
@@ -91,6 +95,11 @@
     int m_open_attempts = 0;
     // Attempts whose connection broke at the caller's side.
     std::set<int> m_silent_attempts;
+    // Attempts whose caller stopped waiting.
+    std::set<int> m_abandoned_attempts;
+    // Attempts that got an answer, and those after which the caller submitted the job again.
+    std::set<int> m_answered_attempts;
+    std::set<int> m_resubmitted_attempts;
     // Index of its kind, in a load of several kinds, and the duration of its longest task.
     std::optional<std::size_t> m_kind;
     double m_job_factor = 1;
--- a/tests/model/platform_model.h
+++ b/tests/model/platform_model.h
@@ -44,6 +44,9 @@
     // A caller's connection breaks at the caller's side only: the entry that it waits at receives no end of
     // the stream, and the caller submits the job again. Only with forwarding.
     int m_lose_caller = 0;
+    // A caller whose submission waits unread at a suspended process leaves the connection open when it stops
+    // waiting; without this fault it closes it.
+    int m_leave_connection = 0;
 };
 
 // Deliberate defects that the rule checks must detect.
@@ -214,6 +217,14 @@
     void register_with(agent_process& agent, home_process& home);
     std::vector<std::string> rank_homes(const agent_process& agent) const;
     void submit(home_process& home, const std::string& job, int attempt);
+    // Runs on_read when the process reads the submission: a suspended one does once it resumes. Runs on_close
+    // when it notices that the caller has closed the connection.
+    void receive_submission(process& entry, const std::string& job, int attempt,
+                            std::function<void()> on_read, std::function<void()> on_close);
+    // The caller stops waiting for a response. Returns false if it was not waiting any more.
+    bool stop_waiting(const std::string& job, int attempt);
+    void on_caller_closed(home_process& home, const std::string& job, int attempt);
+    void on_caller_closed(forwarding_entry& entry, const std::string& job, int attempt);
     void resubmit(const std::string& job, int attempt);
     void deliver_answers(home_process& home);
     agent_status make_status(agent_process& agent, const home_identity* home);
@@ -223,12 +234,15 @@
     void step_forwarding_entry(forwarding_entry& entry);
     void kill_forwarding_entry(forwarding_entry& entry, long long restart_delay_ms);
     home_status make_home_status(const home_process& home) const;
-    void refuse_at_entry(const std::string& job);
+    void refuse_at_entry(const std::string& job, int attempt);
     // Draws whether the caller's connection breaks during this attempt.
     void inject_caller_fault(const std::string& job, int attempt);
     void probe_caller(forwarding_entry& entry, const std::string& job, int attempt);
     void cancel_forwarded(forwarding_entry& entry, const std::string& job);
     void forward_job(forwarding_entry& entry, const std::string& job, int attempt);
+    // Hands a job whose caller waits at the entry to a home, or lets it wait for one.
+    void hand_on(forwarding_entry& entry, const std::string& job);
+    void hand_on_waiting(forwarding_entry& entry);
     void host_job(home_process& home, forwarding_entry& entry, const entry_heartbeat& heartbeat,
                   const std::string& job);
     void return_answer(home_process& home, const job_answer_event& answer);
--- a/tests/model/platform_model_faults.cpp
+++ b/tests/model/platform_model_faults.cpp
@@ -11,6 +11,8 @@
     if (!victim.m_is_up)
         return;
     victim.m_is_up = false;
+    for (const auto& [job, attempt] : std::exchange(victim.m_unread, {}))
+        resubmit(job, attempt);
     for (const auto& home : m_home_processes) {
         if (home.get() != &victim)
             continue;
@@ -151,6 +153,8 @@
     if (!entry.m_is_up)
         return;
     entry.m_is_up = false;
+    for (const auto& [job, attempt] : std::exchange(entry.m_unread, {}))
+        resubmit(job, attempt);
     for (const auto& [job, attempt] : std::exchange(entry.m_callers, {}))
         resubmit(job, attempt);
     at(m_now + restart_delay_ms, [this, &entry] { start_forwarding_entry(entry); });
--- a/tests/model/platform_model_fronts.cpp
+++ b/tests/model/platform_model_fronts.cpp
@@ -6,6 +6,7 @@
 #include "tests/model/model_processes.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace hawthornpin::model {
 
@@ -17,6 +18,7 @@
     entry.m_homes = home_table();
     entry.m_retries = make_home_retry_budget();
     entry.m_refused_by.clear();
+    entry.m_waiting_for_home.clear();
     entry.m_overload = overload_control();
     entry.m_bursts = burst_detector();
     entry.m_homes.m_self = entry.m_id;
@@ -49,6 +51,7 @@
                     on_home_heartbeat_lost(entry.m_homes, id, session);
             });
     }
+    hand_on_waiting(entry);
     deliver(entry, step_interval_ms, [this, &entry] { step_forwarding_entry(entry); });
 }
 
@@ -63,41 +66,35 @@
 
 void platform_model::forward_job(forwarding_entry& entry, const std::string& job, int attempt)
 {
-    const bool is_received = entry.m_is_up && entry.m_suspended_until <= m_now;
-    const auto known = is_received ? entry.m_callers.find(job) : entry.m_callers.end();
-    if (known != entry.m_callers.end() && known->second != attempt) {
+    const auto known = entry.m_callers.find(job);
+    if (known != entry.m_callers.end()) {
         // The new attempt waits for the same answer.
         known->second = attempt;
         return;
     }
-    const std::int64_t demand = initial_demand(m_job_statuses.at(job).m_request);
-    const bool is_new = !entry.m_callers.contains(job);
-    if (is_received && is_new && take_refusal(entry.m_overload)) {
-        refuse_at_entry(job);
-        return;
-    }
-    if (is_received && is_new) {
-        job_status& status = m_job_statuses.at(job);
-        status.m_is_burst = record_arrival(entry.m_bursts, make_queue_contract(job).m_name,
-                                           declared_work(status.m_request), now());
-    }
-    const auto chosen =
-        is_received ? choose_home(entry.m_homes, entry.m_refused_by[job], demand, now()) : std::nullopt;
-    if (!is_received) {
-        resubmit(job, attempt);
+    if (take_refusal(entry.m_overload)) {
+        refuse_at_entry(job, attempt);
         return;
     }
+    job_status& status = m_job_statuses.at(job);
+    status.m_is_burst = record_arrival(entry.m_bursts, make_queue_contract(job).m_name,
+                                       declared_work(status.m_request), now());
+    entry.m_callers[job] = attempt;
+    inject_caller_fault(job, attempt);
+    deliver(entry, caller_probe_after.count(),
+            [this, &entry, job, attempt] { probe_caller(entry, job, attempt); });
+    hand_on(entry, job);
+}
+
+void platform_model::hand_on(forwarding_entry& entry, const std::string& job)
+{
+    const std::int64_t demand = initial_demand(m_job_statuses.at(job).m_request);
+    const auto chosen = choose_home(entry.m_homes, entry.m_refused_by[job], demand, now());
     if (!chosen) {
-        refuse_at_entry(job);
+        entry.m_waiting_for_home.try_emplace(job, m_now + 2 * entry.m_homes.m_limits.m_heartbeat.count());
         return;
     }
     ++m_job_statuses.at(job).m_open_attempts;
-    if (!entry.m_callers.contains(job)) {
-        inject_caller_fault(job, attempt);
-        const long long probe_ms = caller_probe_after.count();
-        deliver(entry, probe_ms, [this, &entry, job, attempt] { probe_caller(entry, job, attempt); });
-    }
-    entry.m_callers[job] = attempt;
     record_forwarded(entry.m_homes, *chosen, job, demand);
     const entry_heartbeat heartbeat = make_entry_heartbeat(entry.m_homes, *chosen);
     const auto home = std::find_if(m_home_processes.begin(), m_home_processes.end(),
@@ -114,6 +111,23 @@
         });
 }
 
+void platform_model::hand_on_waiting(forwarding_entry& entry)
+{
+    for (const auto& [job, wait_until] : std::exchange(entry.m_waiting_for_home, {})) {
+        if (choose_home(entry.m_homes, entry.m_refused_by[job], 0, now())) {
+            hand_on(entry, job);
+            continue;
+        }
+        if (wait_until > m_now) {
+            entry.m_waiting_for_home.emplace(job, wait_until);
+            continue;
+        }
+        const auto caller = entry.m_callers.find(job);
+        refuse_at_entry(job, caller->second);
+        entry.m_callers.erase(caller);
+    }
+}
+
 void platform_model::inject_caller_fault(const std::string& job, int attempt)
 {
     const int chance = m_settings.m_faults.m_lose_caller;
@@ -131,16 +145,21 @@
     const bool is_silent = m_job_statuses.at(job).m_silent_attempts.contains(attempt);
     if (!is_silent || m_settings.m_defect == model_defect::keeps_jobs_of_silent_callers)
         return;
-    deliver(entry, caller_probe_timeout.count(), [this, &entry, job, attempt] {
-        const auto caller = entry.m_callers.find(job);
-        if (caller != entry.m_callers.end() && caller->second == attempt)
-            cancel_forwarded(entry, job);
-    });
+    deliver(entry, caller_probe_timeout.count(),
+            [this, &entry, job, attempt] { on_caller_closed(entry, job, attempt); });
+}
+
+void platform_model::on_caller_closed(forwarding_entry& entry, const std::string& job, int attempt)
+{
+    const auto caller = entry.m_callers.find(job);
+    if (caller != entry.m_callers.end() && caller->second == attempt)
+        cancel_forwarded(entry, job);
 }
 
 void platform_model::cancel_forwarded(forwarding_entry& entry, const std::string& job)
 {
     entry.m_callers.erase(job);
+    entry.m_waiting_for_home.erase(job);
     for (auto& [id, view] : entry.m_homes.m_homes) {
         if (view.m_jobs.erase(job) == 0)
             continue;
@@ -162,8 +181,9 @@
     }
 }
 
-void platform_model::refuse_at_entry(const std::string& job)
+void platform_model::refuse_at_entry(const std::string& job, int attempt)
 {
+    m_job_statuses.at(job).m_answered_attempts.insert(attempt);
     m_job_statuses.at(job).m_is_refused = true;
     ++m_result.m_refused;
     record_end({job, job_end::refused, job_end_reason::overload, milliseconds(0)});
@@ -228,7 +248,7 @@
     if (can_try_another_home(answer, refused_by.size()) && choose_home(entry.m_homes, refused_by, 0, now()) &&
         take_retry(entry.m_retries, make_queue_contract(answer.m_job).m_priority)) {
         --m_job_statuses.at(answer.m_job).m_open_attempts;
-        forward_job(entry, answer.m_job, entry.m_callers.at(answer.m_job));
+        hand_on(entry, answer.m_job);
         return;
     }
     entry.m_refused_by.erase(answer.m_job);
@@ -236,13 +256,15 @@
     entry.m_callers.erase(answer.m_job);
     record_end(answer);
     job_status& status = m_job_statuses.at(answer.m_job);
+    status.m_answered_attempts.insert(attempt);
     if (answer.m_end == job_end::refused) {
         status.m_is_refused = true;
         --status.m_open_attempts;
         ++m_result.m_refused;
     }
     if (answer.m_end == job_end::completed) {
-        const bool reaches_caller = !status.m_silent_attempts.contains(attempt);
+        const bool reaches_caller =
+            !status.m_silent_attempts.contains(attempt) && !status.m_abandoned_attempts.contains(attempt);
         m_result.m_completed += reaches_caller ? 1 : 0;
         get_second(status.m_arrived_ms).m_completed += reaches_caller ? 1 : 0;
         status.m_answers += reaches_caller ? 1 : 0;
--- a/tests/model/platform_model_test.cpp
+++ b/tests/model/platform_model_test.cpp
@@ -163,6 +163,17 @@
     CHECK(run_model(seed, faults, model_defect::none, true).m_violation == "");
 }
 
+// Guards against whole jobs that run twice at once: a suspended entry read a request after its caller had
+// submitted the job again.
+TEST_CASE("model: requests read after their caller has stopped waiting break no rule")
+{
+    model_faults faults;
+    faults.m_long_run = 500;
+    faults.m_suspend_entry = 60;
+    faults.m_leave_connection = 1'000;
+    run_schedules(faults);
+}
+
 TEST_CASE("model: all faults together break no rule")
 {
     run_schedules(all_faults());
