A cancellation that is lost with its connection no longer leaves the job running at its home

Cause: an entry cancels a forwarded job by dropping the call, which no answer confirms. If the connection breaks at the entry's side before the home has read that, the next connection's heartbeats keep extending the same session while no other job is at that home, so the entry lease never ends the job. A lost connection with other jobs on it did begin a new session. Callers see: none of it at once; a caller whose connection broke submits the job again after retransmit_ms, while its first run goes on until the end of the work or of its first deadline: two runs at once (TWICE). Change: a heartbeat that is lost begins a new session unless the home has jobs, whose calls report the loss. Such a home gets no jobs before its next answer, as before. Found by reading the code; not seen on real processes.

--- a/routing/home_table.h
+++ b/routing/home_table.h
@@ -87,6 +87,8 @@
 // Records the answer to the last heartbeat.
 void on_home_heartbeat_answered(home_table& table, const std::string& home, std::uint64_t session,
                                 const home_status& status, instant now);
+// Records that the last heartbeat was not answered. Begins a new session unless the home has jobs, whose own
+// calls report a lost connection.
 void on_home_heartbeat_lost(home_table& table, const std::string& home, std::uint64_t session);
 
 // Least round trip of the last heartbeats to the responding homes; zero if none is known. Homes differ in
--- a/tests/routing/home_table_test.cpp
+++ b/tests/routing/home_table_test.cpp
@@ -116,6 +116,28 @@
     CHECK(make_entry_heartbeat(m_table, "a").m_clock_seen == 0);
 }
 
+// Guards against two runs of a task at the same time: the cancellation of a job was lost with its connection,
+// and the heartbeats on the next one kept the job alive at its home.
+TEST_CASE_FIXTURE(
+    home_table_fixture,
+    "after a lost heartbeat, a home without jobs is not kept from ending those cancelled before")
+{
+    record_forwarded(m_table, "a", "job", 1'000);
+    record_forwarded(m_table, "b", "other", 1'000);
+    const std::uint64_t session = make_entry_heartbeat(m_table, "a").m_session.m_incarnation;
+    const std::uint64_t other_session = make_entry_heartbeat(m_table, "b").m_session.m_incarnation;
+    record_forward_ended(m_table, "a", "job");
+    REQUIRE(take_due_home_heartbeats(m_table, at_ms(1'100)).size() == 2);
+    on_home_heartbeat_lost(m_table, "a", session);
+    on_home_heartbeat_lost(m_table, "b", other_session);
+    const entry_heartbeat next = make_entry_heartbeat(m_table, "a");
+    CHECK(next.m_session.m_incarnation != session);
+    CHECK(next.m_clock_seen == 0);
+    // The calls for jobs that are not cancelled report a lost connection themselves.
+    CHECK(make_entry_heartbeat(m_table, "b").m_session.m_incarnation == other_session);
+    CHECK(take_due_home_heartbeats(m_table, at_ms(1'200)).size() == 2);
+}
+
 TEST_CASE_FIXTURE(home_table_fixture, "the own delay is that of the quickest answer, pending ones included")
 {
     CHECK(estimate_own_delay(m_table, at_ms(1'050)) == milliseconds(0));
