A job whose caller does not wait any longer is refused, not begun

Cause: an entry that was suspended reads a home's refusal, or finds a job that waits for a home, after the caller's deadline. It forwards the job all the same, with at least 1 ms as the time left, and a home with room orders its tasks at once and ends the job at the next tick. Callers see: a caller that left its connection open and submitted the job again elsewhere has it run twice at once for some tens of milliseconds (TWICE), as has one whose request the entry reads in the last millisecond. Change: check_admission() refuses a job whose caller waits for less than a tick (20 ms), as caller_deadline; the refusal is not forwarded again. Found by reading the code; not seen on real processes.

--- a/dispatch/job_admission.cpp
+++ b/dispatch/job_admission.cpp
@@ -155,6 +155,8 @@
 {
     if (const auto refusal = check_job_feasibility(scheduler, job, now))
         return refusal;
+    if (job.m_caller_deadline < now + scheduler.m_limits.m_min_caller_timeout)
+        return admission_refusal{job_end::refused, job_end_reason::caller_deadline, milliseconds(0)};
     const std::string& service = job.m_queue.m_service;
     const auto slack = std::chrono::duration_cast<milliseconds>(job.m_on_time_deadline - now -
                                                                 job.m_steps.front().m_critical_path);
--- a/dispatch/job_scheduler.h
+++ b/dispatch/job_scheduler.h
@@ -152,6 +152,8 @@
     milliseconds m_start_within_per_home{20};
     // Number of ready tasks for which no agent has room before the rest waits for the next call of advance().
     std::size_t m_max_placement_misses = 16;
+    // A job whose caller waits for less than this is refused: it would be ended at the next tick.
+    milliseconds m_min_caller_timeout{20};
     // A job is admitted if its expected wait is at most this share of its slack. Where other homes order from
     // the same agents, the wait is known less exactly.
     double m_admitted_slack_share = 0.5;
--- a/tests/dispatch/job_scheduler_test.cpp
+++ b/tests/dispatch/job_scheduler_test.cpp
@@ -1,6 +1,7 @@
 // Tests of the job scheduler: correct answers, repetition of runs only after proof that they ended, and
 // behaviour under load.
 
+#include "dispatch/job_admission.h"
 #include "tests/dispatch/scheduler_fixture.h"
 
 #include <doctest/doctest.h>
@@ -52,6 +53,23 @@
     CHECK(answers[0].m_end == job_end::abandoned);
 }
 
+// Guards against two runs of a task at the same time: an entry that was suspended forwarded a job whose
+// caller had submitted it again elsewhere.
+TEST_CASE_FIXTURE(scheduler_fixture, "a job whose caller does not wait any longer is refused and not begun")
+{
+    add_agent("a", 0);
+    submit(make_request("j", 1), 1, 1);
+    CHECK(take_orders(1).empty());
+    const auto answers = take_answers();
+    REQUIRE(answers.size() == 1);
+    CHECK(answers[0].m_end == job_end::refused);
+    CHECK(answers[0].m_reason == job_end_reason::caller_deadline);
+    CHECK_FALSE(can_try_another_home(answers[0], 1));
+    answer("a", 1, 2);
+    submit(make_request("k", 1), 2, 25);
+    CHECK(take_orders(2).size() == 1);
+}
+
 TEST_CASE_FIXTURE(scheduler_fixture, "a job is refused as not run when its orders were returned unstarted")
 {
     add_agent("a", 0);
