A start that a worker had no room for is not repeated once the worker drains

Cause: the agent repeats a start that met no room every 10 ms, whatever the worker's state; only runs that wait at the agent are returned when the worker drains. Callers see: a task may start later than drain_ms after its agent has acknowledged that the worker is draining (DRAIN), and is lost when the worker ends. Change: on a worker that drains, or an agent that shuts down, a run whose every start was answered as without effect is returned as not started. One whose start was not answered may have begun; its start is repeated as before, for at most the worker lease. Found by reading the code; not seen on real processes.

--- a/dispatch/run_guard.cpp
+++ b/dispatch/run_guard.cpp
@@ -108,13 +108,17 @@
     });
 }
 
-void return_waiting_runs(run_guard& guard, instant now)
+// Returns the waiting runs that are late. On a worker that drains, returns them all, and those whose start
+// was refused without effect.
+void return_unstarted_runs(run_guard& guard, instant now)
 {
     const bool is_leaving = state_of(guard, now) == agent_state::leaving;
     for (auto position = guard.m_runs.begin(); position != guard.m_runs.end();) {
         const guarded_run& run = position->second;
         const bool is_late = run.m_received + run.m_order.m_start_within < now;
-        const bool is_returned = run.m_phase == run_phase::waiting && (is_late || is_leaving);
+        const bool is_refused = run.m_phase == run_phase::starting && run.m_verdict == verdict::not_run;
+        const bool is_waiting = run.m_phase == run_phase::waiting;
+        const bool is_returned = (is_waiting && is_late) || (is_leaving && (is_waiting || is_refused));
         position = is_returned ? end_run(guard, position, run_result::not_started, now) : std::next(position);
     }
 }
@@ -254,7 +258,7 @@
     guard_actions actions;
     detect_silent_worker(guard, now);
     expire_homes(guard, now);
-    return_waiting_runs(guard, now);
+    return_unstarted_runs(guard, now);
     stop_stalled_runs(guard, now);
     collect_starts(guard, actions, now);
     collect_stops(guard, actions, now);
--- a/tests/dispatch/run_guard_test.cpp
+++ b/tests/dispatch/run_guard_test.cpp
@@ -379,6 +379,25 @@
     CHECK(results().size() == 2);
 }
 
+// Guards against a start on a worker whose draining was acknowledged: it had no room for the run at first.
+TEST_CASE_FIXTURE(guard_fixture,
+                  "a start that a worker had no room for is not repeated once the worker drains")
+{
+    order({make_order(0), make_order(1)}, 1, 1);
+    REQUIRE(advance(m_guard, at_ms(1)).m_starts.size() == 2);
+    on_start_answer(m_guard, make_run(0), start_answer::no_room, at_ms(2));
+    on_start_answer(m_guard, make_run(1), start_answer::unanswered, at_ms(81));
+    worker_report draining = make_report(2);
+    draining.m_is_draining = true;
+    on_worker_report(m_guard, draining, at_ms(82));
+    // The run without an answer may have begun: its start is repeated until that is known.
+    const auto starts = advance(m_guard, at_ms(102)).m_starts;
+    REQUIRE(starts.size() == 1);
+    CHECK(starts.front().m_run == make_run(1));
+    REQUIRE(results() == std::vector<run_result>{run_result::not_started});
+    CHECK(m_guard.m_homes.at(entry).m_outcomes.front().m_verdict == verdict::not_run);
+}
+
 // Guards against two runs of a task at the same time: its worker deregistered, and the task was started
 // elsewhere before the worker had ended.
 TEST_CASE_FIXTURE(guard_fixture, "the runs of a worker that deregisters are not over until that is proved")
