An outcome of a job's earlier submission is not taken for that of its next one

Cause: run numbers begin at 1 with each submission of a job, and a home knows the outcome of a run by task, run number and agent only. A report that waits for the home (its link is replaced, or the home is suspended) until the caller has submitted the job again there, and the same agent has the same run, ends the new run in the home's view while it works. Callers see: an outcome not_started has the task ordered elsewhere while it runs (TWICE), or the job refused as not run (REFUSED). Change: the home keeps the number of the first batch with a run's order, and ignores an outcome in a report whose status has not seen that batch. An agent refuses an order for a run whose earlier outcome its home has not acknowledged, so that a later report can't carry that outcome for the new order. No change of the messages. Evidence: the two new tests, of silent_agents_test and run_guard_test, fail without the change (a second order is sent; the run is started) and pass with it. Found by reading the code; not seen on real processes.

--- a/dispatch/job_outcomes.cpp
+++ b/dispatch/job_outcomes.cpp
@@ -107,6 +107,17 @@
     return found != scheduler.m_jobs.end() && find_ordered(found->second, run, agent) != nullptr;
 }
 
+// Whether an outcome in a report with this status was sent before the agent received the order for the run: a
+// job that is submitted again begins with the same run numbers.
+bool is_outdated(job_scheduler& scheduler, const agent_status& status, const run_id& run)
+{
+    const auto found = scheduler.m_jobs.find(run.m_task.m_job);
+    if (found == scheduler.m_jobs.end())
+        return true;
+    const live_task* task = find_ordered(found->second, run, status.m_identity.m_id);
+    return task == nullptr || status.m_orders_seen < task->m_batch;
+}
+
 void apply_outcome(job_scheduler& scheduler, const std::string& agent, const run_outcome& outcome,
                    instant now)
 {
@@ -174,8 +185,10 @@
         record_status(scheduler.m_agents, status, now);
         reconcile_agent(scheduler, agent, now);
     }
-    for (const run_outcome& outcome : outcomes)
-        apply_outcome(scheduler, agent, outcome, now);
+    for (const run_outcome& outcome : outcomes) {
+        if (!is_outdated(scheduler, status, outcome.m_run))
+            apply_outcome(scheduler, agent, outcome, now);
+    }
 }
 
 void on_batch_answered(job_scheduler& scheduler, const std::string& agent, std::uint64_t number,
--- a/dispatch/job_scheduler.cpp
+++ b/dispatch/job_scheduler.cpp
@@ -99,6 +99,7 @@
     ++job.m_open_runs;
     ++agent.m_runs;
     agent_channel& channel = scheduler.m_channels[task.m_agent];
+    task.m_batch = channel.m_number + 1;
     run_order order;
     order.m_run = make_run_id(job, key.m_step, key.m_index);
     order.m_specification = job.m_request.m_specification;
@@ -110,7 +111,7 @@
         const auto left = std::chrono::duration_cast<milliseconds>(latest_useful_start(job) - now);
         order.m_start_within = std::min(order.m_start_within, left);
     }
-    agent.m_unacknowledged.push_back({channel.m_number + 1, order.m_needs});
+    agent.m_unacknowledged.push_back({task.m_batch, order.m_needs});
     channel.m_starts.push_back(std::move(order));
 }
 
--- a/dispatch/job_scheduler.h
+++ b/dispatch/job_scheduler.h
@@ -28,8 +28,9 @@
     live_task_phase m_phase = live_task_phase::blocked;
     // Number of the newest run; 0 before the first.
     std::uint32_t m_run = 0;
-    // Agent that the newest run was ordered from.
+    // Agent that the newest run was ordered from, and the number of the first batch with the order.
     std::string m_agent;
+    std::uint64_t m_batch = 0;
     std::uint32_t m_failed_runs = 0;
     // Agents where a run failed, was refused or made no progress.
     std::vector<std::string> m_avoided;
--- a/dispatch/run_guard.cpp
+++ b/dispatch/run_guard.cpp
@@ -30,6 +30,15 @@
     guard.m_ended[order.m_run] = {now + guard.m_limits.m_ended_retention, known};
 }
 
+// The outcome of the run that the home has not acknowledged; null if there is none.
+const run_outcome* find_pending_outcome(const run_guard& guard, const home_identity& home, const run_id& run)
+{
+    const auto& outcomes = guard.m_homes.at(home).m_outcomes;
+    const auto found = std::find_if(outcomes.begin(), outcomes.end(),
+                                    [&run](const run_outcome& outcome) { return outcome.m_run == run; });
+    return found == outcomes.end() ? nullptr : &*found;
+}
+
 bool is_order_acceptable(const run_guard& guard, const run_order& order, instant clock_seen, instant now)
 {
     if (now > clock_seen + guard.m_limits.m_home_lease)
@@ -53,6 +62,10 @@
         refuse_order(guard, batch.m_home, order, ended->second.m_verdict, now);
         return;
     }
+    if (const run_outcome* pending = find_pending_outcome(guard, batch.m_home, order.m_run)) {
+        refuse_order(guard, batch.m_home, order, pending->m_verdict, now);
+        return;
+    }
     const instant clock_seen{microseconds(batch.m_clock_seen)};
     if (!is_order_acceptable(guard, order, clock_seen, now)) {
         // A copy that was accepted when it was new may have run, and be forgotten by now.
--- a/tests/dispatch/run_guard_test.cpp
+++ b/tests/dispatch/run_guard_test.cpp
@@ -299,6 +299,32 @@
     CHECK(m_guard.m_homes.at(entry).m_outcomes.back().m_verdict == verdict::not_run);
 }
 
+// Guards against two runs of a task at the same time: the caller submitted the job again, the home ordered
+// the same run number, and took the late outcome of the first order for that of the second.
+TEST_CASE_FIXTURE(guard_fixture, "no order is accepted for a run whose earlier outcome is not acknowledged")
+{
+    const long long late = m_guard.m_limits.m_home_lease.count() + 2;
+    const auto forget = [&](long long after) {
+        const long long now = after + 1 + m_guard.m_limits.m_ended_retention.count();
+        list({}, {}, now);
+        order({}, now, now, static_cast<std::uint64_t>(now));
+        advance(m_guard, at_ms(now));
+        REQUIRE(m_guard.m_ended.empty());
+        order({make_order(0)}, now, now, static_cast<std::uint64_t>(now) + 1);
+        return now;
+    };
+    list({}, {}, late);
+    order({make_order(0)}, late, 1);
+    REQUIRE(results() == std::vector<run_result>{run_result::not_started});
+    const long long repeated_at = forget(late);
+    CHECK(advance(m_guard, at_ms(repeated_at)).m_starts.empty());
+    REQUIRE(results().size() == 2);
+    CHECK(m_guard.m_homes.at(entry).m_outcomes.back().m_result == run_result::not_started);
+    acknowledge_outcomes(m_guard, entry, 2);
+    const long long accepted_at = forget(repeated_at);
+    CHECK(advance(m_guard, at_ms(accepted_at)).m_starts.size() == 1);
+}
+
 TEST_CASE_FIXTURE(guard_fixture, "a new incarnation of the worker ends all runs and raises the fence")
 {
     run(0, 1);
--- a/tests/dispatch/run_verdict_test.cpp
+++ b/tests/dispatch/run_verdict_test.cpp
@@ -65,6 +65,7 @@
         submit(make_request("j", 1), 1);
         for (const outgoing_batch& out : take_batches(m_scheduler, at_ms(1))) {
             order_batch batch = out.m_batch;
+            m_last_batch[out.m_agent] = batch.m_number;
             batch.m_clock_seen = static_cast<std::uint64_t>(at_ms(1).time_since_epoch().count());
             for (const run_order& order : batch.m_starts)
                 m_run = order.m_run;
--- a/tests/dispatch/silent_agents_test.cpp
+++ b/tests/dispatch/silent_agents_test.cpp
@@ -139,6 +139,35 @@
     CHECK(orders[0].second.m_number == 2);
 }
 
+// Guards against two runs of a task at the same time, and against refusing a job whose task runs: the outcome
+// of a cancelled job's run arrives after the caller submitted the job again.
+TEST_CASE_FIXTURE(scheduler_fixture, "an outcome that was sent before its run was ordered changes nothing")
+{
+    add_agent("a", 0);
+    submit(make_request("job", 1), 1);
+    REQUIRE(take_orders(1).size() == 1);
+    answer("a", 1, 2);
+    const run_outcome outcome{
+        {{"job", 0, 0, 0}, 1}, run_result::not_started, milliseconds(0), verdict::not_run};
+    const agent_status status = make_status("a", 1, true);
+    cancel_job(m_scheduler, "job");
+    take_batches(m_scheduler, at_ms(3));
+    m_last_batch["a"] = m_scheduler.m_channels["a"].m_number;
+    answer("a", 1, 1'400);
+    submit(make_request("job", 1), 1'401);
+    const auto orders = take_orders(1'401);
+    REQUIRE(orders.size() == 1);
+    REQUIRE(orders[0].second == outcome.m_run);
+    answer("a", 1, 1'402);
+    on_agent_report(m_scheduler, status, {outcome}, at_ms(1'403));
+    advance(m_scheduler, at_ms(1'404));
+    CHECK(take_orders(1'404).empty());
+    CHECK_FALSE(is_provably_not_run(m_scheduler.m_jobs.at("job")));
+    // The outcome of the second order counts.
+    report("a", 1, {{outcome.m_run, run_result::done, milliseconds(100), verdict::ran}}, 1'500);
+    REQUIRE(take_answers().size() == 1);
+}
+
 // Guards against withdrawing an order as if it had never been sent when its message was only not answered:
 // the run would continue while its caller resubmits the job. Found by the platform model with lost messages,
 // seed 662.
