--- a/dispatch/job_scheduler.h
+++ b/dispatch/job_scheduler.h
@@ -28,8 +28,9 @@
     live_task_phase m_phase = live_task_phase::blocked;
     // Number of the newest run; 0 before the first.
     std::uint32_t m_run = 0;
-    // Agent that the newest run was ordered from.
+    // Agent that the newest run was ordered from, and the number of the first batch with the order.
     std::string m_agent;
+    std::uint64_t m_batch = 0;
     std::uint32_t m_failed_runs = 0;
     // Agents where a run failed, was refused or made no progress.
     std::vector<std::string> m_avoided;
@@ -152,6 +153,8 @@
     milliseconds m_start_within_per_home{20};
     // Number of ready tasks for which no agent has room before the rest waits for the next call of advance().
     std::size_t m_max_placement_misses = 16;
+    // A job whose caller waits for less than this is refused: it would be ended at the next tick.
+    milliseconds m_min_caller_timeout{20};
     // A job is admitted if its expected wait is at most this share of its slack. Where other homes order from
     // the same agents, the wait is known less exactly.
     double m_admitted_slack_share = 0.5;
--- a/dispatch/run_guard.cpp
+++ b/dispatch/run_guard.cpp
@@ -30,6 +30,15 @@
     guard.m_ended[order.m_run] = {now + guard.m_limits.m_ended_retention, known};
 }
 
+// The outcome of the run that the home has not acknowledged; null if there is none.
+const run_outcome* find_pending_outcome(const run_guard& guard, const home_identity& home, const run_id& run)
+{
+    const auto& outcomes = guard.m_homes.at(home).m_outcomes;
+    const auto found = std::find_if(outcomes.begin(), outcomes.end(),
+                                    [&run](const run_outcome& outcome) { return outcome.m_run == run; });
+    return found == outcomes.end() ? nullptr : &*found;
+}
+
 bool is_order_acceptable(const run_guard& guard, const run_order& order, instant clock_seen, instant now)
 {
     if (now > clock_seen + guard.m_limits.m_home_lease)
@@ -53,6 +62,10 @@
         refuse_order(guard, batch.m_home, order, ended->second.m_verdict, now);
         return;
     }
+    if (const run_outcome* pending = find_pending_outcome(guard, batch.m_home, order.m_run)) {
+        refuse_order(guard, batch.m_home, order, pending->m_verdict, now);
+        return;
+    }
     const instant clock_seen{microseconds(batch.m_clock_seen)};
     if (!is_order_acceptable(guard, order, clock_seen, now)) {
         // A copy that was accepted when it was new may have run, and be forgotten by now.
@@ -108,13 +121,17 @@
     });
 }
 
-void return_waiting_runs(run_guard& guard, instant now)
+// Returns the waiting runs that are late. On a worker that drains, returns them all, and those whose start
+// was refused without effect.
+void return_unstarted_runs(run_guard& guard, instant now)
 {
     const bool is_leaving = state_of(guard, now) == agent_state::leaving;
     for (auto position = guard.m_runs.begin(); position != guard.m_runs.end();) {
         const guarded_run& run = position->second;
         const bool is_late = run.m_received + run.m_order.m_start_within < now;
-        const bool is_returned = run.m_phase == run_phase::waiting && (is_late || is_leaving);
+        const bool is_refused = run.m_phase == run_phase::starting && run.m_verdict == verdict::not_run;
+        const bool is_waiting = run.m_phase == run_phase::waiting;
+        const bool is_returned = (is_waiting && is_late) || (is_leaving && (is_waiting || is_refused));
         position = is_returned ? end_run(guard, position, run_result::not_started, now) : std::next(position);
     }
 }
@@ -254,7 +271,7 @@
     guard_actions actions;
     detect_silent_worker(guard, now);
     expire_homes(guard, now);
-    return_waiting_runs(guard, now);
+    return_unstarted_runs(guard, now);
     stop_stalled_runs(guard, now);
     collect_starts(guard, actions, now);
     collect_stops(guard, actions, now);
