Callers' deadlines count from the arrival of their requests, not from when they are read

Cause: a submission carried no age. An entry that was suspended, or short of processor time, read an old request as if it had just been sent: Deadline-Ms counted from then, as did all leases that have to fit into the time before the caller submits the job again. Class: a delayed process acts on a permission that has expired. All later hops carry an age, this one did not.

What callers saw: a caller that got no response within its 1,500 ms submitted the job again 1,300 ms later at another entry; the first entry then read the first request and ran the whole job beside it, through another home (TWICE, whole jobs, no stop, both runs done).

A request whose caller has stopped waiting is refused at once with 503 and `expired_unread`: nothing of it has run. Submissions of a job that this entry already has, or has answered, are joined as before. took_ms and job_response_seconds count from the arrival, too.

--- a/dispatch/job_scheduler.cpp
+++ b/dispatch/job_scheduler.cpp
@@ -235,9 +235,11 @@
     case job_end_reason::hand_in_late:
         return "hand_in_late";
     case job_end_reason::entry_overload:
+        return "entry_overload";
+    case job_end_reason::expired_unread:
         break;
     }
-    return "entry_overload";
+    return "expired_unread";
 }
 
 bool is_provably_not_run(const live_job& job)
--- a/dispatch/job_scheduler.h
+++ b/dispatch/job_scheduler.h
@@ -107,9 +107,11 @@
     hand_in_late,
     // The entry is short of processor time.
     entry_overload,
+    // The caller stopped waiting before the entry read the request.
+    expired_unread,
 };
 inline constexpr std::size_t job_end_reason_count =
-    static_cast<std::size_t>(job_end_reason::entry_overload) + 1;
+    static_cast<std::size_t>(job_end_reason::expired_unread) + 1;
 const char* to_text(job_end_reason why);
 
 struct job_answer_event {
--- a/main/platform_entry_callers.cpp
+++ b/main/platform_entry_callers.cpp
@@ -48,13 +48,14 @@
     return response;
 }
 
-milliseconds read_caller_timeout(const api_request& request)
+// Empty if the caller does not state how long it waits.
+std::optional<milliseconds> read_caller_timeout(const api_request& request)
 {
     const std::string& text = request.m_extra_headers.front();
     long long value = 0;
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
     if (error != std::errc() || end == text.data() || value <= 0)
-        return default_caller_timeout;
+        return std::nullopt;
     return std::max(milliseconds(1), milliseconds(value) - answer_margin);
 }
 
@@ -124,7 +125,14 @@
         return make_state_response(cached->second.m_state);
     if (m_leaving_since && *m_leaving_since + serve_while_leaving < boot_now())
         return make_refusal(503, to_text(job_end_reason::shutting_down), milliseconds(0));
-    record_age(id, request, boot_now());
+    const instant now = boot_now();
+    record_age(id, request, now);
+    const caller_patience patience{read_caller_timeout(request), default_caller_timeout,
+                                   m_settings.m_resubmit_after};
+    if (!m_waiters.contains(id) && may_be_abandoned(request.m_age, patience, now)) {
+        m_metrics.count_labelled("job_ends", queue.m_name + ' ' + to_text(job_end_reason::expired_unread));
+        return make_refusal(503, to_text(job_end_reason::expired_unread), milliseconds(0));
+    }
     if (!m_waiters.contains(id) && is_forwarding() && take_refusal(m_overload)) {
         m_metrics.count_labelled("job_ends", queue.m_name + ' ' + to_text(job_end_reason::entry_overload));
         return make_refusal(too_many_requests, to_text(job_end_reason::entry_overload), retry_after_overload);
@@ -140,16 +148,17 @@
     auto answer = wait_for_answer(id);
     if (is_known)
         return answer;
-    m_arrivals[id] = {boot_now(), queue.m_name};
+    m_arrivals[id] = {request.m_age.m_received_at, queue.m_name};
     queue_contract ranked = queue;
-    if (record_arrival(m_bursts[queue.m_service], queue.m_name, declared_work(*job), boot_now())) {
+    if (record_arrival(m_bursts[queue.m_service], queue.m_name, declared_work(*job), now)) {
         m_metrics.count_labelled("burst_jobs", queue.m_name);
         ranked.m_priority = burst_priority(queue.m_priority);
     }
+    const instant deadline = caller_deadline(request.m_age, patience);
     if (is_forwarding())
-        forward_job({*job, ranked, boot_now() + read_caller_timeout(request), {}});
+        forward_job({*job, ranked, deadline, {}});
     else
-        m_home.submit(*job, ranked, read_caller_timeout(request));
+        m_home.submit(*job, ranked, std::chrono::ceil<milliseconds>(deadline - now));
     return answer;
 }
 
