A caller that has not been heard from is probed before its request is handled, and for as long as it lasts

The probe of a caller's connection counted one second from the reading of the request and was made once. A request that had waited unread was handed on although its caller's connection might have ended long ago; a connection that went silent later than the probe was not noticed.

What callers saw: a caller whose connection broke, with a long deadline or none, submits the job again; an entry that had been delayed handed the first submission on as well, at the latest until it noticed the end of the connection.

Change: a caller from whose TCP nothing has been received for a second is probed before its request is handled, and again after each further second of silence; the answer is looked for every 5 ms, so that a living caller waits for one round trip. A request whose connection is known to have ended is not handled at all.

A peer that goes silent without an end of the stream is not played on real sockets: loopback has no such peer without rights that tests do not have.

--- a/admission/request_age.cpp
+++ b/admission/request_age.cpp
@@ -4,6 +4,11 @@
 
 namespace hawthornpin {
 
+bool needs_probe(const request_age& age, instant now)
+{
+    return age.m_heard_at + caller_probe_after <= now;
+}
+
 instant caller_deadline(const request_age& age, const caller_patience& patience)
 {
     return age.m_received_at + patience.m_stated.value_or(patience.m_default);
--- a/admission/request_age.h
+++ b/admission/request_age.h
@@ -13,6 +13,13 @@
 
 namespace hawthornpin {
 
+// A caller that has not been heard from for this long is probed, because its connection may have gone silent
+// without an end of the stream. TCP's keep-alive probes begin no earlier.
+inline constexpr milliseconds caller_probe_after{1'000};
+// A caller that has not answered the probe within this time has left. A job whose caller submits it again 1.3
+// s after its connection broke is stopped by then.
+inline constexpr milliseconds caller_probe_timeout{100};
+
 // By the clock of boot_now().
 struct request_age {
     // No later than the arrival of the request's first byte.
@@ -33,6 +40,9 @@
     milliseconds m_resubmit_after{0};
 };
 
+// Whether the connection must be probed before the request is handled.
+bool needs_probe(const request_age& age, instant now);
+
 // When the caller stops waiting.
 instant caller_deadline(const request_age& age, const caller_patience& patience);
 
--- a/http/api_messages.h
+++ b/http/api_messages.h
@@ -44,13 +44,6 @@
     bool m_is_last_on_connection = false;
 };
 
-// A caller whose request takes longer than this is probed, because its connection may have gone silent
-// without an end of the stream. TCP's keep-alive probes begin no earlier.
-inline constexpr milliseconds caller_probe_after{1'000};
-// A caller that has not answered the probe within this time has left. A job whose caller submits it again 1.3
-// s after its connection broke is stopped by then.
-inline constexpr milliseconds caller_probe_timeout{100};
-
 struct api_limits {
     std::size_t m_max_body_bytes = 16 * 1024 * 1024;
     std::size_t m_max_header_bytes = 8 * 1024;
--- a/http/server_connection.cpp
+++ b/http/server_connection.cpp
@@ -45,11 +45,12 @@
         if (!m_context.m_limits.m_is_cancelled_on_disconnect)
             return;
         m_socket.set_hangup_callback([this] { m_disconnected.fulfiller->fulfill(); });
-        m_probe = probe_client().eagerlyEvaluate(nullptr);
     }
     ~exchange()
     {
         m_socket.set_hangup_callback({});
+        if (m_is_probing)
+            m_socket.end_probe();
         --m_context.m_in_progress;
     }
     exchange(const exchange&) = delete;
@@ -58,25 +59,77 @@
     // Fulfilled when the client has disconnected. May be called only once.
     kj::Promise<void> when_disconnected() { return kj::mv(m_disconnected.promise); }
 
+    // Watches the client's connection from now on. Fulfilled, at once or after a probe, when the connection
+    // is known to be alive; never if it has ended.
+    kj::Promise<void> watch_client(const request_age& age)
+    {
+        if (!m_context.m_limits.m_is_cancelled_on_disconnect)
+            return kj::READY_NOW;
+        if (m_socket.has_hung_up())
+            return kj::NEVER_DONE;
+        const instant now = boot_now();
+        if (needs_probe(age, now))
+            return probe_client().then([this](bool is_alive) -> kj::Promise<void> {
+                if (!is_alive)
+                    return kj::NEVER_DONE;
+                m_watch = probe_after(caller_probe_after).eagerlyEvaluate(nullptr);
+                return kj::READY_NOW;
+            });
+        const auto delay = std::chrono::ceil<milliseconds>(age.m_heard_at + caller_probe_after - now);
+        m_watch = probe_after(delay).eagerlyEvaluate(nullptr);
+        return kj::READY_NOW;
+    }
+
 private:
-    // Treats a client as disconnected whose connection has gone silent without an end of the stream.
-    kj::Promise<void> probe_client()
+    // Probes the client whenever it has not been heard from for caller_probe_after, until it is silent.
+    kj::Promise<void> probe_after(milliseconds delay)
     {
-        return after_delay(caller_probe_after.count()).then([this] {
-            m_socket.probe_peer();
-            return after_delay(caller_probe_timeout.count()).then([this] {
-                if (m_socket.end_probe(2 * caller_probe_timeout))
-                    return;
+        return after_delay(static_cast<unsigned>(delay.count())).then([this]() -> kj::Promise<void> {
+            const milliseconds silent_for = m_socket.silent_for().value_or(milliseconds(0));
+            if (silent_for < caller_probe_after)
+                return probe_after(caller_probe_after - silent_for);
+            return probe_client().then([this](bool is_alive) -> kj::Promise<void> {
+                return is_alive ? probe_after(caller_probe_after) : kj::READY_NOW;
+            });
+        });
+    }
+
+    // Whether the client has answered a probe. A client whose connection has gone silent without an end of
+    // the stream counts as disconnected.
+    kj::Promise<bool> probe_client()
+    {
+        m_is_probing = true;
+        m_socket.probe_peer();
+        return await_client(boot_now()).then([this](bool is_alive) {
+            m_is_probing = false;
+            m_socket.end_probe();
+            if (!is_alive) {
                 log_event(log_level::warning, "caller_silent");
                 m_disconnected.fulfiller->fulfill();
-            });
+            }
+            return is_alive;
+        });
+    }
+
+    kj::Promise<bool> await_client(instant probed_at)
+    {
+        constexpr unsigned check_interval_ms = 5;
+        return after_delay(check_interval_ms).then([this, probed_at]() -> kj::Promise<bool> {
+            const instant now = boot_now();
+            const auto silent_for = m_socket.silent_for();
+            if (!silent_for || *silent_for < now - probed_at + caller_probe_timeout)
+                return true;
+            if (probed_at + caller_probe_timeout <= now)
+                return false;
+            return await_client(probed_at);
         });
     }
 
     server_context& m_context;
     server_stream& m_socket;
     kj::PromiseFulfillerPair<void> m_disconnected = kj::newPromiseAndFulfiller<void>();
-    kj::Promise<void> m_probe = nullptr;
+    kj::Promise<void> m_watch = nullptr;
+    bool m_is_probing = false;
 };
 
 server_connection::server_connection(server_context& context, file_descriptor socket, instant unread_since)
@@ -151,12 +204,16 @@
     m_is_closing = m_is_closing || request.m_input_fault != reason::none;
     request.m_age = m_socket.take_request_age(boot_now());
     auto current = kj::heap<exchange>(m_context, m_socket);
-    auto answered = kj::evalNow([&] {
-                        return m_context.m_handler(std::move(request));
-                    }).catch_([](kj::Exception&& failure) -> api_response {
-        log_event(log_level::warning, "request_failed", {{"detail", failure.getDescription().cStr()}});
-        return {500, "", "text/plain", "may_have_run", "", false};
-    });
+    auto is_alive = current->watch_client(request.m_age);
+    auto answered = is_alive
+                        .then([this, request = std::move(request)]() mutable {
+                            return m_context.m_handler(std::move(request));
+                        })
+                        .catch_([](kj::Exception&& failure) -> api_response {
+                            log_event(log_level::warning, "request_failed",
+                                      {{"detail", failure.getDescription().cStr()}});
+                            return {500, "", "text/plain", "may_have_run", "", false};
+                        });
     if (m_context.m_limits.m_is_cancelled_on_disconnect) {
         answered = answered.exclusiveJoin(current->when_disconnected().then([] {
             api_response dropped;
--- a/http/server_stream.cpp
+++ b/http/server_stream.cpp
@@ -168,12 +168,18 @@
     ::setsockopt(m_socket.number(), IPPROTO_TCP, TCP_KEEPIDLE, &idle_seconds, sizeof(idle_seconds));
 }
 
-bool server_stream::end_probe(milliseconds span)
+void server_stream::end_probe()
 {
-    const auto info = read_tcp_info(m_socket.number());
     const int disabled = 0;
     ::setsockopt(m_socket.number(), SOL_SOCKET, SO_KEEPALIVE, &disabled, sizeof(disabled));
-    return !info || time_since_heard(*info) <= span;
+}
+
+std::optional<milliseconds> server_stream::silent_for() const
+{
+    const auto info = read_tcp_info(m_socket.number());
+    if (!info)
+        return std::nullopt;
+    return time_since_heard(*info);
 }
 
 request_age server_stream::take_request_age(instant now)
--- a/http/server_stream.h
+++ b/http/server_stream.h
@@ -38,12 +38,16 @@
     // The age of the request that was read completely since the last call. A pipelined request counts as
     // received when the connection was last read from.
     request_age take_request_age(instant now);
+    // Time since anything was last received from the peer's TCP; empty if the system does not tell.
+    std::optional<milliseconds> silent_for() const;
+
+    // Whether the peer has closed its side or the connection has failed.
+    bool has_hung_up() const { return m_watch.has_hung_up(); }
 
     // Asks the peer's TCP to acknowledge that the connection still exists. Has an effect only if nothing was
     // received for a second.
     void probe_peer();
-    // Ends the probe. Whether the peer has been heard within `span`; true if the system does not tell.
-    bool end_probe(milliseconds span);
+    void end_probe();
 
     // Shuts down both directions: the peer sees the end of the connection, and pending transfers fail.
     void shut_down();
--- a/tests/http/caller_probe_test.cpp
+++ b/tests/http/caller_probe_test.cpp
@@ -1,17 +1,27 @@
-// Tests that a caller who waits longer than the probe of its connection is answered.
+// Tests that callers are probed, before a request that was read late is handled and while it is, and that
+// those who answer get their response.
 
-#include "core/event_loop.h"
-#include "http/api_server.h"
 #include "platform/http_client.h"
+#include "tests/http/served_client.h"
 
-#include <doctest/doctest.h>
+#include <thread>
 
 namespace hawthornpin {
 
+namespace {
+
+// Lets what was sent wait unread until its caller must be probed.
+void delay_reading()
+{
+    std::this_thread::sleep_for(caller_probe_after + caller_probe_timeout);
+}
+
+} // namespace
+
 TEST_CASE("a caller that answers the probe of its connection gets its response")
 {
     constexpr auto handling_ms =
-        static_cast<unsigned>((caller_probe_after + 3 * caller_probe_timeout).count());
+        static_cast<unsigned>((2 * caller_probe_after + 3 * caller_probe_timeout).count());
     event_loop loop;
     api_limits limits;
     limits.m_is_cancelled_on_disconnect = true;
@@ -37,4 +47,32 @@
     CHECK(run_until_complete(loop, client.send(call)).m_body == "done");
 }
 
+TEST_CASE("a request that was read late is handled if its caller still waits")
+{
+    served_client client([](const api_request&) -> kj::Promise<api_response> {
+        api_response response;
+        response.m_body = "done";
+        return response;
+    });
+    for (int count = 0; count < 2; ++count) {
+        client.send_request("/job", "{}");
+        delay_reading();
+        CHECK(client.receive_until("done").ends_with("done"));
+    }
+}
+
+TEST_CASE("a request that was read late is not handled if its caller has closed the connection")
+{
+    int handled = 0;
+    served_client client([&handled](const api_request&) -> kj::Promise<api_response> {
+        ++handled;
+        return api_response();
+    });
+    client.send_request("/job", "{}");
+    client.close();
+    delay_reading();
+    run_until_complete(client.loop(), after_delay(caller_probe_timeout.count()).then([] { return true; }));
+    CHECK(handled == 0);
+}
+
 } // namespace hawthornpin
