A start that is repeated on a draining worker extends the lease end that its agent goes by

Cause: collect_starts() returned before it extended m_lease_end when the agent isn't serving, although it had repeated starts, each of which extends the worker's lease. Callers see: if the worker then stops responding, its runs are reported as lost, and repeated elsewhere, up to the time since the last renewal (140 ms and more) before the worker's lease has lapsed: two runs at once (TWICE). Change: the lease end is extended whenever there are starts. Found by reading the code; not seen on real processes.

--- a/dispatch/run_guard.cpp
+++ b/dispatch/run_guard.cpp
@@ -177,17 +177,17 @@
     actions.m_starts.push_back(run.m_order);
 }
 
-void collect_starts(run_guard& guard, guard_actions& actions, instant now)
+void collect_repeated_starts(run_guard& guard, guard_actions& actions, instant now)
 {
-    if (!has_recent_listing(guard, now))
-        return;
     for (auto& [id, run] : guard.m_runs) {
         const bool is_due = !run.m_is_call_open && !run.m_refused_start && run.m_next_call_at <= now;
         if (run.m_phase == run_phase::starting && is_due)
             send_start(run, actions);
     }
-    if (state_of(guard, now) != agent_state::serving)
-        return;
+}
+
+void collect_new_starts(run_guard& guard, guard_actions& actions)
+{
     resources room = guard.m_report->m_capacity - used_capacity(guard, false);
     for (guarded_run* run : sort_waiting_runs(guard)) {
         if (!fits(run->m_order.m_needs, room))
@@ -196,8 +196,18 @@
         run->m_phase = run_phase::starting;
         send_start(*run, actions);
     }
-    if (!actions.m_starts.empty())
-        extend_lease_end(guard, now);
+}
+
+void collect_starts(run_guard& guard, guard_actions& actions, instant now)
+{
+    if (!has_recent_listing(guard, now))
+        return;
+    collect_repeated_starts(guard, actions, now);
+    if (state_of(guard, now) == agent_state::serving)
+        collect_new_starts(guard, actions);
+    if (actions.m_starts.empty())
+        return;
+    extend_lease_end(guard, now);
 }
 
 void collect_stops(run_guard& guard, guard_actions& actions, instant now)
--- a/tests/dispatch/run_guard_test.cpp
+++ b/tests/dispatch/run_guard_test.cpp
@@ -424,6 +424,19 @@
     CHECK(m_guard.m_homes.at(entry).m_outcomes.front().m_verdict == verdict::not_run);
 }
 
+// Guards against taking a run as over while its worker's lease lasts: the repeated start had extended it.
+TEST_CASE_FIXTURE(guard_fixture, "a start that is repeated on a draining worker extends the known lease end")
+{
+    order({make_order(0)}, 1, 1);
+    REQUIRE(advance(m_guard, at_ms(1)).m_starts.size() == 1);
+    on_start_answer(m_guard, make_run(0), start_answer::unanswered, at_ms(81));
+    worker_report draining = make_report(2);
+    draining.m_is_draining = true;
+    on_worker_report(m_guard, draining, at_ms(82));
+    REQUIRE(advance(m_guard, at_ms(200)).m_starts.size() == 1);
+    CHECK(m_guard.m_lease_end >= at_ms(200) + m_guard.m_limits.m_worker_lease);
+}
+
 // Guards against two runs of a task at the same time: its worker deregistered, and the task was started
 // elsewhere before the worker had ended.
 TEST_CASE_FIXTURE(guard_fixture, "the runs of a worker that deregisters are not over until that is proved")
