A start is sent with the deadline of its decision

Cause: advance() decided a start, and call_start() took the worker's deadline afterwards by a new reading of the clock. An agent that is suspended between the two sends the start with a new lease, though its home's lease lapsed meanwhile, and m_lease_end, which it goes by, is that of the decision. Callers see: a start up to any time after the home has given the agent up (950 ms) and repeated the run elsewhere; the run is stopped at the agent's next tick (TWICE for 20 to 70 ms by the code). Change: guard_actions carries the deadline of its starts. A worker refuses a start that is sent after it (409, late). Evidence: the new test of run_guard_test can't be compiled without the change, as the decision had no deadline; it passes with it.

--- a/dispatch/run_guard.cpp
+++ b/dispatch/run_guard.cpp
@@ -207,6 +207,7 @@
         collect_new_starts(guard, actions);
     if (actions.m_starts.empty())
         return;
+    actions.m_start_deadline_ms = next_deadline_ms(guard, now);
     extend_lease_end(guard, now);
 }
 
--- a/dispatch/run_guard.h
+++ b/dispatch/run_guard.h
@@ -103,6 +103,9 @@
 // Calls to make to the worker.
 struct guard_actions {
     std::vector<run_order> m_starts;
+    // The lease end to request with the starts, on the worker's clock. Taken with the decision, so that the
+    // worker refuses a start that is sent late.
+    std::int64_t m_start_deadline_ms = 0;
     std::vector<run_id> m_stops;
 };
 
--- a/main/platform_agent_worker.cpp
+++ b/main/platform_agent_worker.cpp
@@ -44,32 +44,31 @@
     return api_response{200, "{}", "application/json", "", "", false};
 }
 
-void platform_agent::call_start(const run_order& order)
+void platform_agent::call_start(const run_order& order, std::int64_t deadline_ms)
 {
     m_metrics.count(counter::tasks_started);
     const run_id run = order.m_run;
-    const std::int64_t deadline = next_deadline_ms(m_guard, boot_now());
-    m_tasks.add(
-        m_worker.start(order, m_guard.m_fence, deadline, worker_id()).then([this, run](start_answer answer) {
-            const instant now = boot_now();
-            if (answer == start_answer::fenced)
-                on_fenced(m_guard);
-            if (answer == start_answer::other_life)
-                on_other_incarnation(m_guard, now);
-            m_metrics.count_labelled("start_answers", to_text(answer));
-            if (answer != start_answer::started) {
-                const auto known = m_guard.m_runs.find(run);
-                const bool is_earlier_unanswered =
-                    known != m_guard.m_runs.end() && known->second.m_has_unanswered_start;
-                log_event(log_level::warning, "start_refused",
-                          {{"run", to_text(run)},
-                           {"answer", to_text(answer)},
-                           {"earlier_unanswered", is_earlier_unanswered ? "true" : "false"},
-                           {"fence", std::to_string(m_guard.m_fence)}});
-            }
-            on_start_answer(m_guard, run, answer, now);
-            schedule_step();
-        }));
+    m_tasks.add(m_worker.start(order, m_guard.m_fence, deadline_ms, worker_id())
+                    .then([this, run](start_answer answer) {
+                        const instant now = boot_now();
+                        if (answer == start_answer::fenced)
+                            on_fenced(m_guard);
+                        if (answer == start_answer::other_life)
+                            on_other_incarnation(m_guard, now);
+                        m_metrics.count_labelled("start_answers", to_text(answer));
+                        if (answer != start_answer::started) {
+                            const auto known = m_guard.m_runs.find(run);
+                            const bool is_earlier_unanswered =
+                                known != m_guard.m_runs.end() && known->second.m_has_unanswered_start;
+                            log_event(log_level::warning, "start_refused",
+                                      {{"run", to_text(run)},
+                                       {"answer", to_text(answer)},
+                                       {"earlier_unanswered", is_earlier_unanswered ? "true" : "false"},
+                                       {"fence", std::to_string(m_guard.m_fence)}});
+                        }
+                        on_start_answer(m_guard, run, answer, now);
+                        schedule_step();
+                    }));
 }
 
 void platform_agent::call_stop(const run_id& run)
--- a/tests/dispatch/run_guard_test.cpp
+++ b/tests/dispatch/run_guard_test.cpp
@@ -176,6 +176,20 @@
     CHECK(results() == std::vector<run_result>{run_result::not_started});
 }
 
+// Guards against a new lease for a start that was decided before the agent was suspended.
+TEST_CASE_FIXTURE(guard_fixture,
+                  "the deadline of a start is that of the decision, as is the agent's lease end")
+{
+    order({make_order(0)}, 100, 100);
+    const guard_actions actions = advance(m_guard, at_ms(100));
+    REQUIRE(actions.m_starts.size() == 1);
+    const auto lease = m_guard.m_limits.m_worker_lease.count();
+    CHECK(actions.m_start_deadline_ms == 600 + lease);
+    CHECK(at_ms(100 + lease) <= m_guard.m_lease_end);
+    on_start_answer(m_guard, make_run(0), start_answer::unanswered, at_ms(180));
+    CHECK(advance(m_guard, at_ms(200)).m_start_deadline_ms == 700 + lease);
+}
+
 TEST_CASE_FIXTURE(guard_fixture,
                   "the runs of a home whose lease has lapsed are stopped, those of another continue")
 {
