A late message of an agent's ended incarnation no longer replaces the living one

Cause: incarnations are random numbers. A home knows which one is older only if it has met both in their order; the first message of an incarnation that ended before the home met it, delayed on its connection, replaced the living one, whose messages were ignored from then on. Callers see: the runs of the living agent count as ended and are ordered elsewhere while they work (TWICE, until the agent's home lease has lapsed, 380 ms); that home uses the agent no more until either process starts again. Change: a status that another incarnation sent before the known one sent its last, by the clock of their machine, is ignored. After a restart of the machine its clock begins anew; then the agent is known again once the old incarnation has been removed (10 s without runs). Found by reading the code; not seen on real processes.

--- a/routing/agent_table.cpp
+++ b/routing/agent_table.cpp
@@ -84,9 +84,18 @@
 
 } // namespace
 
-void record_status(agent_table& table, const agent_status& status, instant now)
+bool is_of_ended_incarnation(const agent_table& table, const agent_status& status)
 {
     if (table.m_retired.contains(status.m_identity))
+        return true;
+    const auto known = table.m_agents.find(status.m_identity.m_id);
+    return known != table.m_agents.end() && known->second.m_status.m_identity != status.m_identity &&
+           status.m_clock < known->second.m_status.m_clock;
+}
+
+void record_status(agent_table& table, const agent_status& status, instant now)
+{
+    if (is_of_ended_incarnation(table, status))
         return;
     const auto found = table.m_agents.find(status.m_identity.m_id);
     const bool is_known = found != table.m_agents.end();
--- a/routing/agent_table.h
+++ b/routing/agent_table.h
@@ -82,6 +82,12 @@
     std::set<agent_incarnation> m_retired;
 };
 
+// Whether the status was sent by an incarnation of the agent that another one has replaced: one that is known
+// to have been replaced, or one that sent it before the known incarnation sent its last. After a restart of
+// the machine, whose clock begins anew, an agent is known again once its earlier incarnation has been
+// removed.
+bool is_of_ended_incarnation(const agent_table& table, const agent_status& status);
+
 // Stores a status; one that is older than the stored one is ignored. A new incarnation starts with a fresh
 // view, except that the number of runs is kept.
 void record_status(agent_table& table, const agent_status& status, instant now);
--- a/tests/dispatch/silent_agents_test.cpp
+++ b/tests/dispatch/silent_agents_test.cpp
@@ -121,6 +121,26 @@
     CHECK(orders[0].first == "b");
 }
 
+// Guards against repeating the runs of a living agent: a registration of its earlier incarnation, which the
+// home had not met, was delayed.
+TEST_CASE_FIXTURE(scheduler_fixture,
+                  "a late message of an incarnation that the home has never met changes nothing")
+{
+    const agent_status late = make_status("a", 1, true);
+    report("a", 2, {}, 0);
+    answer("a", 2, 0);
+    submit(make_request("j", 1), 1, 5'000);
+    REQUIRE(take_orders(1).size() == 1);
+    add_agent("b", 2);
+    on_agent_report(m_scheduler, late, {}, at_ms(3));
+    advance(m_scheduler, at_ms(4));
+    CHECK(take_orders(4).empty());
+    CHECK(m_scheduler.m_agents.m_agents.at("a").m_status.m_identity.m_incarnation == 2);
+    answer("a", 2, 5);
+    report("a", 2, {{{{"j", 0, 0, 0}, 1}, run_result::done, milliseconds(100), verdict::ran}}, 100);
+    CHECK(take_answers().size() == 1);
+}
+
 TEST_CASE_FIXTURE(scheduler_fixture,
                   "orders in flight to an earlier incarnation of an agent are not sent to the new one")
 {
--- a/tests/routing/agent_table_test.cpp
+++ b/tests/routing/agent_table_test.cpp
@@ -131,6 +131,14 @@
     earlier.m_sequence = 99;
     record_status(m_table, earlier, at_ms(7));
     CHECK(m_table.m_agents.at("a").m_status.m_identity.m_incarnation == 2);
+    agent_status unknown = next;
+    unknown.m_identity.m_incarnation = 3;
+    unknown.m_clock = next.m_clock - 1;
+    record_status(m_table, unknown, at_ms(8));
+    CHECK(m_table.m_agents.at("a").m_status.m_identity.m_incarnation == 2);
+    unknown.m_clock = next.m_clock + 1;
+    record_status(m_table, unknown, at_ms(9));
+    CHECK(m_table.m_agents.at("a").m_status.m_identity.m_incarnation == 3);
 }
 
 } // namespace hawthornpin
--- a/world/run_messages.h
+++ b/world/run_messages.h
@@ -104,7 +104,7 @@
     resources m_capacity;
     // Capacity less the needs of all runs that are running, being stopped or waiting. May be negative.
     resources m_free;
-    // The agent's own clock, in microseconds; only meaningful to the agent itself.
+    // The clock of the agent's machine, in microseconds; never compared with that of another machine.
     std::uint64_t m_clock = 0;
     // Number of the last message with orders from the receiver that is accounted for in m_free.
     std::uint64_t m_orders_seen = 0;
