--- a/routing/home_table.cpp
+++ b/routing/home_table.cpp
@@ -136,8 +136,8 @@
         return;
     found->second.m_is_heartbeat_pending = false;
     found->second.m_round_trip = table.m_limits.m_answer_timeout;
-    // The cancellation of a job may have been lost with the connection; the home ends the job once the lease of
-    // the old session has lapsed.
+    // The cancellation of a job may have been lost with the connection; the home ends the job once the lease
+    // of the old session has lapsed.
     if (found->second.m_jobs.empty())
         begin_session(table, found->second);
 }
