--- a/tests/dispatch/run_guard_test.cpp
+++ b/tests/dispatch/run_guard_test.cpp
@@ -176,6 +176,20 @@
     CHECK(results() == std::vector<run_result>{run_result::not_started});
 }
 
+// Guards against a new lease for a start that was decided before the agent was suspended.
+TEST_CASE_FIXTURE(guard_fixture,
+                  "the deadline of a start is that of the decision, as is the agent's lease end")
+{
+    order({make_order(0)}, 100, 100);
+    const guard_actions actions = advance(m_guard, at_ms(100));
+    REQUIRE(actions.m_starts.size() == 1);
+    const auto lease = m_guard.m_limits.m_worker_lease.count();
+    CHECK(actions.m_start_deadline_ms == 600 + lease);
+    CHECK(at_ms(100 + lease) <= m_guard.m_lease_end);
+    on_start_answer(m_guard, make_run(0), start_answer::unanswered, at_ms(180));
+    CHECK(advance(m_guard, at_ms(200)).m_start_deadline_ms == 700 + lease);
+}
+
 TEST_CASE_FIXTURE(guard_fixture,
                   "the runs of a home whose lease has lapsed are stopped, those of another continue")
 {
@@ -424,6 +438,19 @@
     CHECK(m_guard.m_homes.at(entry).m_outcomes.front().m_verdict == verdict::not_run);
 }
 
+// Guards against taking a run as over while its worker's lease lasts: the repeated start had extended it.
+TEST_CASE_FIXTURE(guard_fixture, "a start that is repeated on a draining worker extends the known lease end")
+{
+    order({make_order(0)}, 1, 1);
+    REQUIRE(advance(m_guard, at_ms(1)).m_starts.size() == 1);
+    on_start_answer(m_guard, make_run(0), start_answer::unanswered, at_ms(81));
+    worker_report draining = make_report(2);
+    draining.m_is_draining = true;
+    on_worker_report(m_guard, draining, at_ms(82));
+    REQUIRE(advance(m_guard, at_ms(200)).m_starts.size() == 1);
+    CHECK(m_guard.m_lease_end >= at_ms(200) + m_guard.m_limits.m_worker_lease);
+}
+
 // Guards against two runs of a task at the same time: its worker deregistered, and the task was started
 // elsewhere before the worker had ended.
 TEST_CASE_FIXTURE(guard_fixture, "the runs of a worker that deregisters are not over until that is proved")
