An agent whose machine restarted is used again once its old runs have ended

Cause: ignores another incarnation whose clock is behind that of the known one.

What callers saw: nothing yet (found when the change was read before its merge); a worker would have been left idle for those seconds.

Change: the comparison holds only while the known incarnation was heard within the time after which its runs count as ended.

--- a/dispatch/job_outcomes.cpp
+++ b/dispatch/job_outcomes.cpp
@@ -177,7 +177,7 @@
                      const std::vector<run_outcome>& outcomes, instant now)
 {
     const std::string& agent = status.m_identity.m_id;
-    if (!is_of_ended_incarnation(scheduler.m_agents, status)) {
+    if (!is_of_ended_incarnation(scheduler.m_agents, status, now)) {
         const auto known = scheduler.m_agents.m_agents.find(agent);
         if (known != scheduler.m_agents.m_agents.end() &&
             known->second.m_status.m_identity != status.m_identity)
--- a/routing/agent_table.cpp
+++ b/routing/agent_table.cpp
@@ -84,18 +84,22 @@
 
 } // namespace
 
-bool is_of_ended_incarnation(const agent_table& table, const agent_status& status)
+bool is_of_ended_incarnation(const agent_table& table, const agent_status& status, instant now)
 {
     if (table.m_retired.contains(status.m_identity))
         return true;
-    const auto known = table.m_agents.find(status.m_identity.m_id);
-    return known != table.m_agents.end() && known->second.m_status.m_identity != status.m_identity &&
-           status.m_clock < known->second.m_status.m_clock;
+    const auto found = table.m_agents.find(status.m_identity.m_id);
+    if (found == table.m_agents.end() || found->second.m_status.m_identity == status.m_identity)
+        return false;
+    const agent_view& known = found->second;
+    const bool is_lost =
+        std::max(known.m_updated_at, known.m_clock_seen_at) + table.m_limits.m_lost_after < now;
+    return !is_lost && status.m_clock < known.m_status.m_clock;
 }
 
 void record_status(agent_table& table, const agent_status& status, instant now)
 {
-    if (is_of_ended_incarnation(table, status))
+    if (is_of_ended_incarnation(table, status, now))
         return;
     const auto found = table.m_agents.find(status.m_identity.m_id);
     const bool is_known = found != table.m_agents.end();
--- a/routing/agent_table.h
+++ b/routing/agent_table.h
@@ -84,9 +84,9 @@
 
 // Whether the status was sent by an incarnation of the agent that another one has replaced: one that is known
 // to have been replaced, or one that sent it before the known incarnation sent its last. After a restart of
-// the machine, whose clock begins anew, an agent is known again once its earlier incarnation has been
-// removed.
-bool is_of_ended_incarnation(const agent_table& table, const agent_status& status);
+// the machine, whose clock begins anew, an agent is known again once nothing was received from its earlier
+// incarnation for m_lost_after.
+bool is_of_ended_incarnation(const agent_table& table, const agent_status& status, instant now);
 
 // Stores a status; one that is older than the stored one is ignored. A new incarnation starts with a fresh
 // view, except that the number of runs is kept.
--- a/tests/routing/agent_table_test.cpp
+++ b/tests/routing/agent_table_test.cpp
@@ -141,4 +141,19 @@
     CHECK(m_table.m_agents.at("a").m_status.m_identity.m_incarnation == 3);
 }
 
+TEST_CASE_FIXTURE(table_fixture,
+                  "an agent whose machine restarted is known again once its old runs have ended")
+{
+    add("a");
+    agent_status restarted = m_table.m_agents.at("a").m_status;
+    m_table.m_agents.at("a").m_status.m_clock = 1'000'000;
+    restarted.m_identity.m_incarnation = 2;
+    restarted.m_clock = 1'000;
+    const long long lost_after = m_table.m_limits.m_lost_after.count();
+    record_status(m_table, restarted, at_ms(lost_after));
+    CHECK(m_table.m_agents.at("a").m_status.m_identity.m_incarnation == 1);
+    record_status(m_table, restarted, at_ms(lost_after + 1));
+    CHECK(m_table.m_agents.at("a").m_status.m_identity.m_incarnation == 2);
+}
+
 } // namespace hawthornpin
