A worker whose clock was set back before its restart is used by its own report

Cause: which of two incarnations under one id is the later one was told by the start time alone, which is the worker's wall clock. After a step back, a listing of the new incarnation left the report of the old one in place, and the new one's reports were ignored as older. Callers see: nothing at first; a worker that comes back smaller or with other labels gets tasks by its old capacity and labels (LIMIT, ROUTE). Change: when a listing is of another incarnation than the report, and was asked for after the report arrived, the report is dropped, as it was for later start times. A report that arrived after the listing was asked for is kept. Found by reading the code; not seen on real processes.

--- a/dispatch/run_guard.h
+++ b/dispatch/run_guard.h
@@ -122,6 +122,7 @@
     // The agent's own incarnation.
     std::uint64_t m_incarnation = 0;
     std::optional<worker_report> m_report;
+    instant m_report_received_at;
     // Fencing token; rises over the incarnations of agents and workers. The worker refuses calls with a lower
     // one.
     std::int64_t m_fence = 0;
--- a/dispatch/run_guard_worker.cpp
+++ b/dispatch/run_guard_worker.cpp
@@ -57,6 +57,15 @@
     return started_unix_ms != 0 && guard.m_worker_started && started_unix_ms < *guard.m_worker_started;
 }
 
+// Whether the worker's report is of an earlier incarnation than the answer to `asked`, also if the worker's
+// wall clock was set back between the two.
+bool is_report_outdated(const run_guard& guard, const renewal& asked)
+{
+    const std::int64_t started = guard.m_report->m_identity.m_started_unix_ms;
+    const bool is_of_other = started != 0 && guard.m_worker_started && started != *guard.m_worker_started;
+    return is_superseded(guard, started) || (is_of_other && guard.m_report_received_at < asked.m_asked_at);
+}
+
 void apply_listed_runs(run_guard& guard, const run_listing& listing, instant now)
 {
     guard.m_orphans_to_stop.clear();
@@ -150,6 +159,7 @@
         return;
     const bool was_known = guard.m_report.has_value();
     guard.m_report = report;
+    guard.m_report_received_at = now;
     if (!is_same_incarnation || !report.m_is_draining)
         guard.m_has_worker_left = false;
     if (was_known && !is_same_incarnation)
@@ -195,7 +205,7 @@
     if (listing.m_started_unix_ms)
         guard.m_worker_started = listing.m_started_unix_ms;
     // The new incarnation may be of another size and class: nothing starts there before it has reported.
-    if (guard.m_report && is_superseded(guard, guard.m_report->m_identity.m_started_unix_ms))
+    if (guard.m_report && is_report_outdated(guard, asked))
         guard.m_report.reset();
     guard.m_worker_clock_ms = listing.m_worker_clock_ms;
     guard.m_clock_read_at = now;
--- a/tests/dispatch/run_guard_test.cpp
+++ b/tests/dispatch/run_guard_test.cpp
@@ -394,6 +394,28 @@
     CHECK(advance(m_guard, at_ms(24)).m_starts.size() == 1);
 }
 
+// Guards against starts beyond the capacity of a worker that started again smaller after its wall clock had
+// been set back.
+TEST_CASE_FIXTURE(guard_fixture,
+                  "a new incarnation of the worker with an earlier start time is used by its own report")
+{
+    run_listing listing;
+    listing.m_started_unix_ms = 55;
+    on_run_listing(m_guard, listing, begin_renewal(m_guard, at_ms(20)), at_ms(21));
+    CHECK(state_of(m_guard, at_ms(21)) == agent_state::preparing);
+    worker_report smaller = make_report(1, 55);
+    smaller.m_capacity = {4'000, 8'192, 0};
+    on_worker_report(m_guard, smaller, at_ms(22));
+    CHECK(state_of(m_guard, at_ms(22)) == agent_state::serving);
+    order({make_order(0), make_order(1)}, 23, 23);
+    CHECK(advance(m_guard, at_ms(23)).m_starts.size() == 1);
+    // A listing of that incarnation that was asked for before the next one reported itself.
+    const renewal asked = begin_renewal(m_guard, at_ms(30));
+    on_worker_report(m_guard, make_report(1, 99), at_ms(31));
+    on_run_listing(m_guard, listing, asked, at_ms(32));
+    CHECK(m_guard.m_report.has_value());
+}
+
 TEST_CASE_FIXTURE(guard_fixture,
                   "a delayed report of an earlier incarnation or an earlier state changes nothing")
 {
