A request's age does not trust the connection's times across a suspension of the machine

Cause: the times that the system tells of a connection do not count suspensions of the machine, the entry's clock does. A request that arrived just before a suspension of 2.9 s counted as milliseconds old after it, and its caller as just heard. A system that tells the shorter form of these times was taken to tell none, which ended the probes of silent callers there.

Change: if the machine may have been suspended since the request can have arrived, only the reactor's own bound counts. The number of segments may be missing.

Evidence: suspension_detector_test; request_age_test. A suspended machine itself is not played in a test.

--- a/core/instant.cpp
+++ b/core/instant.cpp
@@ -18,12 +18,37 @@
     return m_started_wall + std::chrono::duration_cast<microseconds>(elapsed);
 }
 
-instant boot_now()
+namespace {
+
+microseconds read_clock(clockid_t clock)
 {
     timespec now{};
-    clock_gettime(CLOCK_BOOTTIME, &now);
-    return instant(std::chrono::seconds(now.tv_sec) +
-                   std::chrono::duration_cast<microseconds>(std::chrono::nanoseconds(now.tv_nsec)));
+    clock_gettime(clock, &now);
+    return std::chrono::seconds(now.tv_sec) +
+           std::chrono::duration_cast<microseconds>(std::chrono::nanoseconds(now.tv_nsec));
+}
+
+} // namespace
+
+instant boot_now()
+{
+    return instant(read_clock(CLOCK_BOOTTIME));
+}
+
+microseconds suspended_time()
+{
+    const microseconds steady = read_clock(CLOCK_MONOTONIC);
+    return read_clock(CLOCK_BOOTTIME) - steady;
+}
+
+instant suspension_detector::last_resume(microseconds suspended, instant now)
+{
+    // The process may be delayed between its readings of the two clocks.
+    constexpr milliseconds tolerance{10};
+    if (suspended > m_suspended + tolerance)
+        m_resumed_at = now;
+    m_suspended = suspended;
+    return m_resumed_at;
 }
 
 } // namespace hawthornpin
--- a/core/instant.h
+++ b/core/instant.h
@@ -31,6 +31,23 @@
 // compared with other values of boot_now() on the same machine.
 instant boot_now();
 
+// Time for which the machine has been suspended since it started, which steady clocks do not count.
+microseconds suspended_time();
+
+// Notices suspensions of the machine.
+class suspension_detector {
+public:
+    explicit suspension_detector(microseconds suspended) : m_suspended(suspended) {}
+
+    // No earlier than the end of the last suspension; the epoch if there was none since the construction.
+    // `suspended` is the value of suspended_time().
+    instant last_resume(microseconds suspended, instant now);
+
+private:
+    microseconds m_suspended;
+    instant m_resumed_at;
+};
+
 // Whole milliseconds since the Unix epoch.
 inline long long to_unix_ms(instant when)
 {
--- a/core/reactor.h
+++ b/core/reactor.h
@@ -105,6 +105,9 @@
     // Number of iterations of GLib's loop since the start of the process.
     std::uint64_t iterations() const { return m_iterations; }
 
+    // See suspension_detector.
+    instant last_resume() { return m_suspensions.last_resume(suspended_time(), boot_now()); }
+
     reactor(const reactor&) = delete;
     reactor& operator=(const reactor&) = delete;
 
@@ -132,6 +135,7 @@
     int m_poll_descriptor;
     poll_source* m_source;
     std::uint64_t m_iterations = 0;
+    suspension_detector m_suspensions{suspended_time()};
     instant m_poll_began_at;
     // All events that occurred before this time have been reported to their watches.
     instant m_reported_until;
--- a/http/server_stream.cpp
+++ b/http/server_stream.cpp
@@ -26,12 +26,12 @@
     return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
 }
 
-// What the system tells of a connection; empty if it tells nothing.
+// What the system tells of a connection; empty if it does not tell the times.
 std::optional<tcp_info> read_tcp_info(int socket)
 {
     tcp_info info{};
     socklen_t length = sizeof(info);
-    constexpr std::size_t needed = offsetof(tcp_info, tcpi_data_segs_in) + sizeof(info.tcpi_data_segs_in);
+    constexpr std::size_t needed = offsetof(tcp_info, tcpi_last_ack_recv) + sizeof(info.tcpi_last_ack_recv);
     if (::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &length) != 0 || length < needed)
         return std::nullopt;
     return info;
@@ -188,10 +188,12 @@
     constexpr milliseconds tcp_clock_tick{10};
     const instant began_at = std::exchange(m_request_began_at, std::nullopt).value_or(m_last_read_since);
     const auto info = read_tcp_info(m_socket.number());
-    if (!info)
+    const std::uint32_t received = info ? info->tcpi_data_segs_in : 0;
+    const std::uint32_t segments = received - std::exchange(m_request_segments, received);
+    // The times in tcp_info do not count suspensions of the machine.
+    const bool was_suspended = began_at <= reactor::instance().last_resume();
+    if (!info || was_suspended)
         return {began_at, began_at};
-    const std::uint32_t segments =
-        info->tcpi_data_segs_in - std::exchange(m_request_segments, info->tcpi_data_segs_in);
     request_age age{began_at, now - time_since_heard(*info)};
     // The time of the last segment is that of the whole request if there was no other.
     if (segments == 1)
