Only requests that begin work wait for a probe, and a probe is repeated

Cause: the probe before a request is handled applied to all methods: a DELETE whose caller had closed its connection was not handled at all, so that the job ran on. A probe was one packet, of which links lose some.

Change: POST and PUT wait for the probe, others are handled at once.

Evidence: caller_probe_test now plays callers that have gone silent: a socket filter drops all that arrives for the client.

--- a/http/server_connection.cpp
+++ b/http/server_connection.cpp
@@ -59,23 +59,26 @@
     // Fulfilled when the client has disconnected. May be called only once.
     kj::Promise<void> when_disconnected() { return kj::mv(m_disconnected.promise); }
 
-    // Watches the client's connection from now on. Fulfilled, at once or after a probe, when the connection
-    // is known to be alive; never if it has ended.
-    kj::Promise<void> watch_client(const request_age& age)
+    // Watches the client's connection from now on. Fulfilled when the request may be handled: if it begins
+    // work, once the connection is known to be alive, and never if it has ended.
+    kj::Promise<void> watch_client(const api_request& request)
     {
         if (!m_context.m_limits.m_is_cancelled_on_disconnect)
             return kj::READY_NOW;
-        if (m_socket.has_hung_up())
+        const request_age& age = request.m_age;
+        const bool begins_work = request.m_method == "POST" || request.m_method == "PUT";
+        if (begins_work && m_socket.has_hung_up())
             return kj::NEVER_DONE;
         const instant now = boot_now();
-        if (needs_probe(age, now))
+        if (begins_work && needs_probe(age, now))
             return probe_client().then([this](bool is_alive) -> kj::Promise<void> {
                 if (!is_alive)
                     return kj::NEVER_DONE;
                 m_watch = probe_after(caller_probe_after).eagerlyEvaluate(nullptr);
                 return kj::READY_NOW;
             });
-        const auto delay = std::chrono::ceil<milliseconds>(age.m_heard_at + caller_probe_after - now);
+        const auto delay = std::max(
+            milliseconds(0), std::chrono::ceil<milliseconds>(age.m_heard_at + caller_probe_after - now));
         m_watch = probe_after(delay).eagerlyEvaluate(nullptr);
         return kj::READY_NOW;
     }
@@ -99,7 +102,6 @@
     kj::Promise<bool> probe_client()
     {
         m_is_probing = true;
-        m_socket.probe_peer();
         return await_client(boot_now()).then([this](bool is_alive) {
             m_is_probing = false;
             m_socket.end_probe();
@@ -111,17 +113,21 @@
         });
     }
 
-    kj::Promise<bool> await_client(instant probed_at)
+    // Repeats the probe, which may be lost.
+    kj::Promise<bool> await_client(instant probed_at, unsigned checks = 0)
     {
         constexpr unsigned check_interval_ms = 5;
-        return after_delay(check_interval_ms).then([this, probed_at]() -> kj::Promise<bool> {
+        constexpr unsigned checks_per_probe = 5;
+        if (checks % checks_per_probe == 0)
+            m_socket.probe_peer();
+        return after_delay(check_interval_ms).then([this, probed_at, checks]() -> kj::Promise<bool> {
             const instant now = boot_now();
             const auto silent_for = m_socket.silent_for();
             if (!silent_for || *silent_for < now - probed_at + caller_probe_timeout)
                 return true;
             if (probed_at + caller_probe_timeout <= now)
                 return false;
-            return await_client(probed_at);
+            return await_client(probed_at, checks + 1);
         });
     }
 
@@ -204,7 +210,7 @@
     m_is_closing = m_is_closing || request.m_input_fault != reason::none;
     request.m_age = m_socket.take_request_age(boot_now());
     auto current = kj::heap<exchange>(m_context, m_socket);
-    auto is_alive = current->watch_client(request.m_age);
+    auto is_alive = current->watch_client(request);
     auto answered = is_alive
                         .then([this, request = std::move(request)]() mutable {
                             return m_context.m_handler(std::move(request));
--- a/tests/http/caller_probe_test.cpp
+++ b/tests/http/caller_probe_test.cpp
@@ -4,7 +4,9 @@
 #include "platform/http_client.h"
 #include "tests/http/served_client.h"
 
+#include <string>
 #include <thread>
+#include <vector>
 
 namespace hawthornpin {
 
@@ -75,4 +77,53 @@
     CHECK(handled == 0);
 }
 
+TEST_CASE("a request that was read late is not handled if its caller's connection has gone silent")
+{
+    int handled = 0;
+    served_client client([&handled](const api_request&) -> kj::Promise<api_response> {
+        ++handled;
+        return api_response();
+    });
+    client.send_request("/job", "{}");
+    client.go_silent();
+    delay_reading();
+    run_until_complete(client.loop(),
+                       after_delay(2 * caller_probe_timeout.count()).then([] { return true; }));
+    CHECK(handled == 0);
+}
+
+TEST_CASE("a request ends if its caller's connection goes silent, after the first probe or after a later one")
+{
+    for (const milliseconds alive : {milliseconds(0), caller_probe_after + 2 * caller_probe_timeout}) {
+        CAPTURE(alive.count());
+        bool is_ended = false;
+        served_client client([&is_ended](const api_request&) -> kj::Promise<api_response> {
+            return kj::Promise<api_response>(kj::NEVER_DONE).attach(kj::defer([&is_ended] {
+                is_ended = true;
+            }));
+        });
+        client.send_request("/job", "{}");
+        run_until_complete(client.loop(), after_delay(1 + alive.count()).then([] { return true; }));
+        CHECK_FALSE(is_ended);
+        client.go_silent();
+        const auto noticed_within = caller_probe_after + 3 * caller_probe_timeout;
+        run_until_complete(client.loop(), after_delay(noticed_within.count()).then([] { return true; }));
+        CHECK(is_ended);
+    }
+}
+
+// Guards against a job that runs on after its caller cancelled it and left.
+TEST_CASE("a cancellation is handled even if its caller has closed the connection")
+{
+    std::vector<std::string> handled;
+    served_client client([&handled](const api_request& request) -> kj::Promise<api_response> {
+        handled.push_back(request.m_method);
+        return api_response();
+    });
+    client.send_text("DELETE /job HTTP/1.1\r\nHost: h\r\n\r\n");
+    client.close();
+    run_until_complete(client.loop(), after_delay(caller_probe_timeout.count()).then([] { return true; }));
+    CHECK(handled == std::vector<std::string>{"DELETE"});
+}
+
 } // namespace hawthornpin
--- a/tests/http/served_client.h
+++ b/tests/http/served_client.h
@@ -10,6 +10,7 @@
 
 #include <array>
 #include <cstdint>
+#include <linux/filter.h>
 #include <netinet/in.h>
 #include <string>
 #include <sys/socket.h>
@@ -84,6 +85,15 @@
         }
     }
 
+    // From now on the client's system drops all that arrives for the connection, and answers no probe.
+    void go_silent() const
+    {
+        sock_filter drop_all[] = {BPF_STMT(BPF_RET | BPF_K, 0)};
+        const sock_fprog program{1, drop_all};
+        REQUIRE(::setsockopt(m_socket.number(), SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program)) ==
+                0);
+    }
+
     event_loop& loop() { return m_loop; }
     bool is_closed() const { return m_is_closed; }
     void close() { m_socket = file_descriptor(); }
