A cancelled job is not begun by a submission that is read after the cancellation

Cause: DELETE of a job that an entry doesn't know left nothing behind, nor did that of one it knew. Since a submission may wait for a probe, a DELETE that arrived later could be handled before it.

Also, an expired submission of a job that waits at the entry joined it, and kept it alive on its open connection after the living caller had left.

Change: a cancelled id is kept as long as an answered one, and a submission of it is answered `cancelled`. An expired submission of a job that another one waits for is answered 504, may_have_run, at once.

A POST that waits at another entry than the DELETE still runs (docs/design/guarantees.md).

--- a/main/platform_entry.h
+++ b/main/platform_entry.h
@@ -62,7 +62,7 @@
         std::string m_queue;
     };
 
-    // An answer kept for callers that submit a job again after it was answered.
+    // An answer kept for callers that submit a job again after it was answered or cancelled.
     struct cached_answer {
         std::string m_state;
         instant m_expires_at;
@@ -72,6 +72,8 @@
     kj::Promise<api_response> on_caller_request(const api_request& request);
     kj::Promise<api_response> submit(const queue_contract& queue, const std::string& id,
                                      const api_request& request);
+    // The response to a submission whose caller has stopped waiting.
+    api_response refuse_expired(const std::string& id) const;
     // Observes the age of a submission, and logs it if it is read late.
     void record_age(const std::string& id, const api_request& request, instant now);
     api_response describe_job(const std::string& id) const;
--- a/main/platform_entry_callers.cpp
+++ b/main/platform_entry_callers.cpp
@@ -18,7 +18,7 @@
 constexpr unsigned too_many_requests = 429;
 // The share of refused jobs follows the delay within a second.
 constexpr milliseconds retry_after_overload{1'000};
-// A repeated submission of a job that was answered arrives within seconds.
+// A repeated submission of a job that was answered or cancelled arrives within seconds.
 constexpr milliseconds answer_cache_time{10'000};
 // Assumed for a caller that does not state how long it waits.
 constexpr milliseconds default_caller_timeout{30'000};
@@ -129,9 +129,9 @@
     record_age(id, request, now);
     const caller_patience patience{read_caller_timeout(request), default_caller_timeout,
                                    m_settings.m_resubmit_after};
-    if (!m_waiters.contains(id) && may_be_abandoned(request.m_age, patience, now)) {
+    if (may_be_abandoned(request.m_age, patience, now)) {
         m_metrics.count_labelled("job_ends", queue.m_name + ' ' + to_text(job_end_reason::expired_unread));
-        return make_refusal(503, to_text(job_end_reason::expired_unread), milliseconds(0));
+        return refuse_expired(id);
     }
     if (!m_waiters.contains(id) && is_forwarding() && take_refusal(m_overload)) {
         m_metrics.count_labelled("job_ends", queue.m_name + ' ' + to_text(job_end_reason::entry_overload));
@@ -162,6 +162,16 @@
     return answer;
 }
 
+api_response platform_entry::refuse_expired(const std::string& id) const
+{
+    if (!m_waiters.contains(id))
+        return make_refusal(503, to_text(job_end_reason::expired_unread), milliseconds(0));
+    // Another submission of the job waits here. This one must not keep the job alive.
+    api_response response = make_response(504);
+    response.m_verdict = "may_have_run";
+    return response;
+}
+
 void platform_entry::record_age(const std::string& id, const api_request& request, instant now)
 {
     constexpr milliseconds late{500};
@@ -218,9 +228,13 @@
 
 api_response platform_entry::cancel(const std::string& id)
 {
+    if (m_cached_answers.contains(id))
+        return make_response(200);
+    // A submission of the job that is read later must not begin it.
+    m_cached_answers[id] = {"cancelled", boot_now() + answer_cache_time};
     m_arrivals.erase(id);
     if (!cancel_forwarded(id) && !m_home.cancel(id))
-        return make_response(m_cached_answers.contains(id) ? 200 : 410);
+        return make_response(410);
     m_metrics.count(counter::jobs_cancelled);
     const auto waiting = m_waiters.find(id);
     if (waiting != m_waiters.end()) {
