Soak: more requests that are read after their callers have given up

Change: two thirds of the callers wait 1,500 ms; two thirds of those that state a deadline stay connected; long suspensions take 2.6 to 3.4 s; a series begins every 1.8 s.

--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -98,7 +98,7 @@
     auto is_one_in = [this](std::size_t count) { return random_below(m_behavior_random, count) == 0; };
     caller_behavior behavior;
     behavior.m_wait_ms = usual_wait_ms;
-    if (is_one_in(2))
+    if (is_one_in(3))
         behavior.m_wait_ms =
             min_wait_ms + static_cast<unsigned>(random_below(m_behavior_random, max_wait_ms - min_wait_ms));
     if (is_one_in(8))
@@ -107,7 +107,7 @@
     if (is_one_in(5))
         return behavior;
     behavior.m_deadline_ms = behavior.m_wait_ms;
-    behavior.m_leaves_connection_open = is_one_in(2);
+    behavior.m_leaves_connection_open = !is_one_in(3);
     return behavior;
 }
 
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -15,12 +15,12 @@
 constexpr unsigned min_fault_ms = 200;
 constexpr unsigned max_fault_ms = 2'500;
 // Interval between series of suspensions; two series may overlap.
-constexpr unsigned series_interval_ms = 2'500;
+constexpr unsigned series_interval_ms = 1'800;
 constexpr std::size_t max_suspensions = 3;
 constexpr unsigned max_short_suspension_ms = 1'000;
-// Callers that wait for 1.0 to 1.9 s submit a job again during such a suspension.
-constexpr unsigned min_long_suspension_ms = 2'300;
-constexpr unsigned max_long_suspension_ms = 3'200;
+// Callers that wait for 1.5 s submit a job again during such a suspension.
+constexpr unsigned min_long_suspension_ms = 2'600;
+constexpr unsigned max_long_suspension_ms = 3'400;
 constexpr unsigned max_gap_ms = 300;
 
 void print_fault(const std::string& what, unsigned duration_ms)
