Soak: agents are suspended in series, too

Cause looked for: jobs that entries forward wait unread in the sockets of suspended homes, as callers' requests do in those of entries.

Change: each series of suspensions of an entry has one of an agent beside it. Existing seeds draw the same jobs and single faults as before.

--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -97,13 +97,15 @@
 
 void soak_faults::inject_suspensions()
 {
-    std::vector<std::string> entries;
-    for (const soak_node& node : m_nodes) {
-        if (!node.m_worker)
-            entries.push_back(node.m_name);
+    for (const bool is_entry : {true, false}) {
+        std::vector<std::string> nodes;
+        for (const soak_node& node : m_nodes) {
+            if (is_entry == !node.m_worker)
+                nodes.push_back(node.m_name);
+        }
+        m_tasks.add(suspend_repeatedly(nodes[random_below(m_series_random, nodes.size())],
+                                       1 + random_below(m_series_random, max_suspensions)));
     }
-    m_tasks.add(suspend_repeatedly(entries[random_below(m_series_random, entries.size())],
-                                   1 + random_below(m_series_random, max_suspensions)));
 }
 
 kj::Promise<void> soak_faults::suspend_repeatedly(std::string name, std::size_t count)
--- a/tests/soak/soak_faults.h
+++ b/tests/soak/soak_faults.h
@@ -45,7 +45,7 @@
 private:
     void inject_fault();
     void inject_process_fault(const soak_node& node, unsigned duration_ms);
-    // Suspends an entry several times, so that requests wait unread in its sockets.
+    // Suspends an entry and an agent several times, so that requests wait unread in its sockets.
     void inject_suspensions();
     kj::Promise<void> suspend_repeatedly(std::string name, std::size_t count);
     void inject_link_fault(fault_proxy& link, unsigned duration_ms);
