Model: entries count a caller's deadline from the arrival of its request and probe it each second

Cause: the model's entries took a request for new when they read it, as the real ones did before, and probed a caller once, 1 s after reading.

Change: a submission carries a request_age. An entry that reads it refuses a request whose caller has stopped waiting as not run (or drops it if another attempt of the same job waits there), and passes on the time that the caller still waits; the decisions are those of admission/request_age.h. A caller not heard from for a second is probed before its job is handed on, and each second while the job lasts, also where entries are homes. Connections may break at the caller's side while the request is unread.

Remains: a job that is handed on a second time gets the time that its caller had left at first, as before this commit; the real entry subtracts what has passed.

--- a/tests/model/model_processes.h
+++ b/tests/model/model_processes.h
@@ -24,6 +24,8 @@
 inline constexpr long long step_interval_ms = 10;
 inline constexpr long long resubmit_after_ms = 1'300;
 inline constexpr long long caller_timeout_ms = 1'500;
+inline constexpr caller_patience patience_of_callers{
+    milliseconds(caller_timeout_ms), milliseconds(caller_timeout_ms), milliseconds(resubmit_after_ms)};
 inline constexpr long long call_timeout_ms = 250;
 inline constexpr long long worker_timeout_ms = 80;
 inline constexpr long long report_interval_ms = 500;
@@ -48,8 +50,8 @@
 struct platform_model::home_process : process {
     std::string m_id;
     job_scheduler m_scheduler;
-    // Without forwarding: jobs whose callers wait here, with the number of the caller's attempt.
-    std::map<std::string, int> m_callers;
+    // Without forwarding: jobs whose callers wait here, with the numbers of the caller's attempts.
+    std::map<std::string, std::set<int>> m_callers;
     // With forwarding: the leases of the entries, and for each job the sessions and entries that wait for it.
     entry_leases m_leases;
     std::map<std::string, std::vector<std::pair<home_identity, forwarding_entry*>>> m_hosted;
@@ -59,8 +61,10 @@
 struct platform_model::forwarding_entry : process {
     std::string m_id;
     home_table m_homes;
-    // Jobs whose callers wait here, with the number of the caller's attempt.
-    std::map<std::string, int> m_callers;
+    // Jobs whose callers wait here, with the numbers of the caller's attempts.
+    std::map<std::string, std::set<int>> m_callers;
+    // How long the caller of the first of these attempts still waited when its request was read.
+    std::map<std::string, milliseconds> m_caller_timeouts;
     // Jobs for which no home is available, and until when they wait for one.
     std::map<std::string, long long> m_waiting_for_home;
     // Homes that refused a job.
@@ -95,9 +99,7 @@
     int m_open_attempts = 0;
     // Attempts whose connection broke at the caller's side.
     std::set<int> m_silent_attempts;
-    // Attempts whose caller stopped waiting.
-    std::set<int> m_abandoned_attempts;
-    // Attempts that got an answer, and those after which the caller submitted the job again.
+    // Attempts that were answered, and those whose caller got no answer and submits the job again.
     std::set<int> m_answered_attempts;
     std::set<int> m_resubmitted_attempts;
     // Index of its kind, in a load of several kinds, and the duration of its longest task.
--- a/tests/model/platform_model.cpp
+++ b/tests/model/platform_model.cpp
@@ -359,13 +359,11 @@
             continue;
         }
         job_status& status = m_job_statuses.at(answer.m_job);
-        const auto caller = home.m_callers.find(answer.m_job);
-        bool reaches_caller = true;
-        if (caller != home.m_callers.end()) {
-            status.m_answered_attempts.insert(caller->second);
-            reaches_caller = !status.m_abandoned_attempts.contains(caller->second);
-            home.m_callers.erase(caller);
-        }
+        const auto attempts = std::exchange(home.m_callers[answer.m_job], {});
+        home.m_callers.erase(answer.m_job);
+        const bool reaches_caller = std::any_of(
+            attempts.begin(), attempts.end(), [&](int attempt) { return is_waiting(answer.m_job, attempt); });
+        status.m_answered_attempts.insert(attempts.begin(), attempts.end());
         if (answer.m_end == job_end::refused) {
             status.m_is_refused = true;
             --status.m_open_attempts;
@@ -380,58 +378,20 @@
     }
 }
 
-void platform_model::submit(home_process& home, const std::string& job, int attempt)
+void platform_model::submit(home_process& home, const std::string& job, int attempt, const request_age& age)
 {
     job_status& status = m_job_statuses.at(job);
-    ++status.m_open_attempts;
-    submit_job(home.m_scheduler, status.m_request, make_queue_contract(job), milliseconds(caller_timeout_ms),
-               now());
-    home.m_callers[job] = attempt;
-}
-
-void platform_model::receive_submission(process& entry, const std::string& job, int attempt,
-                                        std::function<void()> on_read, std::function<void()> on_close)
-{
-    if (!entry.m_is_up) {
-        resubmit(job, attempt);
-        return;
-    }
-    if (entry.m_suspended_until <= m_now) {
-        on_read();
+    const bool is_known = home.m_callers.contains(job);
+    if (may_be_abandoned(age, patience_of_callers, now())) {
+        if (!is_known)
+            refuse_at_entry(job, {attempt});
         return;
     }
-    entry.m_unread.emplace(job, attempt);
-    deliver(entry, 0, [&entry, job, attempt, on_read = std::move(on_read)] {
-        if (entry.m_unread.erase({job, attempt}) > 0)
-            on_read();
-    });
-    const bool is_left_open = draw_fault(m_settings.m_faults.m_leave_connection);
-    at(m_now + caller_timeout_ms, [this, &entry, job, attempt, is_left_open, on_close = std::move(on_close)] {
-        if (!stop_waiting(job, attempt) || is_left_open)
-            return;
-        // A request is dropped if the end of the stream is read with it.
-        if (entry.m_unread.erase({job, attempt}) == 0)
-            deliver(entry, 1, on_close);
-    });
-}
-
-bool platform_model::stop_waiting(const std::string& job, int attempt)
-{
-    job_status& status = m_job_statuses.at(job);
-    if (status.m_answered_attempts.contains(attempt) || status.m_resubmitted_attempts.contains(attempt))
-        return false;
-    status.m_abandoned_attempts.insert(attempt);
-    resubmit(job, attempt);
-    return true;
-}
-
-void platform_model::on_caller_closed(home_process& home, const std::string& job, int attempt)
-{
-    const auto caller = home.m_callers.find(job);
-    if (caller == home.m_callers.end() || caller->second != attempt)
-        return;
-    home.m_callers.erase(caller);
-    cancel_job(home.m_scheduler, job);
+    const instant deadline = caller_deadline(age, patience_of_callers);
+    ++status.m_open_attempts;
+    submit_job(home.m_scheduler, status.m_request, make_queue_contract(job),
+               std::chrono::duration_cast<milliseconds>(deadline - now()), now());
+    home.m_callers[job].insert(attempt);
 }
 
 void platform_model::submit_to_random_entry(const std::string& job, int attempt)
@@ -440,13 +400,15 @@
         forwarding_entry& entry =
             *m_forwarding_entries.at(random_below(m_random, m_forwarding_entries.size()));
         receive_submission(
-            entry, job, attempt, [this, &entry, job, attempt] { forward_job(entry, job, attempt); },
+            entry, job, attempt,
+            [this, &entry, job, attempt](const request_age& age) { forward_job(entry, job, attempt, age); },
             [this, &entry, job, attempt] { on_caller_closed(entry, job, attempt); });
         return;
     }
     home_process& home = *m_home_processes.at(random_below(m_random, m_home_processes.size()));
     receive_submission(
-        home, job, attempt, [this, &home, job, attempt] { submit(home, job, attempt); },
+        home, job, attempt,
+        [this, &home, job, attempt](const request_age& age) { submit(home, job, attempt, age); },
         [this, &home, job, attempt] { on_caller_closed(home, job, attempt); });
 }
 
@@ -468,18 +430,6 @@
     return queue;
 }
 
-// A caller whose connection broke before the answer submits the job again later, at a random entry.
-void platform_model::resubmit(const std::string& job, int attempt)
-{
-    constexpr int max_attempts = 3;
-    job_status& status = m_job_statuses.at(job);
-    if (!status.m_resubmitted_attempts.insert(attempt).second)
-        return;
-    if (attempt >= max_attempts || status.m_answers > 0)
-        return;
-    at(m_now + resubmit_after_ms, [this, job, attempt] { submit_to_random_entry(job, attempt + 1); });
-}
-
 void platform_model::check()
 {
     std::map<task_id, int> running;
--- a/tests/model/platform_model.h
+++ b/tests/model/platform_model.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include "admission/request_age.h"
 #include "core/random.h"
 #include "dispatch/entry_leases.h"
 #include "dispatch/job_scheduler.h"
@@ -42,7 +43,7 @@
     int m_refuse_start = 0;
     int m_long_run = 0;
     // A caller's connection breaks at the caller's side only: the entry that it waits at receives no end of
-    // the stream, and the caller submits the job again. Only with forwarding.
+    // the stream, and the caller submits the job again.
     int m_lose_caller = 0;
     // A caller whose submission waits unread at a suspended process leaves the connection open when it stops
     // waiting; without this fault it closes it.
@@ -71,6 +72,8 @@
     ends_runs_of_leaving_workers,
     // An entry does not notice that a caller's connection has gone silent.
     keeps_jobs_of_silent_callers,
+    // An entry takes a request for as old as the time since it read it.
+    ignores_request_age,
 };
 
 // Processor time of all processes: each message and step takes m_message_cost_us, multiplied by
@@ -216,15 +219,26 @@
     void register_agent(agent_process& agent);
     void register_with(agent_process& agent, home_process& home);
     std::vector<std::string> rank_homes(const agent_process& agent) const;
-    void submit(home_process& home, const std::string& job, int attempt);
-    // Runs on_read when the process reads the submission: a suspended one does once it resumes. Runs on_close
-    // when it notices that the caller has closed the connection.
+    void submit(home_process& home, const std::string& job, int attempt, const request_age& age);
+    // Runs on_read when the process has read the submission, which a suspended one does once it resumes, and
+    // on_close when it notices that the caller has closed the connection or has gone silent.
     void receive_submission(process& entry, const std::string& job, int attempt,
-                            std::function<void()> on_read, std::function<void()> on_close);
-    // The caller stops waiting for a response. Returns false if it was not waiting any more.
-    bool stop_waiting(const std::string& job, int attempt);
+                            std::function<void(const request_age&)> on_read, std::function<void()> on_close);
+    // Probes the caller whenever it has not been heard from for too long; runs on_read once it is known to be
+    // alive.
+    void watch_caller(process& entry, const std::string& job, int attempt, const request_age& age,
+                      const std::function<void()>& on_read, const std::function<void()>& on_close);
+    void schedule_probe(process& entry, const std::string& job, int attempt, milliseconds delay,
+                        const std::function<void()>& on_close);
+    void probe_caller(process& entry, const std::string& job, int attempt,
+                      const std::function<void()>& on_alive, const std::function<void()>& on_close);
+    // Draws whether the caller's connection breaks during this attempt.
+    void inject_caller_fault(const std::string& job, int attempt);
+    // Whether the caller still waits for the response to this attempt.
+    bool is_waiting(const std::string& job, int attempt) const;
     void on_caller_closed(home_process& home, const std::string& job, int attempt);
     void on_caller_closed(forwarding_entry& entry, const std::string& job, int attempt);
+    void resubmit_all(const std::string& job, const std::set<int>& attempts);
     void resubmit(const std::string& job, int attempt);
     void deliver_answers(home_process& home);
     agent_status make_status(agent_process& agent, const home_identity* home);
@@ -234,17 +248,14 @@
     void step_forwarding_entry(forwarding_entry& entry);
     void kill_forwarding_entry(forwarding_entry& entry, long long restart_delay_ms);
     home_status make_home_status(const home_process& home) const;
-    void refuse_at_entry(const std::string& job, int attempt);
-    // Draws whether the caller's connection breaks during this attempt.
-    void inject_caller_fault(const std::string& job, int attempt);
-    void probe_caller(forwarding_entry& entry, const std::string& job, int attempt);
+    void refuse_at_entry(const std::string& job, const std::set<int>& attempts);
     void cancel_forwarded(forwarding_entry& entry, const std::string& job);
-    void forward_job(forwarding_entry& entry, const std::string& job, int attempt);
+    void forward_job(forwarding_entry& entry, const std::string& job, int attempt, const request_age& age);
     // Hands a job whose caller waits at the entry to a home, or lets it wait for one.
     void hand_on(forwarding_entry& entry, const std::string& job);
     void hand_on_waiting(forwarding_entry& entry);
     void host_job(home_process& home, forwarding_entry& entry, const entry_heartbeat& heartbeat,
-                  const std::string& job);
+                  const std::string& job, milliseconds caller_timeout);
     void return_answer(home_process& home, const job_answer_event& answer);
     void send_answer(home_process& home, forwarding_entry& entry, const home_identity& session,
                      const job_answer_event& answer);
--- a/tests/model/platform_model_faults.cpp
+++ b/tests/model/platform_model_faults.cpp
@@ -16,8 +16,8 @@
     for (const auto& home : m_home_processes) {
         if (home.get() != &victim)
             continue;
-        for (const auto& [job, attempt] : std::exchange(home->m_callers, {}))
-            resubmit(job, attempt);
+        for (const auto& [job, attempts] : std::exchange(home->m_callers, {}))
+            resubmit_all(job, attempts);
     }
     at(m_now + restart_delay_ms, [this, &victim] {
         for (const auto& agent : m_agents) {
@@ -155,8 +155,8 @@
     entry.m_is_up = false;
     for (const auto& [job, attempt] : std::exchange(entry.m_unread, {}))
         resubmit(job, attempt);
-    for (const auto& [job, attempt] : std::exchange(entry.m_callers, {}))
-        resubmit(job, attempt);
+    for (const auto& [job, attempts] : std::exchange(entry.m_callers, {}))
+        resubmit_all(job, attempts);
     at(m_now + restart_delay_ms, [this, &entry] { start_forwarding_entry(entry); });
 }
 
--- a/tests/model/platform_model_fronts.cpp
+++ b/tests/model/platform_model_fronts.cpp
@@ -64,25 +64,30 @@
     return status;
 }
 
-void platform_model::forward_job(forwarding_entry& entry, const std::string& job, int attempt)
+void platform_model::forward_job(forwarding_entry& entry, const std::string& job, int attempt,
+                                 const request_age& age)
 {
     const auto known = entry.m_callers.find(job);
+    if (may_be_abandoned(age, patience_of_callers, now())) {
+        if (known == entry.m_callers.end())
+            refuse_at_entry(job, {attempt});
+        return;
+    }
     if (known != entry.m_callers.end()) {
         // The new attempt waits for the same answer.
-        known->second = attempt;
+        known->second.insert(attempt);
         return;
     }
     if (take_refusal(entry.m_overload)) {
-        refuse_at_entry(job, attempt);
+        refuse_at_entry(job, {attempt});
         return;
     }
     job_status& status = m_job_statuses.at(job);
     status.m_is_burst = record_arrival(entry.m_bursts, make_queue_contract(job).m_name,
                                        declared_work(status.m_request), now());
-    entry.m_callers[job] = attempt;
-    inject_caller_fault(job, attempt);
-    deliver(entry, caller_probe_after.count(),
-            [this, &entry, job, attempt] { probe_caller(entry, job, attempt); });
+    entry.m_callers[job] = {attempt};
+    entry.m_caller_timeouts[job] =
+        std::chrono::duration_cast<milliseconds>(caller_deadline(age, patience_of_callers) - now());
     hand_on(entry, job);
 }
 
@@ -96,12 +101,15 @@
     }
     ++m_job_statuses.at(job).m_open_attempts;
     record_forwarded(entry.m_homes, *chosen, job, demand);
+    const milliseconds caller_timeout = entry.m_caller_timeouts.at(job);
     const entry_heartbeat heartbeat = make_entry_heartbeat(entry.m_homes, *chosen);
     const auto home = std::find_if(m_home_processes.begin(), m_home_processes.end(),
                                    [&chosen](const auto& item) { return item->m_id == *chosen; });
     call(
         entry, **home, call_timeout_ms,
-        [this, to = home->get(), &entry, heartbeat, job] { host_job(*to, entry, heartbeat, job); },
+        [this, to = home->get(), &entry, heartbeat, job, caller_timeout] {
+            host_job(*to, entry, heartbeat, job, caller_timeout);
+        },
         [this, &entry, id = *chosen, session = heartbeat.m_session.m_incarnation](bool is_received_there) {
             // On a real connection nothing arrives after a lost message: the connection breaks, and the home
             // may not notice it.
@@ -122,40 +130,12 @@
             entry.m_waiting_for_home.emplace(job, wait_until);
             continue;
         }
-        const auto caller = entry.m_callers.find(job);
-        refuse_at_entry(job, caller->second);
-        entry.m_callers.erase(caller);
+        const auto callers = entry.m_callers.find(job);
+        refuse_at_entry(job, callers->second);
+        entry.m_callers.erase(callers);
     }
 }
 
-void platform_model::inject_caller_fault(const std::string& job, int attempt)
-{
-    const int chance = m_settings.m_faults.m_lose_caller;
-    if (chance == 0 || !random_chance(chance))
-        return;
-    const auto after_ms = static_cast<long long>(random_below(m_random, caller_timeout_ms));
-    at(m_now + after_ms, [this, job, attempt] {
-        m_job_statuses.at(job).m_silent_attempts.insert(attempt);
-        resubmit(job, attempt);
-    });
-}
-
-void platform_model::probe_caller(forwarding_entry& entry, const std::string& job, int attempt)
-{
-    const bool is_silent = m_job_statuses.at(job).m_silent_attempts.contains(attempt);
-    if (!is_silent || m_settings.m_defect == model_defect::keeps_jobs_of_silent_callers)
-        return;
-    deliver(entry, caller_probe_timeout.count(),
-            [this, &entry, job, attempt] { on_caller_closed(entry, job, attempt); });
-}
-
-void platform_model::on_caller_closed(forwarding_entry& entry, const std::string& job, int attempt)
-{
-    const auto caller = entry.m_callers.find(job);
-    if (caller != entry.m_callers.end() && caller->second == attempt)
-        cancel_forwarded(entry, job);
-}
-
 void platform_model::cancel_forwarded(forwarding_entry& entry, const std::string& job)
 {
     entry.m_callers.erase(job);
@@ -181,16 +161,16 @@
     }
 }
 
-void platform_model::refuse_at_entry(const std::string& job, int attempt)
+void platform_model::refuse_at_entry(const std::string& job, const std::set<int>& attempts)
 {
-    m_job_statuses.at(job).m_answered_attempts.insert(attempt);
+    m_job_statuses.at(job).m_answered_attempts.insert(attempts.begin(), attempts.end());
     m_job_statuses.at(job).m_is_refused = true;
     ++m_result.m_refused;
     record_end({job, job_end::refused, job_end_reason::overload, milliseconds(0)});
 }
 
 void platform_model::host_job(home_process& home, forwarding_entry& entry, const entry_heartbeat& heartbeat,
-                              const std::string& job)
+                              const std::string& job, milliseconds caller_timeout)
 {
     if (!is_recent(home.m_leases, heartbeat, now())) {
         send_answer(home, entry, heartbeat.m_session,
@@ -202,7 +182,7 @@
     home.m_hosted[job].emplace_back(heartbeat.m_session, &entry);
     if (!is_known)
         submit_job(home.m_scheduler, m_job_statuses.at(job).m_request, make_queue_contract(job),
-                   milliseconds(caller_timeout_ms), now());
+                   caller_timeout, now());
     step_home_after_event(home);
 }
 
@@ -252,19 +232,19 @@
         return;
     }
     entry.m_refused_by.erase(answer.m_job);
-    const int attempt = entry.m_callers.at(answer.m_job);
-    entry.m_callers.erase(answer.m_job);
+    const std::set<int> attempts = std::exchange(caller->second, {});
+    entry.m_callers.erase(caller);
     record_end(answer);
     job_status& status = m_job_statuses.at(answer.m_job);
-    status.m_answered_attempts.insert(attempt);
+    const bool reaches_caller = std::any_of(attempts.begin(), attempts.end(),
+                                            [&](int attempt) { return is_waiting(answer.m_job, attempt); });
+    status.m_answered_attempts.insert(attempts.begin(), attempts.end());
     if (answer.m_end == job_end::refused) {
         status.m_is_refused = true;
         --status.m_open_attempts;
         ++m_result.m_refused;
     }
     if (answer.m_end == job_end::completed) {
-        const bool reaches_caller =
-            !status.m_silent_attempts.contains(attempt) && !status.m_abandoned_attempts.contains(attempt);
         m_result.m_completed += reaches_caller ? 1 : 0;
         get_second(status.m_arrived_ms).m_completed += reaches_caller ? 1 : 0;
         status.m_answers += reaches_caller ? 1 : 0;
@@ -279,7 +259,7 @@
         const auto caller = entry.m_callers.find(job);
         if (caller == entry.m_callers.end())
             continue;
-        resubmit(job, caller->second);
+        resubmit_all(job, caller->second);
         entry.m_callers.erase(caller);
     }
 }
--- a/tests/model/platform_model_test.cpp
+++ b/tests/model/platform_model_test.cpp
@@ -40,6 +40,15 @@
     return faults;
 }
 
+model_faults requests_read_late()
+{
+    model_faults faults;
+    faults.m_long_run = 500;
+    faults.m_suspend_entry = 60;
+    faults.m_leave_connection = 1'000;
+    return faults;
+}
+
 model_result run_model(std::uint64_t seed, const model_faults& faults,
                        model_defect defect = model_defect::none, bool is_forwarding = false)
 {
@@ -167,11 +176,7 @@
 // submitted the job again.
 TEST_CASE("model: requests read after their caller has stopped waiting break no rule")
 {
-    model_faults faults;
-    faults.m_long_run = 500;
-    faults.m_suspend_entry = 60;
-    faults.m_leave_connection = 1'000;
-    run_schedules(faults);
+    run_schedules(requests_read_late());
 }
 
 TEST_CASE("model: all faults together break no rule")
@@ -192,6 +197,7 @@
         {model_defect::trusts_refusals_of_repeated_starts, "trusts_refusals_of_repeated_starts"},
         {model_defect::ends_runs_of_leaving_workers, "ends_runs_of_leaving_workers"},
         {model_defect::keeps_jobs_of_silent_callers, "keeps_jobs_of_silent_callers"},
+        {model_defect::ignores_request_age, "ignores_request_age"},
     };
     model_faults faults = all_faults();
     faults.m_delay_message = 50;
@@ -203,7 +209,8 @@
         const std::string name = text;
         CAPTURE(name);
         const bool is_forwarding = defect == model_defect::keeps_jobs_of_lost_entries ||
-                                   defect == model_defect::keeps_jobs_of_silent_callers;
+                                   defect == model_defect::keeps_jobs_of_silent_callers ||
+                                   defect == model_defect::ignores_request_age;
         // The leases of entry, home and worker do not add up with the time until a silent caller is noticed,
         // so this fault is played without the others.
         model_faults silent_callers;
@@ -212,8 +219,9 @@
         const bool is_of_workers = defect == model_defect::trusts_refusals_of_repeated_starts ||
                                    defect == model_defect::ends_runs_of_leaving_workers;
         const bool is_of_callers = defect == model_defect::keeps_jobs_of_silent_callers;
-        const model_faults& played =
-            is_of_callers ? silent_callers : (is_of_workers ? worker_faults : faults);
+        model_faults played = is_of_callers ? silent_callers : (is_of_workers ? worker_faults : faults);
+        if (defect == model_defect::ignores_request_age)
+            played = requests_read_late();
         bool is_detected = false;
         for (std::uint64_t seed = 1; seed <= schedule_count && !is_detected; ++seed)
             is_detected = !run_model(seed, played, defect, is_forwarding).m_violation.empty();
