Model: lost packets, which hold up all messages behind them

Cause: links that lose packets were not played: a message, and all behind it on its connection, is late by 200 ms or the doublings of a retransmission.

What callers see: nothing yet; this plays a fault that may break rule TWICE.

Change: fault m_lose_packet, drawn for each message and each answer, and its row in "single kinds of faults". Other schedules draw nothing for it.

--- a/tests/model/platform_model.h
+++ b/tests/model/platform_model.h
@@ -48,6 +48,9 @@
     // A caller whose submission waits unread at a suspended process leaves the connection open when it stops
     // waiting; without this fault it closes it.
     int m_leave_connection = 0;
+    // A packet is lost: the message, and all behind it on its connection, is late by 200 ms or, if the
+    // retransmissions are lost too, by that and its doublings.
+    int m_lose_packet = 0;
 };
 
 // Deliberate defects that the rule checks must detect.
@@ -188,6 +191,8 @@
     // Opens a connection if there is none; the handshake costs both ends processor time. Returns whether a
     // call can be sent without waiting for the handshake.
     bool connect(process& from, process& to);
+    // Draws by how much a message from one process to the other is late.
+    long long draw_retransmission_delay(process& from, process& to);
     void record_answer(process& from, process& to);
     // Closes a connection whose calls have not been answered for too long.
     void record_timeout(process& from, process& to);
@@ -292,6 +297,8 @@
     std::vector<std::unique_ptr<forwarding_entry>> m_forwarding_entries;
     std::map<std::string, job_status> m_job_statuses;
     std::set<std::pair<process*, process*>> m_cut_links;
+    // When the messages of each direction that were held up by a lost packet arrive.
+    std::map<std::pair<process*, process*>, long long> m_held_up_until;
     // Open connections, each with the time of the first call since the last answer; empty while no call is
     // unanswered.
     std::map<std::pair<process*, process*>, std::optional<long long>> m_links;
--- a/tests/model/platform_model_network.cpp
+++ b/tests/model/platform_model_network.cpp
@@ -89,6 +89,22 @@
         m_links.erase(link);
 }
 
+long long platform_model::draw_retransmission_delay(process& from, process& to)
+{
+    constexpr long long first_timeout_ms = 200;
+    constexpr long long max_timeout_ms = 1'600;
+    const int chance = m_settings.m_faults.m_lose_packet;
+    if (chance == 0)
+        return 0;
+    long long delay_ms = 0;
+    for (long long timeout_ms = first_timeout_ms; timeout_ms <= max_timeout_ms && random_chance(chance);
+         timeout_ms *= 2)
+        delay_ms += timeout_ms;
+    long long& until = m_held_up_until[{&from, &to}];
+    until = std::max(until, m_now + delay_ms);
+    return until - m_now;
+}
+
 void platform_model::call(process& from, process& to, long long timeout, std::function<void()> action,
                           std::function<void(bool)> on_end)
 {
@@ -109,14 +125,15 @@
     if (m_cut_links.contains({&from, &to}) || random_chance(m_settings.m_faults.m_lose_message))
         return;
     const bool is_delayed = random_chance(m_settings.m_faults.m_delay_message);
-    const auto delay_ms = is_delayed ? static_cast<long long>(random_below(m_random, max_delay_ms)) : 0;
+    const auto delay_ms = (is_delayed ? static_cast<long long>(random_below(m_random, max_delay_ms)) : 0) +
+                          draw_retransmission_delay(from, to);
     constexpr long long handshake_ms = 4;
     deliver(to, 1 + delay_ms + (is_connected ? 0 : handshake_ms),
             [this, &from, &to, action = std::move(action), finish] {
                 action();
                 if (m_cut_links.contains({&to, &from}) || random_chance(m_settings.m_faults.m_lose_message))
                     return;
-                deliver(from, 1, [finish] { finish(true); });
+                deliver(from, 1 + draw_retransmission_delay(to, from), [finish] { finish(true); });
             });
 }
 
--- a/tests/model/platform_model_test.cpp
+++ b/tests/model/platform_model_test.cpp
@@ -119,6 +119,7 @@
         {"links cut, one way or both", &model_faults::m_cut_link, 20},
         {"workers restarted", &model_faults::m_restart_worker, 10},
         {"callers' connections silent", &model_faults::m_lose_caller, 200},
+        {"packets lost", &model_faults::m_lose_packet, 50},
     };
     for (const fault_case& row : cases) {
         const std::string name = row.m_name;
