Bounds of the age tests no longer depend on when the test before polled

Cause: a connection's first input counts as no older than the reactor's last poll. In two tests, that poll was one of the test before, while the lower bound was taken after it: if the process was held up between them for longer than the tolerance of 20 ms, a correct age failed the check.

Change: the lower bound is taken first, then the reactor polls, then the client connects. The checks are the same, and still cover a connection that is accepted together with its request.

--- a/tests/http/request_age_test.cpp
+++ b/tests/http/request_age_test.cpp
@@ -19,6 +19,15 @@
     std::this_thread::sleep_for(milliseconds(200));
 }
 
+// Lets the reactor poll, so that no later request counts as older than the time that is returned.
+instant poll_once()
+{
+    const instant now = boot_now();
+    event_loop loop;
+    run_until_complete(loop, after_delay(1).then([] { return true; }));
+    return now;
+}
+
 // Records the age of the newest request when it is handled.
 struct age_recorder {
     std::optional<request_age> m_age;
@@ -95,9 +104,9 @@
 
 TEST_CASE("a request whose body arrives after its head was read is as old as its head")
 {
+    const instant earliest = poll_once();
     age_recorder recorder;
     served_client client(recorder.handler());
-    const instant earliest = boot_now();
     client.send_text(incomplete_request);
     const instant latest = boot_now();
     client.run_loop();
@@ -109,9 +118,9 @@
 
 TEST_CASE("a pipelined request is as old as the request before it")
 {
+    const instant earliest = poll_once();
     age_recorder recorder;
     served_client client(recorder.handler());
-    const instant earliest = boot_now();
     client.send_text("GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n");
     const instant latest = boot_now();
     block_loop();
