Runs on a restarted worker are not taken as over before its longest lease has lapsed

Cause: a start or renewal that is in flight while the worker restarts under its id carries a deadline on the clock of the old incarnation.

What callers saw: nothing on real processes; in the model an agent that was suspended for half a second after the restart reported a run as lost that was at work, and its home started it elsewhere (TWICE).

Change: a new incarnation of the worker extends the lease end that its agent goes by to the longest lease.

Evidence: the new test of run_guard_test fails without the change (the worker counts as silent) and passes with it.

--- a/dispatch/guarded_runs.cpp
+++ b/dispatch/guarded_runs.cpp
@@ -62,12 +62,12 @@
     }
 }
 
-void extend_lease_end(run_guard& guard, instant now)
+void extend_lease_end(run_guard& guard, milliseconds lease, instant now)
 {
-    const auto lease = static_cast<double>(guard.m_limits.m_worker_lease.count());
-    const auto max_lease =
-        milliseconds(static_cast<std::int64_t>(lease * (1 + 2 * guard.m_limits.m_clock_drift)));
-    guard.m_lease_end = std::max(guard.m_lease_end, now + max_lease);
+    const auto granted = static_cast<double>(lease.count());
+    const auto with_drift =
+        milliseconds(static_cast<std::int64_t>(granted * (1 + 2 * guard.m_limits.m_clock_drift)));
+    guard.m_lease_end = std::max(guard.m_lease_end, now + with_drift);
 }
 
 bool has_recent_listing(const run_guard& guard, instant now)
--- a/dispatch/guarded_runs.h
+++ b/dispatch/guarded_runs.h
@@ -24,8 +24,8 @@
 // Ends all runs: as lost, or as not started if they still waited.
 void mark_worker_runs_lost(run_guard& guard, instant now);
 
-// Extends m_lease_end to the end of a lease that is granted now to a worker whose clock may be slow.
-void extend_lease_end(run_guard& guard, instant now);
+// Extends m_lease_end to the end of a lease of this length that a worker whose clock may be slow grants now.
+void extend_lease_end(run_guard& guard, milliseconds lease, instant now);
 
 // Whether the worker's last listing is still within its validity.
 bool has_recent_listing(const run_guard& guard, instant now);
--- a/dispatch/run_guard.cpp
+++ b/dispatch/run_guard.cpp
@@ -208,7 +208,7 @@
     if (actions.m_starts.empty())
         return;
     actions.m_start_deadline_ms = next_deadline_ms(guard, now);
-    extend_lease_end(guard, now);
+    extend_lease_end(guard, guard.m_limits.m_worker_lease, now);
 }
 
 void collect_stops(run_guard& guard, guard_actions& actions, instant now)
@@ -241,6 +241,7 @@
     const auto without_drift =
         static_cast<long long>(static_cast<double>(remaining.count()) * (1 - limits.m_clock_drift));
     limits.m_worker_lease = std::min(max_lease, milliseconds(without_drift));
+    limits.m_max_worker_lease = max_lease;
     limits.m_stop_settle_time = 2 * stop_time;
     return limits;
 }
--- a/dispatch/run_guard.h
+++ b/dispatch/run_guard.h
@@ -26,6 +26,8 @@
     milliseconds m_home_lease{380};
     // Lease requested from the worker with each start and renewal.
     milliseconds m_worker_lease{420};
+    // The longest lease that the worker grants, also if a later deadline is requested.
+    milliseconds m_max_worker_lease{1'000};
     // Without a listing for this long, nothing is started or renewed, and the worker counts as silent once
     // all leases granted before have lapsed. Covers two renewals.
     milliseconds m_listing_validity{400};
--- a/dispatch/run_guard_worker.cpp
+++ b/dispatch/run_guard_worker.cpp
@@ -40,6 +40,8 @@
     guard.m_last_seen = 0;
     guard.m_has_listing = false;
     guard.m_worker_started.reset();
+    // The deadline of a call in progress is far off for the new incarnation, whose clock begins anew.
+    extend_lease_end(guard, guard.m_limits.m_max_worker_lease, now);
 }
 
 void begin_run(guarded_run& run, instant now)
@@ -186,7 +188,7 @@
     // A worker whose answers do not arrive may still receive renewals, which must not keep it running.
     if (has_recent_listing(guard, now) && !guard.m_has_worker_left) {
         asked.m_deadline_ms = next_deadline_ms(guard, now);
-        extend_lease_end(guard, now);
+        extend_lease_end(guard, guard.m_limits.m_worker_lease, now);
     }
     const bool is_busy = !guard.m_runs.empty();
     if (guard.m_has_listing)
--- a/tests/dispatch/run_guard_test.cpp
+++ b/tests/dispatch/run_guard_test.cpp
@@ -339,6 +339,26 @@
     CHECK(advance(m_guard, at_ms(accepted_at)).m_starts.size() == 1);
 }
 
+// Guards against taking runs on a restarted worker as over: calls of before its restart granted it long
+// leases.
+TEST_CASE_FIXTURE(
+    guard_fixture,
+    "the runs of a new incarnation of the worker are not over before the longest lease has lapsed")
+{
+    run_listing listing;
+    listing.m_started_unix_ms = 99;
+    on_run_listing(m_guard, listing, begin_renewal(m_guard, at_ms(20)), at_ms(21));
+    on_worker_report(m_guard, make_report(1, 99), at_ms(22));
+    listing.m_worker_clock_ms = 10;
+    on_run_listing(m_guard, listing, begin_renewal(m_guard, at_ms(23)), at_ms(24));
+    run(0, 25);
+    const long long max_lease = m_guard.m_limits.m_max_worker_lease.count();
+    advance(m_guard, at_ms(21 + max_lease));
+    CHECK_FALSE(m_guard.m_is_worker_silent);
+    advance(m_guard, at_ms(25 + 2 * max_lease));
+    CHECK(m_guard.m_is_worker_silent);
+}
+
 TEST_CASE_FIXTURE(guard_fixture, "a new incarnation of the worker ends all runs and raises the fence")
 {
     run(0, 1);
