--- a/review/stand-ins-2/rig.hh
+++ b/review/stand-ins-2/rig.hh
@@ -385,6 +385,15 @@
     store(const std::string& ip, int port) : m_server(ip, port, [this](const request& asked) { return handle(asked); }) {}
     bool start() { return m_server.start(); }
 
+    // The store has moved: this address answers 503 from now on.
+    std::atomic<bool> has_moved{false};
+
+    std::map<std::string, std::vector<std::pair<std::string, std::string>>> contents()
+    {
+        const std::lock_guard<std::mutex> guard(m_lock);
+        return m_topics;
+    }
+
     void append(const std::string& topic, const std::string& key, const std::string& value)
     {
         const std::lock_guard<std::mutex> guard(m_lock);
@@ -415,6 +424,8 @@
     {
         const std::string topic = parameter(asked.query, "topic");
         sleep_ms(4);
+        if (has_moved)
+            return {503, "{}"};
         if (asked.path == "/hawthornpin/log-append" && asked.body.size() > 5) {
             const auto key_size = static_cast<unsigned char>(asked.body[4]);
             append(topic, asked.body.substr(5, key_size), asked.body.substr(5 + key_size));
@@ -782,7 +793,7 @@
     }
 
     std::vector<std::unique_ptr<worker>> workers;
-    std::unique_ptr<store> metadata;
+    std::unique_ptr<store> metadata, moved;
 
     std::string entry_ip(int number) const { return m_network + std::to_string(10 + number); }
     std::string side_ip(int number) const { return m_network + std::to_string(40 + number); }
@@ -793,7 +804,7 @@
     {
         return "{\"version\":" + std::to_string(version) + ",\"routes\":[{\"name\":\"q1\",\"host\":\"" + host +
                "\",\"path_prefix\":\"" + prefix + "\",\"service\":\"" + service +
-               "\",\"priority\":0,\"max_attempts\":3,\"stretch\":4.0,\"target_latency_ms\":1000,\"timeout_ms\":30000}" +
+               "\",\"priority\":0,\"max_attempts\":3,\"stretch\":1.6,\"target_latency_ms\":60,\"timeout_ms\":30000}" +
                more_routes + "],\"services\":[{\"name\":\"" + service +
                "\",\"enforces_capacity\":false}],\"limits\":{\"max_body_bytes\":262144}}";
     }
@@ -801,7 +812,8 @@
     // Starts the store, the workers and the programs, and waits until a job is served. False if it can't.
     bool start(const std::function<void(const run_event&)>& observe)
     {
-        metadata = std::make_unique<store>(m_network + "2", store_port);
+        m_store_ip = m_network + "2";
+        metadata = std::make_unique<store>(m_store_ip, store_port);
         if (!metadata->start())
             return false;
         metadata->append("keyed.op", "config", configuration(7));
@@ -820,6 +832,25 @@
         return wait_until_served();
     }
 
+    // Moves the store to another address: it takes its contents along, the settings files of all machines name the
+    // new address, and the old address answers 503.
+    bool move_store()
+    {
+        m_store_ip = m_network + "3";
+        moved = std::make_unique<store>(m_store_ip, store_port);
+        if (!moved->start())
+            return false;
+        metadata->has_moved = true;
+        for (const auto& [topic, records] : metadata->contents())
+            for (const auto& [key, value] : records)
+                moved->append(topic, key, value);
+        for (int number = 0; number < m_entry_count; ++number)
+            write_settings(entry_name(number), entry_settings(number));
+        for (int number = 0; number < static_cast<int>(m_kinds.size()); ++number)
+            write_settings(side_name(number), side_settings(number));
+        return true;
+    }
+
     bool start_entry(int number) { return start_program(entry_name(number), "hawthornpin-entry", entry_settings(number)); }
 
     pid_t process(const std::string& node) const { return m_processes.at(node); }
@@ -837,14 +868,23 @@
     }
 
 private:
-    bool start_program(const std::string& node, const std::string& program, const std::string& settings)
+    // Puts the file in place as a whole.
+    bool write_settings(const std::string& node, const std::string& settings) const
     {
         const std::string path = m_folder + "/" + node + ".toml";
-        FILE* file = std::fopen(path.c_str(), "w");
+        FILE* file = std::fopen((path + ".new").c_str(), "w");
         if (file == nullptr)
             return false;
         std::fputs(settings.c_str(), file);
         std::fclose(file);
+        return std::rename((path + ".new").c_str(), path.c_str()) == 0;
+    }
+
+    bool start_program(const std::string& node, const std::string& program, const std::string& settings)
+    {
+        const std::string path = m_folder + "/" + node + ".toml";
+        if (!write_settings(node, settings))
+            return false;
         const std::string log = m_folder + "/" + node + ".log";
         const std::string boot = "HAWTHORNPIN_BOOT=" + path;
         const std::string search = std::string("PATH=") + (std::getenv("PATH") ? std::getenv("PATH") : "/usr/bin:/bin");
@@ -886,7 +926,7 @@
                "remote_factor = 1.5\ncheckpoint_s = 2\nrestore_ms = 250\nnotice_ms = 4500\nmigrate_s = 1.5\n"
                "maintenance_s = 2\nfencing = true\nlease_ms = 3000\nthaw_ms = 300\npace_ms = 100\nimpact_ms = 4000\n"
                "retransmit_ms = 1300\n[platform]\naddress = \"" +
-               m_network + "2:" + std::to_string(store_port) +
+               m_store_ip + ":" + std::to_string(store_port) +
                "\"\nform = \"log\"\nwrites_per_s = 800\nreads_per_s = 2000\nparts = 8\nappend_ms = 4.0\nkeep_s = 300\n";
     }
 
@@ -933,7 +973,7 @@
         return true;
     }
 
-    std::string m_root, m_folder, m_network;
+    std::string m_root, m_folder, m_network, m_store_ip;
     std::vector<kind> m_kinds;
     int m_entry_count;
     std::map<std::string, pid_t> m_processes;
