--- a/review/stand-ins-2/rig.hh
+++ b/review/stand-ins-2/rig.hh
@@ -11,6 +11,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -912,6 +913,8 @@
         const std::string command = "target/main/" + program;
         const pid_t child = ::fork();
         if (child == 0) {
+            // Ends with the case's program, however that ends.
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL);
             const int output = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
             ::dup2(output, 1);
             ::dup2(output, 2);
