Starts and renewals reach only the incarnation of the worker that they are meant for

Cause: the protocol names a worker by its id, which its next incarnation may have, too. A start names neither the incarnation nor anything that a new one would refuse: that has seen no fence, and the deadline, on the old clock, is far off on its own. The first call on a new connection therefore runs on whatever process answers there. A renewal has the same gap: the lease end on the old clock, and the acknowledgement of ends that the new incarnation numbers from 1.

Change: a TCP connection leads to one process. The HTTP client remembers which process a connection leads to, and can restrict a request to one; on a connection that leads to an unknown one it first asks. For a worker that is a listing without lease, acknowledgement or wait. run_guard takes the incarnation together with the decision to start, as it does with the deadline, so an agent that wakes with a decision already made, before it has read of the restart, is covered as well. What was not sent is reported as such, apart from broken connections and time-outs: `unreachable`, `other_incarnation` and `not_sent` prove that the run did not begin.

Cost: one listing per new connection to the worker on the same machine (8 for starts, 2 for renewals, kept open).

The case for the test "a start is unanswered if ... the connection is refused" is now stricter: it tells a refused connection (nothing was sent) from a broken one and from a time-out. The model sends calls over connections, and its workers may restart after 20 ms instead of 520 ms.

--- a/dispatch/guarded_runs.cpp
+++ b/dispatch/guarded_runs.cpp
@@ -15,11 +15,15 @@
     case start_answer::other_life:
     case start_answer::unhealthy:
     case start_answer::malformed:
+    case start_answer::unreachable:
+    case start_answer::other_incarnation:
+    case start_answer::not_sent:
         return true;
     // The worker has closed this run or a later one of its task, which a start that was carried out precedes.
     case start_answer::run_too_old:
     case start_answer::started:
     case start_answer::unexpected:
+    case start_answer::disconnected:
     case start_answer::unanswered:
         break;
     }
--- a/dispatch/run_guard.cpp
+++ b/dispatch/run_guard.cpp
@@ -208,6 +208,7 @@
     if (actions.m_starts.empty())
         return;
     actions.m_start_deadline_ms = next_deadline_ms(guard, now);
+    actions.m_worker_started = guard.m_worker_started;
     extend_lease_end(guard, guard.m_limits.m_worker_lease, now);
 }
 
--- a/dispatch/run_guard.h
+++ b/dispatch/run_guard.h
@@ -108,6 +108,9 @@
     // The lease end to request with the starts, on the worker's clock. Taken with the decision, so that the
     // worker refuses a start that is sent late.
     std::int64_t m_start_deadline_ms = 0;
+    // The incarnation of the worker that the starts are meant for, by its start time; no other one may get
+    // them. Unset if the worker does not report it.
+    std::optional<std::int64_t> m_worker_started;
     std::vector<run_id> m_stops;
 };
 
--- a/dispatch/run_guard_worker.cpp
+++ b/dispatch/run_guard_worker.cpp
@@ -185,6 +185,7 @@
     asked.m_fence = guard.m_fence;
     asked.m_last_seen = guard.m_last_seen;
     asked.m_asked_at = now;
+    asked.m_worker_started = guard.m_worker_started;
     // A worker whose answers do not arrive may still receive renewals, which must not keep it running.
     if (has_recent_listing(guard, now) && !guard.m_has_worker_left) {
         asked.m_deadline_ms = next_deadline_ms(guard, now);
@@ -237,7 +238,7 @@
     if (found == guard.m_runs.end())
         return;
     guarded_run& run = found->second;
-    if (answer == start_answer::unanswered)
+    if (answer == start_answer::unanswered || answer == start_answer::disconnected)
         run.m_has_unanswered_start = true;
     if (proves_no_effect(answer) && !run.m_has_unanswered_start && run.m_verdict == verdict::may_have_run)
         run.m_verdict = verdict::not_run;
--- a/http/target_client.cpp
+++ b/http/target_client.cpp
@@ -24,9 +24,9 @@
 
 task_end read_task_end(http_response&& response)
 {
-    if (response.m_transport == http_transport::not_connected)
+    if (is_unsent(response.m_transport))
         return failed(verdict::not_run, reason::target_unreachable);
-    if (response.m_transport == http_transport::lost)
+    if (response.m_transport != http_transport::answered)
         return failed(verdict::may_have_run, reason::target_connection_lost);
     // An answer that is not valid UTF-8 can't be part of a JSON document, but the task has run.
     const bool is_text =
--- a/main/job_commands.cpp
+++ b/main/job_commands.cpp
@@ -44,12 +44,12 @@
 exit_code report_problem(const http_response& response, bool is_json)
 {
     if (response.m_transport != http_transport::answered) {
-        const bool is_unsent = response.m_transport == http_transport::not_connected;
+        const bool is_not_run = is_unsent(response.m_transport);
         std::cerr
-            << (is_unsent
+            << (is_not_run
                     ? "the entry can't be reached; nothing was sent\n"
                     : "the connection was lost; the job may have run: submit again with the same ticket\n");
-        return is_unsent ? exit_code::refused : exit_code::unknown_outcome;
+        return is_not_run ? exit_code::refused : exit_code::unknown_outcome;
     }
     if (is_json)
         std::cout << response.m_body << '\n';
--- a/main/platform_agent.cpp
+++ b/main/platform_agent.cpp
@@ -165,7 +165,7 @@
 {
     const guard_actions actions = advance(m_guard, boot_now());
     for (const run_order& order : actions.m_starts)
-        call_start(order, actions.m_start_deadline_ms);
+        call_start(order, actions);
     for (const run_id& run : actions.m_stops)
         call_stop(run);
     log_state_change();
--- a/main/platform_agent.h
+++ b/main/platform_agent.h
@@ -50,7 +50,7 @@
     // Carries out the run guard's decisions; scheduled after each event.
     void step();
     void schedule_step() { m_next_step.schedule(); }
-    void call_start(const run_order& order, std::int64_t deadline_ms);
+    void call_start(const run_order& order, const guard_actions& actions);
     void call_stop(const run_id& run);
     void send_reports();
     void send_report(const home_identity& home, const guarded_home& home_state);
--- a/main/platform_agent_worker.cpp
+++ b/main/platform_agent_worker.cpp
@@ -44,11 +44,12 @@
     return api_response{200, "{}", "application/json", "", "", false};
 }
 
-void platform_agent::call_start(const run_order& order, std::int64_t deadline_ms)
+void platform_agent::call_start(const run_order& order, const guard_actions& actions)
 {
     m_metrics.count(counter::tasks_started);
     const run_id run = order.m_run;
-    m_tasks.add(m_worker.start(order, m_guard.m_fence, deadline_ms, worker_id())
+    const worker_incarnation worker{worker_id(), actions.m_worker_started.value_or(0)};
+    m_tasks.add(m_worker.start(order, m_guard.m_fence, actions.m_start_deadline_ms, worker)
                     .then([this, run](start_answer answer) {
                         const instant now = boot_now();
                         if (answer == start_answer::fenced)
@@ -94,6 +95,8 @@
 void platform_agent::on_renewal_answer(const renewal& asked, const renewal_answer& answer)
 {
     const instant now = boot_now();
+    if (answer.m_status != renewal_status::listed)
+        m_metrics.count_labelled("renewals", to_text(answer.m_status));
     switch (answer.m_status) {
     case renewal_status::listed:
         m_metrics.count(counter::leases_renewed);
@@ -107,8 +110,9 @@
         log_event(log_level::warning, "worker_replaced", {{"worker", worker_id()}});
         on_other_incarnation(m_guard, now);
         break;
+    case renewal_status::unreachable:
+    case renewal_status::disconnected:
     case renewal_status::unanswered:
-        m_metrics.count_labelled("renewals", "unanswered");
         break;
     }
 }
--- a/tests/dispatch/run_guard_test.cpp
+++ b/tests/dispatch/run_guard_test.cpp
@@ -263,6 +263,23 @@
     }
 }
 
+// Guards against starts on a worker that was back under its id without the required label: the agent knew of
+// no other incarnation yet.
+TEST_CASE_FIXTURE(guard_fixture,
+                  "starts and renewals are meant for the incarnation that listed its runs last")
+{
+    order({make_order(0)}, 1, 1);
+    CHECK(advance(m_guard, at_ms(1)).m_worker_started == 77);
+    CHECK(begin_renewal(m_guard, at_ms(2)).m_worker_started == 77);
+    run_listing listing;
+    listing.m_started_unix_ms = 99;
+    on_run_listing(m_guard, listing, begin_renewal(m_guard, at_ms(20)), at_ms(20));
+    on_worker_report(m_guard, make_report(1, 99), at_ms(21));
+    order({make_order(1)}, 22, 22, 2);
+    CHECK(advance(m_guard, at_ms(22)).m_worker_started == 99);
+    CHECK(begin_renewal(m_guard, at_ms(23)).m_worker_started == 99);
+}
+
 // Guards against two runs of a task at the same time: the stop of a run overtook its order on another
 // connection, the run started after its job was cancelled, and the caller submitted the job again.
 TEST_CASE_FIXTURE(guard_fixture, "an order whose stop has arrived before it is not started")
--- a/tests/dispatch/run_verdict_test.cpp
+++ b/tests/dispatch/run_verdict_test.cpp
@@ -165,6 +165,9 @@
     case start_answer::no_room:
     case start_answer::unhealthy:
     case start_answer::malformed:
+    case start_answer::unreachable:
+    case start_answer::other_incarnation:
+    case start_answer::not_sent:
         return true;
     default:
         return false;
@@ -184,9 +187,13 @@
 TEST_CASE("a run counts as not begun only if every call to start it was answered that nothing was started")
 {
     constexpr start_answer answers[] = {
-        start_answer::started,         start_answer::fenced,     start_answer::run_too_old,
-        start_answer::deadline_passed, start_answer::no_room,    start_answer::unhealthy,
-        start_answer::malformed,       start_answer::unexpected, start_answer::unanswered,
+        start_answer::started,           start_answer::fenced,
+        start_answer::run_too_old,       start_answer::deadline_passed,
+        start_answer::no_room,           start_answer::unhealthy,
+        start_answer::malformed,         start_answer::unexpected,
+        start_answer::unanswered,        start_answer::unreachable,
+        start_answer::other_incarnation, start_answer::not_sent,
+        start_answer::disconnected,
     };
     constexpr last_event events[] = {
         last_event::listed_done,       last_event::listed_failed,       last_event::listed_stopped,
--- a/tests/model/platform_model.cpp
+++ b/tests/model/platform_model.cpp
@@ -192,13 +192,14 @@
     }
     const guard_actions actions = advance(agent.m_guard, now());
     for (const run_order& order : actions.m_starts)
-        call_start(agent, order);
+        call_start(agent, order, actions.m_worker_started);
     for (const run_id& run : actions.m_stops)
         call_stop(agent, run);
     send_reports(agent);
 }
 
-void platform_model::call_start(agent_process& agent, const run_order& order)
+void platform_model::call_start(agent_process& agent, const run_order& order,
+                                std::optional<std::int64_t> worker_started)
 {
     constexpr long long min_order_delay_ms = 2'000;
     constexpr std::size_t order_delay_spread_ms = 10'000;
@@ -226,15 +227,27 @@
                 fail("LIMIT: a run exceeds the capacity of its worker");
         }
     };
+    long long delay = 0;
     if (random_chance(m_settings.m_faults.m_late_worker_order))
-        at(m_now + min_order_delay_ms + static_cast<long long>(random_below(m_random, order_delay_spread_ms)),
-           carry_out);
-    else
-        at(m_now + 1, carry_out);
+        delay = min_order_delay_ms + static_cast<long long>(random_below(m_random, order_delay_spread_ms));
+    // The start is sent on a connection over which the incarnation that is meant has listed its runs.
+    at(m_now + 1, [this, &agent, worker_started, answer, delay, carry_out] {
+        const model_worker& worker = *agent.m_worker;
+        if (!worker.is_up())
+            *answer = start_answer::unreachable;
+        else if (worker_started && *worker_started != worker.incarnation_started())
+            *answer = start_answer::other_incarnation;
+        else if (delay > 0)
+            at(m_now + delay, carry_out);
+        else
+            carry_out();
+    });
     const bool is_lost = random_chance(m_settings.m_faults.m_lose_worker_answer);
     const run_id run = order.m_run;
     deliver(agent, 2, [this, &agent, run, answer, is_lost] {
-        const bool is_answered = *answer != start_answer::unanswered && !is_lost;
+        const bool is_unsent =
+            *answer == start_answer::unreachable || *answer == start_answer::other_incarnation;
+        const bool is_answered = is_unsent || (*answer != start_answer::unanswered && !is_lost);
         if (is_answered && *answer == start_answer::fenced)
             on_fenced(agent.m_guard);
         if (is_answered)
@@ -262,27 +275,55 @@
 
 void platform_model::renew(agent_process& agent)
 {
+    constexpr long long retry_ms = 20;
     const renewal request = begin_renewal(agent.m_guard, now());
-    const auto listing = std::make_shared<std::optional<run_listing>>();
-    const bool is_lost = random_chance(m_settings.m_faults.m_lose_worker_answer) || !agent.m_worker->is_up();
+    const auto answer = std::make_shared<renewal_answer>();
+    const bool is_up = agent.m_worker->is_up();
+    const bool is_lost = random_chance(m_settings.m_faults.m_lose_worker_answer) && is_up;
+    if (!is_up)
+        answer->m_status = renewal_status::unreachable;
     // The worker answers once a run ends. Without new ends the model waits half of the requested time.
-    const long long wait = agent.m_worker->has_new_ends(request.m_last_seen) ? 0 : request.m_wait.count() / 2;
-    at(m_now + 1 + wait, [this, &agent, request, listing] {
-        if (agent.m_worker->is_up())
-            *listing = agent.m_worker->list(request, m_now);
-    });
-    deliver(agent, 2 + wait + (is_lost ? worker_timeout_ms : 0), [this, &agent, request, listing, is_lost] {
-        if (!is_lost && *listing)
-            on_run_listing(agent.m_guard, **listing, request, now());
-        else if (!is_lost && agent.m_worker->is_up())
+    const bool has_ends = !is_up || agent.m_worker->has_new_ends(request.m_last_seen);
+    const long long wait = has_ends ? 0 : request.m_wait.count() / 2;
+    at(m_now + 1 + wait,
+       [this, &agent, request, answer, is_up, started = agent.m_worker->incarnation_started()] {
+           if (is_up)
+               *answer = answer_renewal(*agent.m_worker, request, started);
+       });
+    deliver(agent, 2 + wait + (is_lost ? worker_timeout_ms : 0), [this, &agent, request, answer, is_lost] {
+        const renewal_status status = is_lost ? renewal_status::unanswered : answer->m_status;
+        if (status == renewal_status::listed)
+            on_run_listing(agent.m_guard, answer->m_listing, request, now());
+        else if (status == renewal_status::fenced)
             on_fenced(agent.m_guard);
         if (m_settings.m_defect == model_defect::ignores_orphaned_runs)
             agent.m_guard.m_orphans.clear();
         step_agent_after_event(agent);
-        deliver(agent, 1, [this, &agent] { renew(agent); });
+        deliver(agent, status == renewal_status::unreachable ? retry_ms : 1,
+                [this, &agent] { renew(agent); });
     });
 }
 
+renewal_answer platform_model::answer_renewal(model_worker& worker, const renewal& request,
+                                              std::int64_t connected_to) const
+{
+    renewal_answer answer;
+    answer.m_status = renewal_status::disconnected;
+    if (!worker.is_up() || worker.incarnation_started() != connected_to)
+        return answer;
+    renewal received = request;
+    // Another incarnation than the one that is meant gets no lease and no acknowledgement of ends.
+    if (request.m_worker_started && *request.m_worker_started != connected_to) {
+        received = renewal();
+        received.m_fence = request.m_fence;
+    }
+    auto listing = worker.list(received, m_now);
+    answer.m_status = listing ? renewal_status::listed : renewal_status::fenced;
+    if (listing)
+        answer.m_listing = std::move(*listing);
+    return answer;
+}
+
 void platform_model::send_reports(agent_process& agent)
 {
     for (const auto& [session, guarded] : agent.m_guard.m_homes) {
--- a/tests/model/platform_model.h
+++ b/tests/model/platform_model.h
@@ -218,9 +218,12 @@
     void step_agent(agent_process& agent);
     void step_home(home_process& home);
     void send_reports(agent_process& agent);
-    void call_start(agent_process& agent, const run_order& order);
+    void call_start(agent_process& agent, const run_order& order, std::optional<std::int64_t> worker_started);
     void call_stop(agent_process& agent, const run_id& run);
     void renew(agent_process& agent);
+    // The answer to a renewal that was sent on a connection to the incarnation that started then.
+    renewal_answer answer_renewal(model_worker& worker, const renewal& request,
+                                  std::int64_t connected_to) const;
     void register_agent(agent_process& agent);
     void register_with(agent_process& agent, home_process& home);
     std::vector<std::string> rank_homes(const agent_process& agent) const;
--- a/tests/model/platform_model_faults.cpp
+++ b/tests/model/platform_model_faults.cpp
@@ -52,8 +52,6 @@
 
 void platform_model::resize_worker(agent_process& agent)
 {
-    // As after a crash of the platform's workers.
-    constexpr long long min_restart_ms = 500;
     constexpr int half_per_mille = 500;
     if (!agent.m_worker->is_up())
         return;
@@ -61,7 +59,7 @@
     if (random_chance(half_per_mille))
         capacity.m_cpu_milli /= 2;
     agent.m_worker->crash();
-    at(m_now + min_restart_ms + random_fault_ms(), [this, &agent, capacity] {
+    at(m_now + random_fault_ms(), [this, &agent, capacity] {
         if (!agent.m_worker->is_up())
             agent.m_worker->begin_incarnation(m_now, capacity);
     });
--- a/tests/platform/client_contract_test.cpp
+++ b/tests/platform/client_contract_test.cpp
@@ -112,7 +112,8 @@
         scripted_server worker;
         worker.add(row.m_http_status, body);
         worker_client client(worker.address());
-        CHECK(run_until_complete(worker.m_loop, client.start(make_order(), 7, 900, "i-1")) == row.m_answer);
+        CHECK(run_until_complete(worker.m_loop, client.start(make_order(), 7, 900, {"i-1", 0})) ==
+              row.m_answer);
         REQUIRE(worker.m_requests.size() == 1);
         CHECK(worker.m_requests[0].m_path == "/hawthornpin/run-start");
         CHECK(worker.m_requests[0].m_extra_headers[0] == "i-1");
@@ -121,23 +122,25 @@
     }
 }
 
-TEST_CASE("a start is unanswered if its answer is lost or late, or if the connection is refused")
+TEST_CASE("a start may have run if its answer is lost or late, and has not if the connection is refused")
 {
     scripted_server worker;
     worker_client client(worker.address());
+    start_answer expected = start_answer::started;
     SUBCASE("the connection breaks")
     {
         worker.add_dropped();
+        expected = start_answer::disconnected;
     }
     SUBCASE("the worker stops responding")
     {
         worker.stop_answering();
+        expected = start_answer::unanswered;
     }
-    CHECK(run_until_complete(worker.m_loop, client.start(make_order(), 7, 900, "")) ==
-          start_answer::unanswered);
+    CHECK(run_until_complete(worker.m_loop, client.start(make_order(), 7, 900, {})) == expected);
     worker_client unreachable("127.0.0.1:1");
-    CHECK(run_until_complete(worker.m_loop, unreachable.start(make_order(), 7, 900, "")) ==
-          start_answer::unanswered);
+    CHECK(run_until_complete(worker.m_loop, unreachable.start(make_order(), 7, 900, {})) ==
+          start_answer::unreachable);
     CHECK_FALSE(run_until_complete(worker.m_loop, unreachable.stop(make_order().m_run, 7, "")));
 }
 
--- a/world/worker_report.h
+++ b/world/worker_report.h
@@ -83,9 +83,17 @@
     other_life,
     unhealthy,
     malformed,
+    // The three below: the start was not sent. No connection to the worker was made.
+    unreachable,
+    // Another incarnation than the intended one answers at the worker's address.
+    other_incarnation,
+    // The worker did not name its incarnation in time, or there was no free connection.
+    not_sent,
     // An answer that the protocol does not name: the run may have been started.
     unexpected,
-    // No answer: the run may have been started, or may still be started later.
+    // The connection ended without an answer: the run may have been started.
+    disconnected,
+    // No answer in time: the run may have been started, or may still be started later.
     unanswered,
 };
 
@@ -100,7 +108,11 @@
     std::optional<std::int64_t> m_deadline_ms;
     milliseconds m_wait{0};
     instant m_asked_at;
+    // Start time of the incarnation that is meant. Another one is sent neither the lease nor m_last_seen, and
+    // lists its runs all the same. Unset if no incarnation is known.
+    std::optional<std::int64_t> m_worker_started;
 };
+
 // Result of a renewal.
 enum class renewal_status {
     listed,
@@ -108,9 +120,15 @@
     fenced,
     // Another worker or another incarnation runs at the address.
     other_life,
+    // No connection to the worker was made.
+    unreachable,
+    // The connection ended without an answer.
+    disconnected,
     unanswered,
 };
 
+const char* to_text(renewal_status status);
+
 struct renewal_answer {
     renewal_status m_status = renewal_status::unanswered;
     // Valid only if m_status is listed.
