A worker that refuses connections gets no more orders, and what has not begun is returned

What callers saw: for as long as a crashed worker was away, up to 400 ms, its agent called it serving and took orders for it. Each waited there and was tried again every 20 ms; one that found the time over was answered as possibly run although nothing of it had been sent.

Cause: every failed call counted as a time-out, which says little about a worker: only an old listing (m_listing_validity, 400 ms) made the agent stop. A refused connection is strong evidence that the process has gone. So is a broken one, but connections also break between sound processes, so that only makes the agent ask.

Change: on a refused connection, or one that another incarnation answers on, nothing more starts, waiting and unsent runs go back to their homes as not run, and the agent reports `worker_silent`, until a listing that was asked for later has come. Time-outs change nothing: a worker that leaves orders unanswered keeps its starts.

What is left waits for leases that may be in force: runs that had begun.

--- a/dispatch/run_guard.cpp
+++ b/dispatch/run_guard.cpp
@@ -121,17 +121,17 @@
     });
 }
 
-// Returns the waiting runs that are late. On a worker that drains, returns them all, and those whose start
-// was refused without effect.
+// Returns the waiting runs that are late. On a worker that drains or is not reached, returns them all, and
+// those whose start had no effect.
 void return_unstarted_runs(run_guard& guard, instant now)
 {
-    const bool is_leaving = state_of(guard, now) == agent_state::leaving;
+    const bool is_closed = state_of(guard, now) == agent_state::leaving || guard.m_unreachable_since;
     for (auto position = guard.m_runs.begin(); position != guard.m_runs.end();) {
         const guarded_run& run = position->second;
         const bool is_late = run.m_received + run.m_order.m_start_within < now;
         const bool is_refused = run.m_phase == run_phase::starting && run.m_verdict == verdict::not_run;
         const bool is_waiting = run.m_phase == run_phase::waiting;
-        const bool is_returned = (is_waiting && is_late) || (is_leaving && (is_waiting || is_refused));
+        const bool is_returned = (is_waiting && is_late) || (is_closed && (is_waiting || is_refused));
         position = is_returned ? end_run(guard, position, run_result::not_started, now) : std::next(position);
     }
 }
@@ -200,7 +200,7 @@
 
 void collect_starts(run_guard& guard, guard_actions& actions, instant now)
 {
-    if (!has_recent_listing(guard, now))
+    if (!has_recent_listing(guard, now) || guard.m_unreachable_since)
         return;
     collect_repeated_starts(guard, actions, now);
     if (state_of(guard, now) == agent_state::serving)
@@ -312,7 +312,8 @@
         return agent_state::leaving;
     if (!guard.m_report || !guard.m_has_listing || !guard.m_orphans.empty())
         return agent_state::preparing;
-    return has_recent_listing(guard, now) ? agent_state::serving : agent_state::worker_silent;
+    const bool is_reached = has_recent_listing(guard, now) && !guard.m_unreachable_since;
+    return is_reached ? agent_state::serving : agent_state::worker_silent;
 }
 
 resources free_capacity(const run_guard& guard)
--- a/dispatch/run_guard.h
+++ b/dispatch/run_guard.h
@@ -149,6 +149,9 @@
     std::int64_t m_last_seen = 0;
     // Set before the first listing, and once all leases have lapsed without a recent listing.
     bool m_is_worker_silent = true;
+    // Since when the known incarnation of the worker is not found at its address: no connection was made, or
+    // another incarnation answered. Unset by a listing that was asked for later.
+    std::optional<instant> m_unreachable_since;
 
     std::map<run_id, guarded_run> m_runs;
     std::map<home_identity, guarded_home> m_homes;
@@ -177,6 +180,9 @@
 void on_fenced(run_guard& guard);
 // Handles the worker's answer that another incarnation runs at its address.
 void on_other_incarnation(run_guard& guard, instant now);
+// Handles that no connection to the worker was made: nothing starts, and what has not started is returned,
+// until the worker lists its runs again.
+void on_worker_unreachable(run_guard& guard, instant now);
 
 void on_start_answer(run_guard& guard, const run_id& id, start_answer answer, instant now);
 void on_stop_answer(run_guard& guard, const run_id& id, bool is_answered, instant now);
--- a/dispatch/run_guard_worker.cpp
+++ b/dispatch/run_guard_worker.cpp
@@ -196,6 +196,8 @@
         asked.m_wait = is_busy ? guard.m_limits.m_busy_listing_wait : guard.m_limits.m_idle_listing_wait;
     if (!guard.m_orphans.empty())
         asked.m_wait = orphan_poll_interval;
+    if (guard.m_unreachable_since)
+        asked.m_wait = milliseconds(0);
     return asked;
 }
 
@@ -214,6 +216,8 @@
     guard.m_clock_read_at = now;
     guard.m_has_listing = true;
     guard.m_is_worker_silent = false;
+    if (guard.m_unreachable_since && *guard.m_unreachable_since <= asked.m_asked_at)
+        guard.m_unreachable_since.reset();
     apply_listed_runs(guard, listing, now);
     apply_listed_ends(guard, listing, now);
     resolve_unlisted_runs(guard, listing, asked.m_asked_at, now);
@@ -232,6 +236,11 @@
     guard.m_report.reset();
 }
 
+void on_worker_unreachable(run_guard& guard, instant now)
+{
+    guard.m_unreachable_since = now;
+}
+
 void on_start_answer(run_guard& guard, const run_id& id, start_answer answer, instant now)
 {
     const auto found = guard.m_runs.find(id);
@@ -251,6 +260,11 @@
         return;
     }
     switch (answer) {
+    case start_answer::unreachable:
+    case start_answer::other_incarnation:
+        on_worker_unreachable(guard, now);
+        run.m_next_call_at = now + call_retry_pause;
+        break;
     case start_answer::no_room:
         run.m_next_call_at = now + room_retry_pause;
         break;
--- a/main/platform_agent.cpp
+++ b/main/platform_agent.cpp
@@ -229,6 +229,7 @@
                {"to", to_text(state)},
                {"worker", worker_id()},
                {"fence", std::to_string(m_guard.m_fence)},
+               {"is_worker_reached", m_guard.m_unreachable_since ? "false" : "true"},
                {"foreign_runs", std::to_string(m_guard.m_orphans.size())}});
     m_logged_state = state;
 }
--- a/main/platform_agent.h
+++ b/main/platform_agent.h
@@ -109,6 +109,7 @@
     std::set<home_identity> m_reports_in_flight;
     std::set<std::string> m_registrations_in_flight;
     agent_state m_logged_state = agent_state::preparing;
+    renewal_status m_last_renewal = renewal_status::unanswered;
     coalesced_call m_next_step{[this] { step(); }};
     bool m_is_reading_store = false;
     instant m_store_read_at;
--- a/main/platform_agent_worker.cpp
+++ b/main/platform_agent_worker.cpp
@@ -6,6 +6,8 @@
 #include "platform/call_paths.h"
 #include "platform/message_decoding.h"
 
+#include <utility>
+
 namespace hawthornpin {
 
 namespace {
@@ -13,6 +15,15 @@
 // Delay after a renewal that was refused, not answered, or did not wait for an end.
 constexpr unsigned renewal_retry_ms = 20;
 
+// Whether the next renewal is sent without delay. After a broken connection it tells whether the worker has
+// ended; a worker that breaks the next one, too, is not asked in a tight loop.
+bool renews_at_once(const renewal& asked, renewal_status status, renewal_status previous)
+{
+    if (status == renewal_status::disconnected)
+        return previous != renewal_status::disconnected;
+    return status == renewal_status::listed && asked.m_wait.count() > 0;
+}
+
 } // namespace
 
 kj::Promise<api_response> platform_agent::on_worker_call(const api_request& request)
@@ -84,9 +95,10 @@
 {
     const renewal asked = begin_renewal(m_guard, boot_now());
     return m_worker.renew(asked, worker_id()).then([this, asked](renewal_answer answer) -> kj::Promise<void> {
+        const renewal_status previous = std::exchange(m_last_renewal, answer.m_status);
         on_renewal_answer(asked, answer);
         schedule_step();
-        if (answer.m_status == renewal_status::listed && asked.m_wait.count() > 0)
+        if (renews_at_once(asked, answer.m_status, previous))
             return renew_forever();
         return after_delay(renewal_retry_ms).then([this] { return renew_forever(); });
     });
@@ -111,6 +123,8 @@
         on_other_incarnation(m_guard, now);
         break;
     case renewal_status::unreachable:
+        on_worker_unreachable(m_guard, now);
+        break;
     case renewal_status::disconnected:
     case renewal_status::unanswered:
         break;
--- a/tests/dispatch/run_guard_test.cpp
+++ b/tests/dispatch/run_guard_test.cpp
@@ -280,6 +280,51 @@
     CHECK(begin_renewal(m_guard, at_ms(23)).m_worker_started == 99);
 }
 
+// Guards against callers that wait for a worker whose process has ended: its agent took orders for 400 ms
+// more, and reported those that it could not send as possibly run.
+TEST_CASE_FIXTURE(guard_fixture,
+                  "a worker that is not reached gets no starts, and what has not begun is returned")
+{
+    order({make_order(0), make_order(1), make_order(2), make_order(3), make_order(4)}, 1, 1);
+    REQUIRE(advance(m_guard, at_ms(1)).m_starts.size() == 4);
+    on_start_answer(m_guard, make_run(0), start_answer::started, at_ms(2));
+    on_start_answer(m_guard, make_run(1), start_answer::disconnected, at_ms(2));
+    start_answer failure = start_answer::unreachable;
+    SUBCASE("no connection is made") {}
+    SUBCASE("another incarnation answers")
+    {
+        failure = start_answer::other_incarnation;
+    }
+    on_start_answer(m_guard, make_run(2), failure, at_ms(3));
+    CHECK(state_of(m_guard, at_ms(3)) == agent_state::worker_silent);
+    CHECK(advance(m_guard, at_ms(60)).m_starts.empty());
+    REQUIRE(results() == std::vector<run_result>{run_result::not_started, run_result::not_started});
+    for (const run_outcome& outcome : m_guard.m_homes[entry].m_outcomes)
+        CHECK(outcome.m_verdict == verdict::not_run);
+    // Runs 0 and 1 may be at work, and the call for run 3 is not answered yet.
+    CHECK(m_guard.m_runs.size() == 3);
+    order({make_order(5)}, 61, 61, 2);
+    CHECK(advance(m_guard, at_ms(61)).m_starts.empty());
+    CHECK(results().size() == 3);
+    CHECK(begin_renewal(m_guard, at_ms(62)).m_wait == milliseconds(0));
+    list({}, {}, 63);
+    CHECK(state_of(m_guard, at_ms(63)) == agent_state::serving);
+    CHECK(advance(m_guard, at_ms(63)).m_starts.size() == 1);
+}
+
+TEST_CASE_FIXTURE(guard_fixture,
+                  "a listing that was asked for before the worker was not reached does not count")
+{
+    const renewal asked = begin_renewal(m_guard, at_ms(10));
+    on_worker_unreachable(m_guard, at_ms(11));
+    run_listing listing;
+    listing.m_started_unix_ms = 77;
+    on_run_listing(m_guard, listing, asked, at_ms(12));
+    CHECK(state_of(m_guard, at_ms(12)) == agent_state::worker_silent);
+    list({}, {}, 13);
+    CHECK(state_of(m_guard, at_ms(13)) == agent_state::serving);
+}
+
 // Guards against two runs of a task at the same time: the stop of a run overtook its order on another
 // connection, the run started after its job was cancelled, and the caller submitted the job again.
 TEST_CASE_FIXTURE(guard_fixture, "an order whose stop has arrived before it is not started")
--- a/tests/model/platform_model.cpp
+++ b/tests/model/platform_model.cpp
@@ -296,6 +296,8 @@
             on_run_listing(agent.m_guard, answer->m_listing, request, now());
         else if (status == renewal_status::fenced)
             on_fenced(agent.m_guard);
+        else if (status == renewal_status::unreachable)
+            on_worker_unreachable(agent.m_guard, now());
         if (m_settings.m_defect == model_defect::ignores_orphaned_runs)
             agent.m_guard.m_orphans.clear();
         step_agent_after_event(agent);
