Orders carry the label that their tasks require, and the agent checks it

Cause: an agent checks the capacity of its worker against each order, but not the label: that was left to the home, which goes by the agent's last status, up to 100 ms old and valid for 380 ms.

Change: the order names the label, and suits_worker() compares it with the worker's last report, as it does the needs. An order from an older build names none and is accepted as before. What is refused goes back as not run.

--- a/dispatch/job_scheduler.cpp
+++ b/dispatch/job_scheduler.cpp
@@ -104,6 +104,7 @@
     order.m_run = make_run_id(job, key.m_step, key.m_index);
     order.m_specification = job.m_request.m_specification;
     order.m_needs = job.m_request.m_steps[key.m_step].m_per_task;
+    order.m_required_label = job.m_request.m_steps[key.m_step].m_required_label;
     order.m_estimate = job.m_steps[key.m_step].m_estimate;
     order.m_slack = std::chrono::duration_cast<milliseconds>(key.m_latest_start - now);
     order.m_start_within = scheduler.m_homes_per_agent * scheduler.m_limits.m_start_within_per_home;
--- a/dispatch/run_guard.cpp
+++ b/dispatch/run_guard.cpp
@@ -39,13 +39,23 @@
     return found == outcomes.end() ? nullptr : &*found;
 }
 
+// Whether the worker, by its last report, can run the order at all. The home may have gone by an earlier
+// incarnation's.
+bool suits_worker(const run_order& order, const worker_report& report)
+{
+    const auto& labels = report.m_labels;
+    const bool has_label = order.m_required_label.empty() ||
+                           std::find(labels.begin(), labels.end(), order.m_required_label) != labels.end();
+    return has_label && fits(order.m_needs, report.m_capacity);
+}
+
 bool is_order_acceptable(const run_guard& guard, const run_order& order, instant clock_seen, instant now)
 {
     if (now > clock_seen + guard.m_limits.m_home_lease)
         return false;
     if (state_of(guard, now) != agent_state::serving || !guard.m_report)
         return false;
-    return fits(order.m_needs, guard.m_report->m_capacity);
+    return suits_worker(order, *guard.m_report);
 }
 
 void accept_order(run_guard& guard, const order_batch& batch, const run_order& order, instant now)
--- a/rpc/hawthornpin.capnp
+++ b/rpc/hawthornpin.capnp
@@ -145,6 +145,7 @@
   estimateMs @3 :UInt32;
   startWithinMs @4 :UInt32;
   slackMs @5 :Int64;
+  requiredLabel @6 :Text;
 }
 
 struct Life {
--- a/rpc/hawthornpin.capnp.h
+++ b/rpc/hawthornpin.capnp.h
@@ -351,7 +351,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(942bfcc623fd4c0e, 2, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(942bfcc623fd4c0e, 2, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2862,6 +2862,9 @@
 
   inline  ::int64_t getSlackMs() const;
 
+  inline bool hasRequiredLabel() const;
+  inline  ::capnp::Text::Reader getRequiredLabel() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2920,6 +2923,13 @@
   inline  ::int64_t getSlackMs();
   inline void setSlackMs( ::int64_t value);
 
+  inline bool hasRequiredLabel();
+  inline  ::capnp::Text::Builder getRequiredLabel();
+  inline void setRequiredLabel( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRequiredLabel(unsigned int size);
+  inline void adoptRequiredLabel(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRequiredLabel();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -9121,6 +9131,40 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool RunOrders::Reader::hasRequiredLabel() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool RunOrders::Builder::hasRequiredLabel() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RunOrders::Reader::getRequiredLabel() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder RunOrders::Builder::getRequiredLabel() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void RunOrders::Builder::setRequiredLabel( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder RunOrders::Builder::initRequiredLabel(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void RunOrders::Builder::adoptRequiredLabel(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> RunOrders::Builder::disownRequiredLabel() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline bool Life::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/rpc/run_wire.cpp
+++ b/rpc/run_wire.cpp
@@ -63,6 +63,7 @@
     to.setEstimateMs(to_wire_ms(first.m_estimate));
     to.setStartWithinMs(to_wire_ms(first.m_start_within));
     to.setSlackMs(first.m_slack.count());
+    to.setRequiredLabel(first.m_required_label);
     auto runs = to.initRuns(static_cast<unsigned>(group.size()));
     for (unsigned index = 0; index < group.size(); ++index)
         write_run(runs[index], group[index]->m_run);
@@ -76,6 +77,7 @@
     order.m_estimate = milliseconds(from.getEstimateMs());
     order.m_start_within = milliseconds(from.getStartWithinMs());
     order.m_slack = milliseconds(from.getSlackMs());
+    order.m_required_label = from.getRequiredLabel().cStr();
     for (const auto run : from.getRuns()) {
         order.m_run = read_run(run);
         to.push_back(order);
--- a/tests/dispatch/run_guard_test.cpp
+++ b/tests/dispatch/run_guard_test.cpp
@@ -476,6 +476,24 @@
     CHECK(advance(m_guard, at_ms(24)).m_starts.size() == 1);
 }
 
+// Guards against starts on a worker that was back under its id without the required label: its home went by
+// the labels of the incarnation before.
+TEST_CASE_FIXTURE(guard_fixture, "an order that requires a label is refused by a worker without it")
+{
+    worker_report report = make_report(2);
+    report.m_labels = {"a", "r1-1"};
+    on_worker_report(m_guard, report, at_ms(1));
+    run_order labelled = make_order(0);
+    labelled.m_required_label = "a";
+    run_order misplaced = make_order(1);
+    misplaced.m_required_label = "b";
+    order({labelled, misplaced, make_order(2)}, 2, 2);
+    CHECK(advance(m_guard, at_ms(2)).m_starts.size() == 2);
+    REQUIRE(results() == std::vector<run_result>{run_result::not_started});
+    CHECK(m_guard.m_homes[entry].m_outcomes.front().m_run == make_run(1));
+    CHECK(m_guard.m_homes[entry].m_outcomes.front().m_verdict == verdict::not_run);
+}
+
 // Guards against starts beyond the capacity of a worker that started again smaller after its wall clock had
 // been set back.
 TEST_CASE_FIXTURE(guard_fixture,
--- /dev/null
+++ b/tests/rpc/run_wire_test.cpp
@@ -0,0 +1,44 @@
+// Tests of messages about runs on the wire.
+
+#include "rpc/run_wire.h"
+
+#include <capnp/message.h>
+#include <doctest/doctest.h>
+
+namespace hawthornpin {
+
+namespace {
+
+run_order make_order(std::uint32_t step, std::uint32_t index)
+{
+    run_order order;
+    order.m_run = {{"5c0e7a21d94b36f8", 0, step, index}, 3};
+    order.m_specification = "text";
+    order.m_needs = {1'600, 64, 1};
+    order.m_required_label = step == 0 ? "a" : "";
+    order.m_estimate = milliseconds(60);
+    order.m_start_within = milliseconds(20);
+    order.m_slack = milliseconds(-5);
+    return order;
+}
+
+} // namespace
+
+// Guards against fields of an order that do not reach the agent, which decides by them.
+TEST_CASE("a batch of orders is the same after it was sent")
+{
+    order_batch batch;
+    batch.m_home = {"entry-1", 7};
+    batch.m_home_address = "127.0.0.1:7720";
+    batch.m_agent_incarnation = 8;
+    batch.m_clock_seen = 9;
+    batch.m_number = 10;
+    batch.m_starts = {make_order(0, 0), make_order(0, 1), make_order(1, 0)};
+    batch.m_stops = {make_order(0, 2).m_run};
+    batch.m_entries = {"127.0.0.1:7721"};
+    capnp::MallocMessageBuilder message;
+    write_wire(message.initRoot<wire::OrderBatch>(), batch);
+    CHECK(read_wire(message.getRoot<wire::OrderBatch>().asReader()) == batch);
+}
+
+} // namespace hawthornpin
--- a/world/run_messages.h
+++ b/world/run_messages.h
@@ -33,6 +33,8 @@
     run_id m_run;
     std::string m_specification;
     resources m_needs;
+    // Label that the worker must have; empty for any worker.
+    std::string m_required_label;
     milliseconds m_estimate{0};
     milliseconds m_start_within{0};
     // Waiting orders are started in the order of their remaining slack, which counts from the order's
