The runs of a worker's earlier incarnation are over when the next one lists its runs

What callers saw: jobs whose tasks a crashed worker had at work were answered 206 ms later than the restart required. The agent had met the new incarnation 204 ms after the crash, and went on with stops of runs that could not be there: a stop each, 100 ms for it to settle, and a further listing.

Cause: a start in flight could reach the new incarnation, so only a stop under a higher fence proved that its run had ended. Since starts reach the incarnation that they are meant for only, the listing proves it.

Change: a run keeps the incarnation that its starts were meant for, and ends when another one lists its runs. A report alone still leads to stops, and so does a worker that does not report its start.

--- a/dispatch/run_guard.cpp
+++ b/dispatch/run_guard.cpp
@@ -180,8 +180,9 @@
     return waiting;
 }
 
-void send_start(guarded_run& run, guard_actions& actions)
+void send_start(const run_guard& guard, guarded_run& run, guard_actions& actions)
 {
+    run.m_worker_started = guard.m_worker_started;
     run.m_is_call_open = true;
     run.m_verdict = verdict::may_have_run;
     actions.m_starts.push_back(run.m_order);
@@ -192,7 +193,7 @@
     for (auto& [id, run] : guard.m_runs) {
         const bool is_due = !run.m_is_call_open && !run.m_refused_start && run.m_next_call_at <= now;
         if (run.m_phase == run_phase::starting && is_due)
-            send_start(run, actions);
+            send_start(guard, run, actions);
     }
 }
 
@@ -204,7 +205,7 @@
             continue;
         room = room - run->m_order.m_needs;
         run->m_phase = run_phase::starting;
-        send_start(*run, actions);
+        send_start(guard, *run, actions);
     }
 }
 
--- a/dispatch/run_guard.h
+++ b/dispatch/run_guard.h
@@ -76,6 +76,9 @@
     instant m_started;
     // Whether a start or stop call is in progress; no second call for the run is made before it ends.
     bool m_is_call_open = false;
+    // The incarnation of the worker that its start calls were meant for, by its start time; unset before the
+    // first call, and if the worker does not report it.
+    std::optional<std::int64_t> m_worker_started;
     // Whether a start call was not answered: the run may have started, whatever later answers report.
     bool m_has_unanswered_start = false;
     // Invariant: not_run while every start call was answered that it had no effect.
--- a/dispatch/run_guard_worker.cpp
+++ b/dispatch/run_guard_worker.cpp
@@ -31,8 +31,7 @@
 // numbered from the start.
 void begin_worker_incarnation(run_guard& guard, instant now)
 {
-    // A start call in progress may have reached the new incarnation: a stop under the higher fence makes sure
-    // that each run has ended.
+    // What is known so far may be wrong: the runs are over once the new incarnation has listed its own.
     stop_worker_runs(guard, now);
     guard.m_orphans.clear();
     guard.m_orphans_to_stop.clear();
@@ -119,6 +118,21 @@
     }
 }
 
+// Ends the runs that were started on another incarnation of the worker than the one that made the listing:
+// its process has ended, and no call that was meant for it reaches this one.
+void end_runs_of_other_incarnations(run_guard& guard, const run_listing& listing, instant now)
+{
+    for (auto position = guard.m_runs.begin(); position != guard.m_runs.end();) {
+        const guarded_run& run = position->second;
+        const bool is_of_other = run.m_worker_started && listing.m_started_unix_ms &&
+                                 *run.m_worker_started != *listing.m_started_unix_ms;
+        const bool was_stopped = run.m_phase == run_phase::stopping;
+        position = is_of_other
+                       ? end_run(guard, position, was_stopped ? run.m_stop_result : run_result::lost, now)
+                       : std::next(position);
+    }
+}
+
 // Ends runs that the worker should know by now but does not list. Does nothing for a full page, which may
 // leave ends out.
 void resolve_unlisted_runs(run_guard& guard, const run_listing& listing, instant asked_at, instant now)
@@ -218,6 +232,7 @@
     guard.m_is_worker_silent = false;
     if (guard.m_unreachable_since && *guard.m_unreachable_since <= asked.m_asked_at)
         guard.m_unreachable_since.reset();
+    end_runs_of_other_incarnations(guard, listing, now);
     apply_listed_runs(guard, listing, now);
     apply_listed_ends(guard, listing, now);
     resolve_unlisted_runs(guard, listing, asked.m_asked_at, now);
