Agents' reports name the incarnation of the home that they are for

Cause: an order names the incarnation of the agent, but a report did not name that of the home. A home that has restarted at its address took the outcomes of the incarnation before for those of its own runs, which are numbered from 1 again for a job that is submitted again; the number of the last batch seen, which tells old outcomes from new ones, is the earlier incarnation's too, and the higher one. A `stopped` taken that way has the task ordered again while its run is at work (TWICE). The other hops were checked: hand-ins and heartbeats of entries carry the home's clock and a session, which a new incarnation does not know; orders and stops carry the agent's incarnation.

Found by reading.

Change: a status says which incarnation of the home it is for, and a home ignores a report for another one. It is answered, so the agent drops the outcomes, which nobody waits for. Registrations, and agents of an older build, name none.

Evidence: "an outcome for an earlier incarnation of the home changes nothing" fails without the check (the run is ordered again); "an agent's status is the same after it was sent" is new.

--- a/dispatch/job_outcomes.cpp
+++ b/dispatch/job_outcomes.cpp
@@ -176,6 +176,10 @@
 void on_agent_report(job_scheduler& scheduler, const agent_status& status,
                      const std::vector<run_outcome>& outcomes, instant now)
 {
+    // An earlier incarnation of this home had the same address. It numbered its orders and runs anew.
+    const bool names_receiver = !status.m_receiver.m_id.empty();
+    if (names_receiver && status.m_receiver != scheduler.m_self)
+        return;
     const std::string& agent = status.m_identity.m_id;
     if (!is_of_ended_incarnation(scheduler.m_agents, status, now)) {
         const auto known = scheduler.m_agents.m_agents.find(agent);
--- a/main/platform_agent.cpp
+++ b/main/platform_agent.cpp
@@ -352,6 +352,8 @@
         status.m_capacity = m_guard.m_report->m_capacity;
         status.m_labels = m_guard.m_report->m_labels;
     }
+    if (receiver != nullptr)
+        status.m_receiver = *receiver;
     const auto home = receiver == nullptr ? m_guard.m_homes.end() : m_guard.m_homes.find(*receiver);
     if (home != m_guard.m_homes.end())
         status.m_orders_seen = home->second.m_orders_seen;
--- a/rpc/hawthornpin.capnp
+++ b/rpc/hawthornpin.capnp
@@ -177,6 +177,7 @@
   clock @9 :UInt64;
   ordersSeen @10 :UInt64;
   sequence @11 :UInt64;
+  receiver @12 :Life;
 }
 
 struct RunOutcome {
--- a/rpc/hawthornpin.capnp.h
+++ b/rpc/hawthornpin.capnp.h
@@ -396,7 +396,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ea319bdd5dbe9ef2, 4, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(ea319bdd5dbe9ef2, 4, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3229,6 +3229,9 @@
 
   inline  ::uint64_t getSequence() const;
 
+  inline bool hasReceiver() const;
+  inline  ::hawthornpin::wire::Life::Reader getReceiver() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3322,6 +3325,13 @@
   inline  ::uint64_t getSequence();
   inline void setSequence( ::uint64_t value);
 
+  inline bool hasReceiver();
+  inline  ::hawthornpin::wire::Life::Builder getReceiver();
+  inline void setReceiver( ::hawthornpin::wire::Life::Reader value);
+  inline  ::hawthornpin::wire::Life::Builder initReceiver();
+  inline void adoptReceiver(::capnp::Orphan< ::hawthornpin::wire::Life>&& value);
+  inline ::capnp::Orphan< ::hawthornpin::wire::Life> disownReceiver();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3343,6 +3353,7 @@
   inline  ::hawthornpin::wire::Life::Pipeline getLife();
   inline  ::hawthornpin::wire::Resources::Pipeline getCapacity();
   inline  ::hawthornpin::wire::Resources::Pipeline getFree();
+  inline  ::hawthornpin::wire::Life::Pipeline getReceiver();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -9761,6 +9772,45 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool AgentStatus::Reader::hasReceiver() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool AgentStatus::Builder::hasReceiver() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::hawthornpin::wire::Life::Reader AgentStatus::Reader::getReceiver() const {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Life>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::hawthornpin::wire::Life::Builder AgentStatus::Builder::getReceiver() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Life>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::hawthornpin::wire::Life::Pipeline AgentStatus::Pipeline::getReceiver() {
+  return  ::hawthornpin::wire::Life::Pipeline(_typeless.getPointerField(7));
+}
+#endif  // !CAPNP_LITE
+inline void AgentStatus::Builder::setReceiver( ::hawthornpin::wire::Life::Reader value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::Life>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::hawthornpin::wire::Life::Builder AgentStatus::Builder::initReceiver() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Life>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void AgentStatus::Builder::adoptReceiver(
+    ::capnp::Orphan< ::hawthornpin::wire::Life>&& value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::Life>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::hawthornpin::wire::Life> AgentStatus::Builder::disownReceiver() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Life>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
 inline bool RunOutcome::Reader::hasRun() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/rpc/run_wire.cpp
+++ b/rpc/run_wire.cpp
@@ -159,6 +159,8 @@
     write_wire(to.initCapacity(), from.m_capacity);
     write_wire(to.initFree(), from.m_free);
     to.setClock(from.m_clock);
+    to.initReceiver().setId(from.m_receiver.m_id);
+    to.getReceiver().setIncarnation(from.m_receiver.m_incarnation);
     to.setOrdersSeen(from.m_orders_seen);
     to.setSequence(from.m_sequence);
 }
@@ -178,6 +180,7 @@
     status.m_capacity = read_wire(from.getCapacity());
     status.m_free = read_wire(from.getFree());
     status.m_clock = from.getClock();
+    status.m_receiver = {from.getReceiver().getId().cStr(), from.getReceiver().getIncarnation()};
     status.m_orders_seen = from.getOrdersSeen();
     status.m_sequence = from.getSequence();
     return status;
--- a/tests/dispatch/silent_agents_test.cpp
+++ b/tests/dispatch/silent_agents_test.cpp
@@ -188,6 +188,34 @@
     REQUIRE(take_answers().size() == 1);
 }
 
+// Guards against two runs of a task at the same time: a home that had restarted took the end of a run of the
+// incarnation before for that of its own run.
+TEST_CASE_FIXTURE(scheduler_fixture, "an outcome for an earlier incarnation of the home changes nothing")
+{
+    m_scheduler.m_self = {"entry-1", 2};
+    add_agent("a", 0);
+    add_agent("b", 0);
+    submit(make_request("job", 1), 1);
+    const auto orders = take_orders(1);
+    REQUIRE(orders.size() == 1);
+    const auto [agent, run] = orders.front();
+    answer("a", 1, 2);
+    answer("b", 1, 2);
+    agent_status status = make_status(agent, 1, true);
+    status.m_receiver = {"entry-1", 1};
+    status.m_orders_seen = 311;
+    const std::vector<run_outcome> outcomes{{run, run_result::stopped, milliseconds(60), verdict::ran}};
+    on_agent_report(m_scheduler, status, outcomes, at_ms(3));
+    advance(m_scheduler, at_ms(4));
+    CHECK(take_orders(4).empty());
+    CHECK_FALSE(m_scheduler.m_jobs.at("job").m_has_begun);
+    status.m_receiver = m_scheduler.m_self;
+    status.m_sequence = ++m_sequence;
+    on_agent_report(m_scheduler, status, outcomes, at_ms(5));
+    advance(m_scheduler, at_ms(6));
+    CHECK(take_orders(6).size() == 1);
+}
+
 // Guards against withdrawing an order as if it had never been sent when its message was only not answered:
 // the run would continue while its caller resubmits the job. Found by the platform model with lost messages,
 // seed 662.
--- a/tests/model/platform_model.cpp
+++ b/tests/model/platform_model.cpp
@@ -126,6 +126,8 @@
     const bool is_elsewhere = home != nullptr && is_assigned_elsewhere(agent.m_assignment, home->m_id, now());
     if (status.m_state == agent_state::serving && is_elsewhere)
         status.m_state = agent_state::assigned_elsewhere;
+    if (home != nullptr)
+        status.m_receiver = *home;
     if (home != nullptr && agent.m_guard.m_homes.contains(*home))
         status.m_orders_seen = agent.m_guard.m_homes.at(*home).m_orders_seen;
     return status;
@@ -329,10 +331,9 @@
 void platform_model::send_reports(agent_process& agent)
 {
     for (const auto& [session, guarded] : agent.m_guard.m_homes) {
-        const auto home = std::find_if(
-            m_home_processes.begin(), m_home_processes.end(), [&session = session](const auto& item) {
-                return item->m_id == session.m_id && item->m_incarnation == session.m_incarnation;
-            });
+        const auto home =
+            std::find_if(m_home_processes.begin(), m_home_processes.end(),
+                         [&session = session](const auto& item) { return item->m_id == session.m_id; });
         if (guarded.m_outcomes.empty() || home == m_home_processes.end() ||
             !agent.m_reporting_to.insert(session).second)
             continue;
--- a/tests/rpc/run_wire_test.cpp
+++ b/tests/rpc/run_wire_test.cpp
@@ -41,4 +41,26 @@
     CHECK(read_wire(message.getRoot<wire::OrderBatch>().asReader()) == batch);
 }
 
+// Guards against fields of a status that do not reach the home, which decides by them.
+TEST_CASE("an agent's status is the same after it was sent")
+{
+    agent_status status;
+    status.m_identity = {"side-1", 7};
+    status.m_address = "127.0.0.1:7720";
+    status.m_zone = "z1";
+    status.m_service = "svc";
+    status.m_labels = {"a", "r1-1"};
+    status.m_state = agent_state::serving;
+    status.m_is_reconciled = true;
+    status.m_capacity = {16'000, 64, 1};
+    status.m_free = {-1'600, 32, 0};
+    status.m_clock = 8;
+    status.m_receiver = {"entry-1", 9};
+    status.m_orders_seen = 10;
+    status.m_sequence = 11;
+    capnp::MallocMessageBuilder message;
+    write_wire(message.initRoot<wire::AgentStatus>(), status);
+    CHECK(read_wire(message.getRoot<wire::AgentStatus>().asReader()) == status);
+}
+
 } // namespace hawthornpin
--- a/world/run_messages.h
+++ b/world/run_messages.h
@@ -108,6 +108,9 @@
     resources m_free;
     // The clock of the agent's machine, in microseconds; never compared with that of another machine.
     std::uint64_t m_clock = 0;
+    // The incarnation of the home that m_orders_seen is about, and that outcomes sent with this status are
+    // for. Empty if there is none, or from an agent that does not tell it.
+    home_identity m_receiver;
     // Number of the last message with orders from the receiver that is accounted for in m_free.
     std::uint64_t m_orders_seen = 0;
     // Increases with each status of one incarnation; a receiver ignores a status that arrives late.
