Soak: a crashed worker breaks its connections, and may be back soon, smaller, and before its agent resumes

The soak's workers crashed with their server left open: connections outlived the crash, and calls on them got no answer and no reset for a second. Real ones break, which the agents now go by. The worker closes its server and opens it again under the same address after 5 to 1,000 ms, with all or half of its capacity, which LIMIT is verified against. Half of the time its agent is suspended until 5 ms after that.

--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -22,6 +22,9 @@
 constexpr unsigned min_long_suspension_ms = 2'600;
 constexpr unsigned max_long_suspension_ms = 3'400;
 constexpr unsigned max_gap_ms = 300;
+// How long a crashed worker is away.
+constexpr unsigned min_away_ms = 5;
+constexpr unsigned max_away_ms = 1'000;
 
 void print_fault(const std::string& what, unsigned duration_ms)
 {
@@ -69,7 +72,7 @@
         return inject_link_fault(*node.m_peers, duration_ms);
     default:
         if (node.m_worker)
-            return inject_worker_fault(*node.m_worker, duration_ms);
+            return inject_worker_fault(node, duration_ms);
         return inject_process_fault(node, duration_ms);
     }
 }
@@ -165,12 +168,31 @@
     m_tasks.add(after_delay(duration_ms).then([this] { m_store.set_mode(store_mode::up); }));
 }
 
-void soak_faults::inject_worker_fault(soak_worker& worker, unsigned duration_ms)
+void soak_faults::restart_worker(const soak_node& node)
 {
+    const unsigned away_ms = min_away_ms + draw(max_away_ms - min_away_ms);
+    resources capacity = model::model_worker::default_capacity;
+    if (draw(2) == 0)
+        capacity.m_cpu_milli /= 2;
+    const bool is_agent_suspended = draw(2) == 0;
+    print_fault(std::string(is_agent_suspended ? "agent suspended, " : "") + "worker away, then back with " +
+                    std::to_string(capacity.m_cpu_milli),
+                away_ms);
+    if (is_agent_suspended) {
+        m_processes.send_signal(node.m_name, SIGSTOP);
+        m_tasks.add(after_delay(away_ms + min_away_ms).then([this, name = node.m_name] {
+            m_processes.send_signal(name, SIGCONT);
+        }));
+    }
+    node.m_worker->restart(away_ms, capacity);
+}
+
+void soak_faults::inject_worker_fault(const soak_node& node, unsigned duration_ms)
+{
+    soak_worker& worker = *node.m_worker;
     switch (draw(6)) {
     case 0:
-        print_fault("worker restarted", 0);
-        return worker.restart();
+        return restart_worker(node);
     case 1:
         print_fault("worker leaves", 0);
         return worker.leave(false);
--- a/tests/soak/soak_faults.h
+++ b/tests/soak/soak_faults.h
@@ -50,7 +50,10 @@
     kj::Promise<void> suspend_repeatedly(std::string name, std::size_t count);
     void inject_link_fault(fault_proxy& link, unsigned duration_ms);
     void inject_store_fault(unsigned duration_ms);
-    void inject_worker_fault(soak_worker& worker, unsigned duration_ms);
+    void inject_worker_fault(const soak_node& node, unsigned duration_ms);
+    // Crashes the worker, which is back soon, with all or half of its capacity. Its agent may be suspended
+    // until then, and learns nothing of it meanwhile.
+    void restart_worker(const soak_node& node);
     // Draws a number below `count`.
     unsigned draw(unsigned count);
 
--- a/tests/soak/soak_verifier.h
+++ b/tests/soak/soak_verifier.h
@@ -26,6 +26,9 @@
     void record_refused(const std::string& job);
     void record_unanswered(const std::string& job);
 
+    // A violation that was found elsewhere, or a stand-in that failed.
+    void record_violation(const std::string& what);
+
     // The first violated guarantee; empty if none was.
     const std::string& violation() const { return m_violation; }
     // Looks for refused jobs that have started. To be called when nothing runs any more.
@@ -44,8 +47,6 @@
         bool m_is_refused = false;
     };
 
-    void record_violation(const std::string& what);
-
     std::map<std::string, tracked_job> m_jobs;
     // Where tasks run now.
     std::map<task_id, std::string> m_running;
--- a/tests/soak/soak_worker.cpp
+++ b/tests/soak/soak_worker.cpp
@@ -14,7 +14,8 @@
 constexpr unsigned tick_ms = 5;
 constexpr unsigned report_interval_ms = 500;
 constexpr unsigned report_timeout_ms = 1'000;
-constexpr unsigned restart_ms = 1'000;
+// Time until a worker that has left starts again.
+constexpr unsigned return_ms = 1'000;
 // Shorter than most tasks, so that some are at work when the worker deregisters.
 constexpr unsigned drain_ms = 40;
 // Time until the worker ends once its deregistration is acknowledged, and if it is not.
@@ -94,8 +95,7 @@
 
 soak_worker::soak_worker(std::string id, std::string report_address, soak_verifier& verifier)
     : m_id(std::move(id)), m_report_address(std::move(report_address)), m_verifier(verifier),
-      m_worker(m_id, now_ms()), m_incarnation_started(now_ms()),
-      m_server([this](const api_request& request) { return handle(request); }, make_limits()), m_reports(1)
+      m_worker(m_id, now_ms()), m_incarnation_started(now_ms()), m_reports(1)
 {
     m_tasks.add(run_report_loop());
     m_tick = std::make_unique<timer>(tick_ms, [this] {
@@ -104,7 +104,15 @@
     });
 }
 
-void soak_worker::restart()
+bool soak_worker::listen(const std::string& address, last_reason& why)
+{
+    m_address = address;
+    m_server = std::make_unique<api_server>([this](const api_request& request) { return handle(request); },
+                                            make_limits());
+    return m_server->listen(address, why);
+}
+
+void soak_worker::restart(unsigned away_ms, const resources& capacity)
 {
     if (!m_worker.is_up())
         return;
@@ -112,9 +120,13 @@
         m_verifier.record_run_end(m_id, run, false);
     m_occupying_runs.clear();
     m_worker.crash();
-    m_tasks.add(after_delay(restart_ms).then([this] {
-        m_worker.begin_incarnation(now_ms());
+    m_server.reset();
+    m_tasks.add(after_delay(away_ms).then([this, capacity] {
+        m_worker.begin_incarnation(now_ms(), capacity);
         m_incarnation_started = now_ms();
+        last_reason why;
+        if (!listen(m_address, why))
+            m_verifier.record_violation("a worker could not listen again: " + why.text());
     }));
 }
 
@@ -138,7 +150,7 @@
         })
         .then([this, started = m_incarnation_started] {
             if (m_incarnation_started == started)
-                restart();
+                restart(return_ms, model::model_worker::default_capacity);
         });
 }
 
@@ -222,7 +234,7 @@
         return make_answer(409, to_refusal_text(answer));
     if (m_occupying_runs.insert(order.m_run).second)
         m_verifier.record_run_start(m_id, order.m_run, m_worker.used().m_cpu_milli,
-                                    model::model_worker::default_capacity.m_cpu_milli);
+                                    m_worker.capacity().m_cpu_milli);
     return make_answer(200, "");
 }
 
--- a/tests/soak/soak_worker.h
+++ b/tests/soak/soak_worker.h
@@ -25,10 +25,11 @@
     // `report_address` is where the agent accepts worker reports.
     soak_worker(std::string id, std::string report_address, soak_verifier& verifier);
 
-    bool listen(const std::string& address, last_reason& why) { return m_server.listen(address, why); }
+    bool listen(const std::string& address, last_reason& why);
 
-    // Crashes, and starts a new incarnation under the same id after a second.
-    void restart();
+    // Crashes, which breaks its connections, and starts a new incarnation of this capacity under the same id
+    // and address after `away_ms`.
+    void restart(unsigned away_ms, const resources& capacity);
     // Drains, deregisters and ends, soon after the acknowledgement or, if that is lost, seconds later. A new
     // incarnation starts as after a crash.
     void leave(bool is_acknowledgement_lost);
@@ -67,7 +68,9 @@
     bool m_is_delaying_starts = false;
     bool m_is_refusing_starts = false;
     std::size_t m_calls = 0;
-    api_server m_server;
+    std::string m_address;
+    // Unset while the worker is away.
+    std::unique_ptr<api_server> m_server;
     http_client m_reports;
     background_tasks m_tasks;
     std::unique_ptr<timer> m_tick;
