Agents log that their worker has restarted

The log told a restart only from the change of state, and not at all if the worker reported itself before it was asked. `worker_restarted` gives both start times and how many runs of the earlier incarnation end with it.

--- a/main/platform_agent.h
+++ b/main/platform_agent.h
@@ -57,6 +57,8 @@
 
     void log_outcomes(const home_identity& home, const guarded_home& home_state);
     void log_state_change();
+    // To be called before the guard handles the listing.
+    void log_other_incarnation(const run_listing& listing) const;
 
     kj::Promise<void> renew_forever();
     void on_renewal_answer(const renewal& asked, const renewal_answer& answer);
--- a/main/platform_agent_worker.cpp
+++ b/main/platform_agent_worker.cpp
@@ -112,6 +112,7 @@
     switch (answer.m_status) {
     case renewal_status::listed:
         m_metrics.count(counter::leases_renewed);
+        log_other_incarnation(answer.m_listing);
         on_run_listing(m_guard, answer.m_listing, asked, now);
         break;
     case renewal_status::fenced:
@@ -131,6 +132,18 @@
     }
 }
 
+void platform_agent::log_other_incarnation(const run_listing& listing) const
+{
+    const std::optional<std::int64_t>& known = m_guard.m_worker_started;
+    if (!known || !listing.m_started_unix_ms || *known == *listing.m_started_unix_ms)
+        return;
+    log_event(log_level::info, "worker_restarted",
+              {{"worker", worker_id()},
+               {"from", std::to_string(*known)},
+               {"to", std::to_string(*listing.m_started_unix_ms)},
+               {"runs", std::to_string(m_guard.m_runs.size())}});
+}
+
 std::string platform_agent::worker_id() const
 {
     return m_guard.m_report ? m_guard.m_report->m_identity.m_id : "";
