--- a/dispatch/run_guard_worker.cpp
+++ b/dispatch/run_guard_worker.cpp
@@ -39,7 +39,8 @@
     guard.m_last_seen = 0;
     guard.m_has_listing = false;
     guard.m_worker_started.reset();
-    // The deadline of a call in progress is far off for the new incarnation, whose clock begins anew.
+    // If the worker does not report its start, a call in progress can reach the new incarnation, whose clock
+    // begins anew: the deadline is far off there.
     extend_lease_end(guard, guard.m_limits.m_max_worker_lease, now);
 }
 
--- a/tests/platform/worker_restart_test.cpp
+++ b/tests/platform/worker_restart_test.cpp
@@ -160,6 +160,18 @@
     CHECK(m_worker->m_holds.back() == R"({"fence":7,"last_seen":57,"deadline_ms":900,"wait_ms":0})");
 }
 
+TEST_CASE_FIXTURE(restart_fixture, "a stop reaches whichever incarnation of the worker answers")
+{
+    CHECK(start(first_start) == start_answer::started);
+    restart_worker();
+    const run_id run = make_order().m_run;
+    const bool is_answered = run_until_complete(m_loop, m_client.stop(run, 7, ""));
+    // The connection to the earlier incarnation may break only when it is used.
+    CHECK((is_answered || run_until_complete(m_loop, m_client.stop(run, 7, ""))));
+    CHECK(m_worker->m_stops == 1);
+    CHECK(start(first_start) == start_answer::other_incarnation);
+}
+
 TEST_CASE_FIXTURE(restart_fixture,
                   "a worker whose process has ended is unreachable, with an open connection or without")
 {
