A question about the worker's incarnation that fails is asked again within the call

For a renewal on a new connection the answer is the listing, and the lease follows on the next one.

Evidence: "a question about the incarnation that fails is asked again within the call" fails with one try.

--- a/tests/platform/worker_restart_test.cpp
+++ b/tests/platform/worker_restart_test.cpp
@@ -32,6 +32,9 @@
     int m_starts = 0;
     int m_stops = 0;
     bool m_answers_holds = true;
+    // Number of further holds whose connection breaks, and of those that get no answer.
+    int m_holds_to_break = 0;
+    int m_holds_to_ignore = 0;
 
 private:
     kj::Promise<api_response> answer(const api_request& request)
@@ -45,8 +48,9 @@
         if (request.m_path != "/hawthornpin/hold")
             return response;
         m_holds.push_back(request.m_body);
-        if (!m_answers_holds)
+        if (!m_answers_holds || m_holds_to_ignore-- > 0)
             return kj::NEVER_DONE;
+        response.m_is_connection_dropped = m_holds_to_break-- > 0;
         response.m_body =
             R"({"clock_ms":1,"born":)" + std::to_string(m_started) + R"(,"running":[],"finished":[]})";
         return response;
@@ -145,10 +149,32 @@
     CHECK(m_worker->m_starts == 0);
 }
 
+// Guards against starts that wait for their repetition because a worker fails part of its calls: a question
+// is one more call that can fail.
+TEST_CASE_FIXTURE(restart_fixture,
+                  "a question about the incarnation that fails is asked again within the call")
+{
+    SUBCASE("its connection breaks")
+    {
+        m_worker->m_holds_to_break = 2;
+    }
+    SUBCASE("it gets no answer")
+    {
+        m_worker->m_holds_to_ignore = 2;
+    }
+    CHECK(start(first_start) == start_answer::started);
+    CHECK(m_worker->m_holds.size() == 3);
+    CHECK(m_worker->m_starts == 1);
+}
+
 TEST_CASE_FIXTURE(restart_fixture,
                   "a lease and an acknowledgement of ends do not reach a later incarnation of the worker")
 {
+    // On a new connection the listing of the question is the answer, and the lease follows on the next one.
     CHECK(renew(first_start).m_listing.m_started_unix_ms == first_start);
+    CHECK(m_worker->m_holds == std::vector<std::string>{R"({"fence":7,"last_seen":0,"wait_ms":0})"});
+    CHECK(renew(first_start).m_status == renewal_status::listed);
+    CHECK(m_worker->m_holds.back() == R"({"fence":7,"last_seen":57,"deadline_ms":900,"wait_ms":0})");
     restart_worker();
     renewal_answer answer = renew(first_start);
     if (answer.m_status == renewal_status::disconnected)
