Jobs that name a rack for their data are logged and counted

Cause: whether placement by rack matters on a deployment could not be seen from its logs. job_admitted names the rack, rack_jobs_total counts by queue.

--- a/main/job_home.cpp
+++ b/main/job_home.cpp
@@ -7,8 +7,22 @@
 #include "dispatch/run_guard.h"
 #include "platform/message_decoding.h"
 
+#include <algorithm>
+
 namespace hawthornpin {
 
+namespace {
+
+// The rack that holds the data of the job's first such step; empty if no step names one.
+std::string find_preferred_rack(const work_request& request)
+{
+    const auto found = std::find_if(request.m_steps.begin(), request.m_steps.end(),
+                                    [](const job_step& step) { return !step.m_preferred_rack.empty(); });
+    return found == request.m_steps.end() ? "" : found->m_preferred_rack;
+}
+
+} // namespace
+
 job_home::job_home(const node_settings& settings, std::uint64_t incarnation, platform_link& links,
                    metrics& counts, answer_receiver receive)
     : m_links(links), m_metrics(counts), m_on_answer(std::move(receive))
@@ -146,8 +160,14 @@
         return;
     const auto slack =
         std::chrono::duration_cast<milliseconds>(latest_useful_start(job->second) - boot_now());
+    const std::string rack = find_preferred_rack(request);
+    if (!rack.empty())
+        m_metrics.count_labelled("rack_jobs", queue.m_name);
     log_event(log_level::info, "job_admitted",
-              {{"job", request.m_id}, {"queue", queue.m_name}, {"slack_ms", std::to_string(slack.count())}});
+              {{"job", request.m_id},
+               {"queue", queue.m_name},
+               {"slack_ms", std::to_string(slack.count())},
+               {"rack", rack}});
 }
 
 void job_home::log_refusal(const job_answer_event& refusal, const queue_contract& queue)
