--- a/dispatch/job_scheduler.cpp
+++ b/dispatch/job_scheduler.cpp
@@ -248,6 +248,12 @@
     return !job.m_has_begun && job.m_open_runs == 0;
 }
 
+void set_evacuation(job_scheduler& scheduler, const evacuation_view& view)
+{
+    scheduler.m_evacuation = view;
+    scheduler.m_agents.m_evacuated_zones = view.m_state ? view.m_state->m_zones : std::set<std::string>();
+}
+
 void submit_job(job_scheduler& scheduler, const work_request& request, const queue_contract& queue,
                 milliseconds caller_timeout, instant now)
 {
@@ -317,6 +323,7 @@
         batch.m_starts = std::exchange(channel.m_starts, {});
         batch.m_stops = std::exchange(channel.m_stops, {});
         batch.m_entries = scheduler.m_entries;
+        batch.m_evacuation = make_evacuation_report(scheduler.m_evacuation, now);
         channel.m_in_flight = batch;
         channel.m_sent_at = now;
         batches.push_back({id, agent.m_status.m_address, std::move(batch)});
--- a/dispatch/job_scheduler.h
+++ b/dispatch/job_scheduler.h
@@ -10,6 +10,7 @@
 #include "config/service_directory.h"
 #include "dispatch/demand_meter.h"
 #include "dispatch/duration_estimator.h"
+#include "membership/evacuation.h"
 #include "routing/agent_table.h"
 
 #include <compare>
@@ -199,6 +200,8 @@
     instant m_catching_up_until;
 
     agent_table m_agents;
+    // The evacuated zones as far as the home knows; sent to the agents.
+    evacuation_view m_evacuation;
     duration_estimator m_estimator;
     // Demand of the admitted jobs, by service.
     std::map<std::string, demand_meter> m_demand;
@@ -208,6 +211,9 @@
     std::vector<job_answer_event> m_answers;
 };
 
+// Sets what the home knows of evacuated zones, whose agents get no orders from now on.
+void set_evacuation(job_scheduler& scheduler, const evacuation_view& view);
+
 // Admits the job or answers it at once. A job that is known already is left as it is.
 void submit_job(job_scheduler& scheduler, const work_request& request, const queue_contract& queue,
                 milliseconds caller_timeout, instant now);
--- a/dispatch/run_guard.cpp
+++ b/dispatch/run_guard.cpp
@@ -58,6 +58,13 @@
     return suits_worker(order, *guard.m_report);
 }
 
+void record_barred_order(run_guard& guard, instant now)
+{
+    const start_bar bar = find_start_bar(guard, now);
+    if (bar != start_bar::none)
+        ++guard.m_barred_orders[bar];
+}
+
 void accept_order(run_guard& guard, const order_batch& batch, const run_order& order, instant now)
 {
     const auto known = guard.m_runs.find(order.m_run);
@@ -78,6 +85,7 @@
     }
     const instant clock_seen{microseconds(batch.m_clock_seen)};
     if (!is_order_acceptable(guard, order, clock_seen, now)) {
+        record_barred_order(guard, now);
         // A copy that was accepted when it was new may have run, and be forgotten by now.
         const bool is_remembered = now <= clock_seen + guard.m_limits.m_ended_retention;
         const verdict known_verdict = is_remembered ? verdict::not_run : verdict::may_have_run;
@@ -131,21 +139,37 @@
     });
 }
 
-// Returns the waiting runs that are late. On a worker that drains or is not reached, returns them all, and
-// those whose start had no effect.
+// Returns the waiting runs that are late. On a worker that drains, is not reached or may not start anything,
+// returns them all, and those whose start had no effect.
 void return_unstarted_runs(run_guard& guard, instant now)
 {
-    const bool is_closed = state_of(guard, now) == agent_state::leaving || guard.m_unreachable_since;
+    const bool is_barred = find_start_bar(guard, now) != start_bar::none;
+    const bool is_closed =
+        is_barred || state_of(guard, now) == agent_state::leaving || guard.m_unreachable_since;
     for (auto position = guard.m_runs.begin(); position != guard.m_runs.end();) {
         const guarded_run& run = position->second;
         const bool is_late = run.m_received + run.m_order.m_start_within < now;
         const bool is_refused = run.m_phase == run_phase::starting && run.m_verdict == verdict::not_run;
         const bool is_waiting = run.m_phase == run_phase::waiting;
         const bool is_returned = (is_waiting && is_late) || (is_closed && (is_waiting || is_refused));
+        if (is_returned && is_barred)
+            record_barred_order(guard, now);
         position = is_returned ? end_run(guard, position, run_result::not_started, now) : std::next(position);
     }
 }
 
+// Starts without an answer are not repeated while starts are barred. The next listing tells whether the run
+// began; if not, it is stopped.
+void end_unanswered_starts(run_guard& guard, instant now)
+{
+    if (find_start_bar(guard, now) == start_bar::none)
+        return;
+    for (auto& [id, run] : guard.m_runs) {
+        if (run.m_phase == run_phase::starting && !run.m_is_call_open && !run.m_refused_start)
+            run.m_refused_start = refused_start{run_result::stopped, now};
+    }
+}
+
 void stop_stalled_runs(run_guard& guard, instant now)
 {
     for (auto& [id, run] : guard.m_runs) {
@@ -213,6 +237,8 @@
 {
     if (!has_recent_listing(guard, now) || guard.m_unreachable_since)
         return;
+    if (find_start_bar(guard, now) != start_bar::none)
+        return;
     collect_repeated_starts(guard, actions, now);
     if (state_of(guard, now) == agent_state::serving)
         collect_new_starts(guard, actions);
@@ -296,6 +322,7 @@
     detect_silent_worker(guard, now);
     expire_homes(guard, now);
     return_unstarted_runs(guard, now);
+    end_unanswered_starts(guard, now);
     stop_stalled_runs(guard, now);
     collect_starts(guard, actions, now);
     collect_stops(guard, actions, now);
@@ -317,11 +344,22 @@
     }
 }
 
+start_bar find_start_bar(const run_guard& guard, instant now)
+{
+    // The agent's settings and its worker's report name the same zone, unless one of them is outdated.
+    if (guard.m_report && is_evacuated(guard.m_evacuation, guard.m_report->m_zone))
+        return start_bar::zone_evacuated;
+    return find_start_bar(guard.m_evacuation, guard.m_zone, now);
+}
+
 agent_state state_of(const run_guard& guard, instant now)
 {
     if (guard.m_is_shutting_down || (guard.m_report && guard.m_report->m_is_draining))
         return agent_state::leaving;
-    if (!guard.m_report || !guard.m_has_listing || !guard.m_orphans.empty())
+    const start_bar bar = find_start_bar(guard, now);
+    if (bar == start_bar::zone_evacuated)
+        return agent_state::evacuated;
+    if (bar != start_bar::none || !guard.m_report || !guard.m_has_listing || !guard.m_orphans.empty())
         return agent_state::preparing;
     const bool is_reached = has_recent_listing(guard, now) && !guard.m_unreachable_since;
     return is_reached ? agent_state::serving : agent_state::worker_silent;
--- a/dispatch/run_guard.h
+++ b/dispatch/run_guard.h
@@ -5,6 +5,7 @@
 
 #pragma once
 
+#include "membership/evacuation.h"
 #include "world/run_messages.h"
 #include "world/worker_report.h"
 
@@ -139,6 +140,12 @@
     // meanwhile: it may end at any moment, without a sign.
     bool m_has_worker_left = false;
 
+    // The agent's availability zone, and the zones that are evacuated as far as the agent knows.
+    std::string m_zone;
+    evacuation_view m_evacuation;
+    // Orders that were returned without a start because of m_evacuation, by reason.
+    std::map<start_bar, std::uint64_t> m_barred_orders;
+
     // From the last listing: the start of the worker's incarnation, the worker's clock, and when that was
     // read.
     std::optional<std::int64_t> m_worker_started;
@@ -202,6 +209,9 @@
 // Requests a stop of all runs that do not wait, for a shutdown whose grace period has ended.
 void stop_all(run_guard& guard, instant now);
 
+// Whether starts on the worker are barred because its zone is evacuated, or may be.
+start_bar find_start_bar(const run_guard& guard, instant now);
+
 agent_state state_of(const run_guard& guard, instant now);
 resources free_capacity(const run_guard& guard);
 
--- a/main/platform_agent.cpp
+++ b/main/platform_agent.cpp
@@ -57,7 +57,11 @@
 
     kj::Promise<void> present(PresentContext context) override
     {
+        m_agent.m_evacuation.learn_unconfirmed(read_wire(context.getParams().getEvacuation()),
+                                               evacuation_source::agent);
         m_agent.m_home.on_report(read_wire(context.getParams().getStatus()), {});
+        if (const auto evacuation = m_agent.m_evacuation.report())
+            write_wire(context.getResults().initEvacuation(), evacuation);
         return kj::READY_NOW;
     }
 
@@ -90,8 +94,16 @@
     : m_loop(loop), m_settings(settings), m_identity{settings.m_node, generate_secure_random()},
       m_worker(settings.m_worker_address), m_store(settings.m_store_address), m_links(max_links),
       m_home(settings, generate_secure_random(), m_links, m_metrics,
-             [this](const job_answer_event& answer) { on_hosted_job_end(answer); })
+             [this](const job_answer_event& answer) { on_hosted_job_end(answer); }),
+      m_evacuation(settings, [this](const evacuation_view& view) {
+          m_guard.m_evacuation = view;
+          set_evacuation(m_home.scheduler(), view);
+      })
 {
+    m_random.seed(generate_secure_random());
+    m_guard.m_zone = settings.m_zone;
+    m_guard.m_evacuation = m_evacuation.view();
+    schedule_evacuation_read(milliseconds(0));
     m_entry_leases.m_limits = make_entry_lease_limits(settings.m_resubmit_after);
     m_home.scheduler().m_knows_all_agents = false;
     m_home.scheduler().m_is_dormant = true;
@@ -133,6 +145,7 @@
 {
     update_process_gauges(m_metrics);
     m_metrics.set_gauge("jobs_hosted", static_cast<double>(m_hosted.size()));
+    m_evacuation.set_gauges(m_metrics);
     return m_metrics;
 }
 
@@ -157,6 +170,9 @@
     if (!record_home_orders(m_assignment, batch.m_home_address, now) && is_entry)
         record_contact(m_entries, batch.m_home_address, now);
     add_learned_entries(m_entries, batch.m_entries, now);
+    // A clock that an earlier incarnation has sent may be that of the machine before its restart.
+    if (batch.m_agent_incarnation == m_identity.m_incarnation)
+        m_evacuation.learn_by_clock(batch.m_evacuation, batch.m_clock_seen, evacuation_source::home);
     accept_orders(m_guard, batch, now);
     schedule_step();
 }
@@ -168,6 +184,8 @@
         call_start(order, actions);
     for (const run_id& run : actions.m_stops)
         call_stop(run);
+    count_barred_orders();
+    m_evacuation.log_confirmation();
     log_state_change();
     send_reports();
 }
@@ -240,6 +258,7 @@
     flush_logs();
     remove_unresponsive_entries(m_entries, boot_now());
     register_with_entries();
+    read_evacuation_if_due();
     end_expired_sessions();
     m_home.tick();
     step();
@@ -272,11 +291,16 @@
 {
     m_registrations_in_flight.insert(address);
     m_metrics.count(counter::announces_sent);
-    m_tasks.add(m_links.register_agent(address, make_status(nullptr, ""), call_timeout)
-                    .then([this, address](std::optional<registration_answer> answer) {
+    const instant sent_at = boot_now();
+    m_tasks.add(m_links.register_agent(address, make_status(nullptr, ""), m_evacuation.report(), call_timeout)
+                    .then([this, address, sent_at](std::optional<registration_answer> answer) {
                         m_registrations_in_flight.erase(address);
-                        if (answer)
-                            on_registration_answer(address, *answer);
+                        if (!answer)
+                            return;
+                        const bool is_entry = !answer->m_entries.empty();
+                        m_evacuation.learn(answer->m_evacuation, sent_at,
+                                           is_entry ? evacuation_source::entry : evacuation_source::home);
+                        on_registration_answer(address, *answer);
                     }));
 }
 
@@ -314,6 +338,49 @@
     }));
 }
 
+void platform_agent::schedule_evacuation_read(milliseconds delay)
+{
+    // Spreads the reads of many agents that cease to be told at the same time.
+    constexpr std::size_t jitter_ms = 250;
+    m_next_evacuation_read_at = boot_now() + delay + milliseconds(random_below(m_random, jitter_ms));
+}
+
+void platform_agent::read_evacuation_if_due()
+{
+    // Homes tell the state every 100 ms; it is then up to a second old.
+    constexpr milliseconds read_after{1'500};
+    constexpr milliseconds read_interval{1'000};
+    const bool is_due = m_evacuation.is_enabled() && !m_is_reading_evacuation &&
+                        m_next_evacuation_read_at <= boot_now() && m_evacuation.is_older_than(read_after);
+    if (!is_due)
+        return;
+    schedule_evacuation_read(read_interval);
+    read_evacuation();
+}
+
+void platform_agent::read_evacuation()
+{
+    m_is_reading_evacuation = true;
+    const instant sent_at = boot_now();
+    m_tasks.add(m_store.read_newest(operator_topic).then([this, sent_at](std::optional<newest_page> page) {
+        m_is_reading_evacuation = false;
+        if (!page || !m_evacuation.learn_from_store(make_evacuation_snapshot(*page, sent_at)))
+            return;
+        // The store may turn the entries away.
+        for (const auto& [address, entry] : m_entries.m_entries) {
+            if (!m_registrations_in_flight.contains(address))
+                register_with(address);
+        }
+        schedule_step();
+    }));
+}
+
+void platform_agent::count_barred_orders()
+{
+    for (const auto& [why, count] : std::exchange(m_guard.m_barred_orders, {}))
+        m_metrics.count_labelled("orders_refused", to_text(why), count);
+}
+
 void platform_agent::finish_if_idle()
 {
     if (!m_leaving_since)
--- a/main/platform_agent.h
+++ b/main/platform_agent.h
@@ -4,9 +4,11 @@
 
 #include "core/event_loop.h"
 #include "core/metrics.h"
+#include "core/random.h"
 #include "dispatch/entry_leases.h"
 #include "dispatch/run_guard.h"
 #include "http/api_server.h"
+#include "main/evacuation_watch.h"
 #include "main/job_home.h"
 #include "main/loop_watch.h"
 #include "main/platform_link.h"
@@ -68,6 +70,11 @@
     void register_with(const std::string& address);
     void on_registration_answer(const std::string& address, const registration_answer& answer);
     void learn_entries_from_store();
+    // Reads the evacuated zones from the store while no other process confirms them.
+    void read_evacuation_if_due();
+    void read_evacuation();
+    void schedule_evacuation_read(milliseconds delay);
+    void count_barred_orders();
     void finish_if_idle();
 
     // Jobs that entries forward to this agent as their home.
@@ -101,6 +108,10 @@
     store_client m_store;
     platform_link m_links;
     job_home m_home;
+    evacuation_watch m_evacuation;
+    bool m_is_reading_evacuation = false;
+    instant m_next_evacuation_read_at;
+    random_source m_random;
     entry_leases m_entry_leases;
     // Entries that wait for the end of a hosted job, by job.
     std::map<std::string, std::vector<hosted_waiter>> m_hosted;
--- a/main/platform_agent_home.cpp
+++ b/main/platform_agent_home.cpp
@@ -39,6 +39,8 @@
 void platform_agent::on_entry_heartbeat(const entry_heartbeat& heartbeat_message)
 {
     record_entry_heartbeat(m_entry_leases, heartbeat_message, boot_now());
+    m_evacuation.learn_by_clock(heartbeat_message.m_evacuation, heartbeat_message.m_clock_seen,
+                                evacuation_source::entry);
     m_home.scheduler().m_homes_per_agent = std::max<std::uint32_t>(1, heartbeat_message.m_homes_per_agent);
     m_entry_heartbeat_at = boot_now();
 }
--- a/main/platform_entry.cpp
+++ b/main/platform_entry.cpp
@@ -37,6 +37,8 @@
     kj::Promise<void> present(PresentContext context) override
     {
         const instant now = boot_now();
+        m_entry.m_evacuation.learn_unconfirmed(read_wire(context.getParams().getEvacuation()),
+                                               evacuation_source::agent);
         m_entry.m_home.on_report(read_wire(context.getParams().getStatus()), {});
         auto entries = list_live(m_entry.m_entries, now);
         entries.push_back(m_entry.m_settings.m_peer_address);
@@ -45,6 +47,8 @@
         entries.insert(entries.end(), homes.begin(), homes.end());
         write_wire(context.getResults().initEntries(static_cast<unsigned>(entries.size())), entries);
         write_wire(context.getResults().initHomes(static_cast<unsigned>(homes.size())), homes);
+        if (const auto evacuation = m_entry.m_evacuation.report())
+            write_wire(context.getResults().initEvacuation(), evacuation);
         return kj::READY_NOW;
     }
 
@@ -57,6 +61,9 @@
         const auto entries = list_live(m_entry.m_entries, now);
         auto results = context.getResults();
         write_wire(results.initEntries(static_cast<unsigned>(entries.size())), entries);
+        m_entry.m_evacuation.learn_unconfirmed(read_wire(params.getEvacuation()), evacuation_source::entry);
+        if (const auto evacuation = m_entry.m_evacuation.report())
+            write_wire(results.initEvacuation(), evacuation);
         if (!m_entry.m_configuration)
             return kj::READY_NOW;
         const std::int64_t version = m_entry.m_configuration->directory().m_version;
@@ -73,7 +80,9 @@
 platform_entry::platform_entry(event_loop& loop, const node_settings& settings)
     : m_loop(loop), m_settings(settings), m_store(settings.m_store_address), m_links(max_links),
       m_home(settings, generate_secure_random(), m_links, m_metrics,
-             [this](const job_answer_event& answer) { deliver(answer); })
+             [this](const job_answer_event& answer) { deliver(answer); }),
+      m_evacuation(settings,
+                   [this](const evacuation_view& view) { set_evacuation(m_home.scheduler(), view); })
 {
     m_home_table.m_self = settings.m_node;
     m_home_table.m_random.seed(generate_secure_random());
@@ -113,10 +122,17 @@
     rpc_limits.m_max_connections = max_peer_connections;
     m_rpc_server = std::make_unique<rpc_server>(std::move(*socket), platform_cluster_key,
                                                 kj::heap<node_server>(*this), rpc_limits, m_metrics);
+    directory_follower::evacuation_receiver receive_evacuations;
+    if (m_evacuation.is_enabled())
+        receive_evacuations = [this](const evacuation_update& update) {
+            m_evacuation.learn_from_store(update);
+        };
     m_follower = std::make_unique<directory_follower>(
-        m_store, [this](const service_directory& directory, const std::string& text) {
+        m_store,
+        [this](const service_directory& directory, const std::string& text) {
             apply_directory(directory, text);
-        });
+        },
+        std::move(receive_evacuations));
     publish_address();
     learn_entries_from_store();
     m_tick = std::make_unique<timer>(tick_ms, [this] { return on_tick(); });
@@ -170,6 +186,7 @@
     update_process_gauges(m_metrics);
     m_metrics.set_gauge("requests_in_progress", m_caller_server->in_progress());
     m_metrics.set_gauge("jobs_handed_on", static_cast<double>(m_forwarded.size()));
+    m_evacuation.set_gauges(m_metrics);
     return m_metrics;
 }
 
--- a/main/platform_entry.h
+++ b/main/platform_entry.h
@@ -10,6 +10,7 @@
 #include "core/metrics.h"
 #include "dispatch/run_guard.h"
 #include "http/api_server.h"
+#include "main/evacuation_watch.h"
 #include "main/job_home.h"
 #include "main/loop_watch.h"
 #include "main/platform_link.h"
@@ -136,6 +137,7 @@
     store_client m_store;
     platform_link m_links;
     job_home m_home;
+    evacuation_watch m_evacuation;
     // Homes among the agents; empty in a small service.
     std::vector<home_candidate> m_service_homes;
     // The agents that m_service_homes were chosen from, and the homes of each by its id.
--- a/main/platform_entry_homes.cpp
+++ b/main/platform_entry_homes.cpp
@@ -36,7 +36,8 @@
         registration_interval(1 + m_entries.m_entries.size() + m_home_limits.m_homes_per_agent);
     std::vector<home_candidate> candidates;
     for (const auto& [id, agent] : m_home.scheduler().m_agents.m_agents) {
-        if (is_candidate(agent, interval, now))
+        const bool is_zone_evacuated = is_evacuated(m_evacuation.view(), agent.m_status.m_zone);
+        if (is_candidate(agent, interval, now) && !is_zone_evacuated)
             candidates.push_back({id, agent.m_status.m_address});
     }
     if (candidates != m_home_candidates) {
@@ -183,7 +184,8 @@
     }
     if (is_forwarding())
         record_delay(m_overload, estimate_own_delay(m_home_table, now), now);
-    for (const due_home_heartbeat& due : take_due_home_heartbeats(m_home_table, now)) {
+    for (due_home_heartbeat& due : take_due_home_heartbeats(m_home_table, now)) {
+        due.m_heartbeat_message.m_evacuation = m_evacuation.report();
         const std::uint64_t session = due.m_heartbeat_message.m_session.m_incarnation;
         m_tasks.add(m_links
                         .send_heartbeat(due.m_address, due.m_heartbeat_message,
--- a/main/platform_entry_peers.cpp
+++ b/main/platform_entry_peers.cpp
@@ -44,14 +44,17 @@
     entry_sync_state known;
     known.m_entries = m_home.scheduler().m_entries;
     known.m_version = m_configuration ? m_configuration->directory().m_version : 0;
+    known.m_evacuation = m_evacuation.report();
+    const instant sent_at = boot_now();
     m_tasks.add(m_links.share(address, m_settings.m_peer_address, known, call_timeout)
-                    .then([this, address](std::optional<entry_sync_state> other) {
+                    .then([this, address, sent_at](std::optional<entry_sync_state> other) {
                         m_shares_in_flight.erase(address);
                         if (!other)
                             return;
                         const instant now = boot_now();
                         record_contact(m_entries, address, now);
                         add_learned_entries(m_entries, other->m_entries, now);
+                        m_evacuation.learn(other->m_evacuation, sent_at, evacuation_source::entry);
                         last_reason why;
                         const auto directory = decode_directory(other->m_directory, why);
                         if (directory)
--- a/main/platform_link.cpp
+++ b/main/platform_link.cpp
@@ -59,14 +59,18 @@
 }
 
 kj::Promise<std::optional<registration_answer>>
-platform_link::register_agent(const std::string& address, const agent_status& status, milliseconds timeout)
+platform_link::register_agent(const std::string& address, const agent_status& status,
+                              const std::optional<evacuation_report>& evacuation, milliseconds timeout)
 {
     using response = std::optional<registration_answer>;
-    auto call = call_node<response>(m_links, address, [status](wire::Node::Client node) {
+    auto call = call_node<response>(m_links, address, [status, evacuation](wire::Node::Client node) {
         auto request = node.presentRequest();
         write_wire(request.initStatus(), status);
+        if (evacuation)
+            write_wire(request.initEvacuation(), evacuation);
         return request.send().then([](auto answer) {
-            return response({read_wire(answer.getEntries()), read_wire(answer.getHomes())});
+            return response({read_wire(answer.getEntries()), read_wire(answer.getHomes()),
+                             read_wire(answer.getEvacuation())});
         });
     });
     return with_timeout(to_optional(kj::mv(call)), address, timeout);
@@ -83,11 +87,14 @@
         request.setAddress(own_address);
         write_wire(request.initEntries(static_cast<unsigned>(known.m_entries.size())), known.m_entries);
         request.setVersion(known.m_version);
+        if (known.m_evacuation)
+            write_wire(request.initEvacuation(), known.m_evacuation);
         return request.send().then([](auto answer) {
             entry_sync_state other;
             other.m_entries = read_wire(answer.getEntries());
             other.m_version = answer.getVersion();
             other.m_directory = answer.getDirectory().cStr();
+            other.m_evacuation = read_wire(answer.getEvacuation());
             return response(std::move(other));
         });
     });
--- a/main/platform_link.h
+++ b/main/platform_link.h
@@ -23,6 +23,8 @@
     std::int64_t m_version = 0;
     // Text of the configuration, if it is newer than the receiver's.
     std::string m_directory;
+    // The evacuated zones, if they are known.
+    std::optional<evacuation_report> m_evacuation;
 };
 
 // An entry's or home's answer to the registration of an agent.
@@ -31,6 +33,8 @@
     std::vector<std::string> m_entries;
     // Peer addresses of the agent's homes, best first.
     std::vector<std::string> m_homes;
+    // The evacuated zones, if they are known.
+    std::optional<evacuation_report> m_evacuation;
 };
 
 // The end of a forwarded job, and the home's status at that time.
@@ -50,7 +54,8 @@
     kj::Promise<bool> report(const std::string& address, const agent_status& status,
                              const std::vector<run_outcome>& outcomes, milliseconds timeout);
     kj::Promise<std::optional<registration_answer>>
-    register_agent(const std::string& address, const agent_status& status, milliseconds timeout);
+    register_agent(const std::string& address, const agent_status& status,
+                   const std::optional<evacuation_report>& evacuation, milliseconds timeout);
     kj::Promise<std::optional<entry_sync_state>> share(const std::string& address,
                                                        const std::string& own_address,
                                                        const entry_sync_state& known, milliseconds timeout);
--- a/routing/agent_table.cpp
+++ b/routing/agent_table.cpp
@@ -54,11 +54,13 @@
     return cost;
 }
 
-// Whether the agent is serving and has answered this home within `span`.
-bool has_answered_within(const agent_view& agent, milliseconds span, instant now)
+// Whether the agent is serving, outside of the evacuated zones, and has answered this home within `span`.
+bool is_serving_within(const agent_table& table, const agent_view& agent, milliseconds span, instant now)
 {
     if (agent.m_status.m_state != agent_state::serving || !agent.m_is_reconciled)
         return false;
+    if (table.m_evacuated_zones.contains(agent.m_status.m_zone))
+        return false;
     return agent.m_clock_seen != 0 && now <= agent.m_clock_seen_at + span;
 }
 
@@ -162,13 +164,14 @@
 
 bool is_usable(const agent_table& table, const agent_view& agent, instant now)
 {
-    return has_answered_within(agent, table.m_limits.m_suspect_after, now) &&
+    return is_serving_within(table, agent, table.m_limits.m_suspect_after, now) &&
            is_out_of_quarantine(agent, now);
 }
 
 bool is_presumed_available(const agent_table& table, const agent_view& agent, instant now)
 {
-    return has_answered_within(agent, table.m_limits.m_lost_after, now) && is_out_of_quarantine(agent, now);
+    return is_serving_within(table, agent, table.m_limits.m_lost_after, now) &&
+           is_out_of_quarantine(agent, now);
 }
 
 resources free_for_orders(const agent_view& agent)
--- a/routing/agent_table.h
+++ b/routing/agent_table.h
@@ -74,6 +74,8 @@
 struct agent_table {
     agent_table_limits m_limits;
     std::string m_zone;
+    // Zones whose agents get no orders and are no capacity.
+    std::set<std::string> m_evacuated_zones;
     random_source m_random;
     // Start of this process; agents become known from then on.
     instant m_started;
@@ -127,7 +129,7 @@
 // Whether a presumably available worker of the service has room for the task now.
 bool has_room(const agent_table& table, const std::string& service, const resources& needs, instant now);
 
-// Whether the agent may get orders now.
+// Whether the agent may get orders now. None in an evacuated zone may.
 bool is_usable(const agent_table& table, const agent_view& agent, instant now);
 
 // Whether the agent counts towards the capacity of its service: it is usable, or its answers are late by less
--- a/routing/home_table.cpp
+++ b/routing/home_table.cpp
@@ -86,7 +86,7 @@
 entry_heartbeat make_entry_heartbeat(const home_table& table, const std::string& home)
 {
     const home_view& view = table.m_homes.at(home);
-    return {{table.m_self, view.m_session}, view.m_clock_seen, table.m_homes_per_agent};
+    return {{table.m_self, view.m_session}, view.m_clock_seen, table.m_homes_per_agent, std::nullopt};
 }
 
 std::vector<due_home_heartbeat> take_due_home_heartbeats(home_table& table, instant now)
--- a/rpc/hawthornpin.capnp
+++ b/rpc/hawthornpin.capnp
@@ -153,6 +153,15 @@
   incarnation @1 :UInt64;
 }
 
+# The evacuated zones by all records of the operator's log before an offset. Every record that was acknowledged
+# ageMs before the message was sent, or earlier, is among them.
+struct Evacuation {
+  isKnown @0 :Bool;   # false from a sender that knows no state
+  offset @1 :Int64;
+  zones @2 :List(Text);
+  ageMs @3 :UInt32;
+}
+
 struct OrderBatch {
   home @0 :Life;
   homeAddress @1 :Text;
@@ -162,6 +171,7 @@
   stops @5 :List(RunRef);
   entries @6 :List(Text);
   agentIncarnation @7 :UInt64;
+  evacuation @8 :Evacuation;
 }
 
 struct AgentStatus {
@@ -224,6 +234,7 @@
   session @0 :Life;
   clockSeen @1 :UInt64;
   homesPerAgent @2 :UInt32;
+  evacuation @3 :Evacuation;
 }
 
 struct HomeStatus {
@@ -267,10 +278,11 @@
   order @8 (batch :OrderBatch) -> (status :AgentStatus);
   report @9 (status :AgentStatus, outcomes :List(RunOutcome)) -> ();
   # An entry also names the agent's homes, best first.
-  present @10 (status :AgentStatus) -> (entries :List(Text), homes :List(Text));
+  present @10 (status :AgentStatus, evacuation :Evacuation)
+      -> (entries :List(Text), homes :List(Text), evacuation :Evacuation);
   # Between entries: who is there, and the directory if the answering one has a newer version.
-  share @11 (address :Text, entries :List(Text), version :Int64)
-      -> (entries :List(Text), version :Int64, directory :Text);
+  share @11 (address :Text, entries :List(Text), version :Int64, evacuation :Evacuation)
+      -> (entries :List(Text), version :Int64, directory :Text, evacuation :Evacuation);
 
   # An entry and a home of its callers' jobs: heartbeats, and jobs, whose calls end when the jobs do. A call that
   # is dropped ends its job.
--- a/rpc/hawthornpin.capnp.h
+++ b/rpc/hawthornpin.capnp.h
@@ -38,6 +38,7 @@
 CAPNP_DECLARE_SCHEMA(fcdb1a6e7238c63b);
 CAPNP_DECLARE_SCHEMA(942bfcc623fd4c0e);
 CAPNP_DECLARE_SCHEMA(876b9a92512fe458);
+CAPNP_DECLARE_SCHEMA(b1424185a7133f0c);
 CAPNP_DECLARE_SCHEMA(c827ce08d5626e51);
 CAPNP_DECLARE_SCHEMA(ea319bdd5dbe9ef2);
 CAPNP_DECLARE_SCHEMA(ecc04a079d328096);
@@ -373,6 +374,21 @@
   };
 };
 
+struct Evacuation {
+  Evacuation() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b1424185a7133f0c, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct OrderBatch {
   OrderBatch() = delete;
 
@@ -381,7 +397,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c827ce08d5626e51, 3, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(c827ce08d5626e51, 3, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -471,7 +487,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9026245d0502a64e, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(9026245d0502a64e, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -942,7 +958,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d08843c78d3bd194, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(d08843c78d3bd194, 0, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -957,7 +973,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(86e3a4d8f2f436a9, 0, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(86e3a4d8f2f436a9, 0, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -972,7 +988,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fb4cc42e005e7817, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(fb4cc42e005e7817, 1, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -987,7 +1003,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9b28466d322aae4d, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(9b28466d322aae4d, 1, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3043,6 +3059,103 @@
 };
 #endif  // !CAPNP_LITE
 
+class Evacuation::Reader {
+public:
+  typedef Evacuation Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool getIsKnown() const;
+
+  inline  ::int64_t getOffset() const;
+
+  inline bool hasZones() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getZones() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Evacuation::Builder {
+public:
+  typedef Evacuation Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool getIsKnown();
+  inline void setIsKnown(bool value);
+
+  inline  ::int64_t getOffset();
+  inline void setOffset( ::int64_t value);
+
+  inline bool hasZones();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getZones();
+  inline void setZones( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setZones(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initZones(unsigned int size);
+  inline void adoptZones(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownZones();
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Evacuation::Pipeline {
+public:
+  typedef Evacuation Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class OrderBatch::Reader {
 public:
   typedef OrderBatch Reads;
@@ -3081,6 +3194,9 @@
 
   inline  ::uint64_t getAgentIncarnation() const;
 
+  inline bool hasEvacuation() const;
+  inline  ::hawthornpin::wire::Evacuation::Reader getEvacuation() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3154,6 +3270,13 @@
   inline  ::uint64_t getAgentIncarnation();
   inline void setAgentIncarnation( ::uint64_t value);
 
+  inline bool hasEvacuation();
+  inline  ::hawthornpin::wire::Evacuation::Builder getEvacuation();
+  inline void setEvacuation( ::hawthornpin::wire::Evacuation::Reader value);
+  inline  ::hawthornpin::wire::Evacuation::Builder initEvacuation();
+  inline void adoptEvacuation(::capnp::Orphan< ::hawthornpin::wire::Evacuation>&& value);
+  inline ::capnp::Orphan< ::hawthornpin::wire::Evacuation> disownEvacuation();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3173,6 +3296,7 @@
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::hawthornpin::wire::Life::Pipeline getHome();
+  inline  ::hawthornpin::wire::Evacuation::Pipeline getEvacuation();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3853,6 +3977,9 @@
 
   inline  ::uint32_t getHomesPerAgent() const;
 
+  inline bool hasEvacuation() const;
+  inline  ::hawthornpin::wire::Evacuation::Reader getEvacuation() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3894,6 +4021,13 @@
   inline  ::uint32_t getHomesPerAgent();
   inline void setHomesPerAgent( ::uint32_t value);
 
+  inline bool hasEvacuation();
+  inline  ::hawthornpin::wire::Evacuation::Builder getEvacuation();
+  inline void setEvacuation( ::hawthornpin::wire::Evacuation::Reader value);
+  inline  ::hawthornpin::wire::Evacuation::Builder initEvacuation();
+  inline void adoptEvacuation(::capnp::Orphan< ::hawthornpin::wire::Evacuation>&& value);
+  inline ::capnp::Orphan< ::hawthornpin::wire::Evacuation> disownEvacuation();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3913,6 +4047,7 @@
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::hawthornpin::wire::Life::Pipeline getSession();
+  inline  ::hawthornpin::wire::Evacuation::Pipeline getEvacuation();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -6478,6 +6613,9 @@
   inline bool hasStatus() const;
   inline  ::hawthornpin::wire::AgentStatus::Reader getStatus() const;
 
+  inline bool hasEvacuation() const;
+  inline  ::hawthornpin::wire::Evacuation::Reader getEvacuation() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -6513,6 +6651,13 @@
   inline void adoptStatus(::capnp::Orphan< ::hawthornpin::wire::AgentStatus>&& value);
   inline ::capnp::Orphan< ::hawthornpin::wire::AgentStatus> disownStatus();
 
+  inline bool hasEvacuation();
+  inline  ::hawthornpin::wire::Evacuation::Builder getEvacuation();
+  inline void setEvacuation( ::hawthornpin::wire::Evacuation::Reader value);
+  inline  ::hawthornpin::wire::Evacuation::Builder initEvacuation();
+  inline void adoptEvacuation(::capnp::Orphan< ::hawthornpin::wire::Evacuation>&& value);
+  inline ::capnp::Orphan< ::hawthornpin::wire::Evacuation> disownEvacuation();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6532,6 +6677,7 @@
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::hawthornpin::wire::AgentStatus::Pipeline getStatus();
+  inline  ::hawthornpin::wire::Evacuation::Pipeline getEvacuation();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -6563,6 +6709,9 @@
   inline bool hasHomes() const;
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getHomes() const;
 
+  inline bool hasEvacuation() const;
+  inline  ::hawthornpin::wire::Evacuation::Reader getEvacuation() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -6607,6 +6756,13 @@
   inline void adoptHomes(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownHomes();
 
+  inline bool hasEvacuation();
+  inline  ::hawthornpin::wire::Evacuation::Builder getEvacuation();
+  inline void setEvacuation( ::hawthornpin::wire::Evacuation::Reader value);
+  inline  ::hawthornpin::wire::Evacuation::Builder initEvacuation();
+  inline void adoptEvacuation(::capnp::Orphan< ::hawthornpin::wire::Evacuation>&& value);
+  inline ::capnp::Orphan< ::hawthornpin::wire::Evacuation> disownEvacuation();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6625,6 +6781,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::hawthornpin::wire::Evacuation::Pipeline getEvacuation();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -6658,6 +6815,9 @@
 
   inline  ::int64_t getVersion() const;
 
+  inline bool hasEvacuation() const;
+  inline  ::hawthornpin::wire::Evacuation::Reader getEvacuation() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -6704,6 +6864,13 @@
   inline  ::int64_t getVersion();
   inline void setVersion( ::int64_t value);
 
+  inline bool hasEvacuation();
+  inline  ::hawthornpin::wire::Evacuation::Builder getEvacuation();
+  inline void setEvacuation( ::hawthornpin::wire::Evacuation::Reader value);
+  inline  ::hawthornpin::wire::Evacuation::Builder initEvacuation();
+  inline void adoptEvacuation(::capnp::Orphan< ::hawthornpin::wire::Evacuation>&& value);
+  inline ::capnp::Orphan< ::hawthornpin::wire::Evacuation> disownEvacuation();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6722,6 +6889,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::hawthornpin::wire::Evacuation::Pipeline getEvacuation();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -6755,6 +6923,9 @@
   inline bool hasDirectory() const;
   inline  ::capnp::Text::Reader getDirectory() const;
 
+  inline bool hasEvacuation() const;
+  inline  ::hawthornpin::wire::Evacuation::Reader getEvacuation() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -6801,6 +6972,13 @@
   inline void adoptDirectory(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownDirectory();
 
+  inline bool hasEvacuation();
+  inline  ::hawthornpin::wire::Evacuation::Builder getEvacuation();
+  inline void setEvacuation( ::hawthornpin::wire::Evacuation::Reader value);
+  inline  ::hawthornpin::wire::Evacuation::Builder initEvacuation();
+  inline void adoptEvacuation(::capnp::Orphan< ::hawthornpin::wire::Evacuation>&& value);
+  inline ::capnp::Orphan< ::hawthornpin::wire::Evacuation> disownEvacuation();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6819,6 +6997,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::hawthornpin::wire::Evacuation::Pipeline getEvacuation();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -9224,6 +9403,86 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Evacuation::Reader::getIsKnown() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Evacuation::Builder::getIsKnown() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Evacuation::Builder::setIsKnown(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Evacuation::Reader::getOffset() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Evacuation::Builder::getOffset() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Evacuation::Builder::setOffset( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Evacuation::Reader::hasZones() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Evacuation::Builder::hasZones() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Evacuation::Reader::getZones() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Evacuation::Builder::getZones() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Evacuation::Builder::setZones( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void Evacuation::Builder::setZones(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Evacuation::Builder::initZones(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Evacuation::Builder::adoptZones(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Evacuation::Builder::disownZones() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t Evacuation::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Evacuation::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Evacuation::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool OrderBatch::Reader::hasHome() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -9445,6 +9704,45 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool OrderBatch::Reader::hasEvacuation() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool OrderBatch::Builder::hasEvacuation() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::hawthornpin::wire::Evacuation::Reader OrderBatch::Reader::getEvacuation() const {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Evacuation>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::hawthornpin::wire::Evacuation::Builder OrderBatch::Builder::getEvacuation() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Evacuation>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::hawthornpin::wire::Evacuation::Pipeline OrderBatch::Pipeline::getEvacuation() {
+  return  ::hawthornpin::wire::Evacuation::Pipeline(_typeless.getPointerField(5));
+}
+#endif  // !CAPNP_LITE
+inline void OrderBatch::Builder::setEvacuation( ::hawthornpin::wire::Evacuation::Reader value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::Evacuation>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::hawthornpin::wire::Evacuation::Builder OrderBatch::Builder::initEvacuation() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Evacuation>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void OrderBatch::Builder::adoptEvacuation(
+    ::capnp::Orphan< ::hawthornpin::wire::Evacuation>&& value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::Evacuation>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::hawthornpin::wire::Evacuation> OrderBatch::Builder::disownEvacuation() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Evacuation>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
 inline bool AgentStatus::Reader::hasLife() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -10456,6 +10754,45 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool EntryPresence::Reader::hasEvacuation() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool EntryPresence::Builder::hasEvacuation() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::hawthornpin::wire::Evacuation::Reader EntryPresence::Reader::getEvacuation() const {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Evacuation>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::hawthornpin::wire::Evacuation::Builder EntryPresence::Builder::getEvacuation() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Evacuation>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::hawthornpin::wire::Evacuation::Pipeline EntryPresence::Pipeline::getEvacuation() {
+  return  ::hawthornpin::wire::Evacuation::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void EntryPresence::Builder::setEvacuation( ::hawthornpin::wire::Evacuation::Reader value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::Evacuation>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::hawthornpin::wire::Evacuation::Builder EntryPresence::Builder::initEvacuation() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Evacuation>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void EntryPresence::Builder::adoptEvacuation(
+    ::capnp::Orphan< ::hawthornpin::wire::Evacuation>&& value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::Evacuation>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::hawthornpin::wire::Evacuation> EntryPresence::Builder::disownEvacuation() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Evacuation>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t HomeStatus::Reader::getClock() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -12199,6 +12536,45 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Node::PresentParams::Reader::hasEvacuation() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Node::PresentParams::Builder::hasEvacuation() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::hawthornpin::wire::Evacuation::Reader Node::PresentParams::Reader::getEvacuation() const {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Evacuation>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::hawthornpin::wire::Evacuation::Builder Node::PresentParams::Builder::getEvacuation() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Evacuation>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::hawthornpin::wire::Evacuation::Pipeline Node::PresentParams::Pipeline::getEvacuation() {
+  return  ::hawthornpin::wire::Evacuation::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void Node::PresentParams::Builder::setEvacuation( ::hawthornpin::wire::Evacuation::Reader value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::Evacuation>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::hawthornpin::wire::Evacuation::Builder Node::PresentParams::Builder::initEvacuation() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Evacuation>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Node::PresentParams::Builder::adoptEvacuation(
+    ::capnp::Orphan< ::hawthornpin::wire::Evacuation>&& value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::Evacuation>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::hawthornpin::wire::Evacuation> Node::PresentParams::Builder::disownEvacuation() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Evacuation>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool Node::PresentResults::Reader::hasEntries() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -12275,6 +12651,45 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool Node::PresentResults::Reader::hasEvacuation() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Node::PresentResults::Builder::hasEvacuation() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::hawthornpin::wire::Evacuation::Reader Node::PresentResults::Reader::getEvacuation() const {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Evacuation>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::hawthornpin::wire::Evacuation::Builder Node::PresentResults::Builder::getEvacuation() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Evacuation>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::hawthornpin::wire::Evacuation::Pipeline Node::PresentResults::Pipeline::getEvacuation() {
+  return  ::hawthornpin::wire::Evacuation::Pipeline(_typeless.getPointerField(2));
+}
+#endif  // !CAPNP_LITE
+inline void Node::PresentResults::Builder::setEvacuation( ::hawthornpin::wire::Evacuation::Reader value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::Evacuation>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::hawthornpin::wire::Evacuation::Builder Node::PresentResults::Builder::initEvacuation() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Evacuation>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Node::PresentResults::Builder::adoptEvacuation(
+    ::capnp::Orphan< ::hawthornpin::wire::Evacuation>&& value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::Evacuation>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::hawthornpin::wire::Evacuation> Node::PresentResults::Builder::disownEvacuation() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Evacuation>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline bool Node::ShareParams::Reader::hasAddress() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -12361,6 +12776,45 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Node::ShareParams::Reader::hasEvacuation() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Node::ShareParams::Builder::hasEvacuation() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::hawthornpin::wire::Evacuation::Reader Node::ShareParams::Reader::getEvacuation() const {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Evacuation>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::hawthornpin::wire::Evacuation::Builder Node::ShareParams::Builder::getEvacuation() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Evacuation>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::hawthornpin::wire::Evacuation::Pipeline Node::ShareParams::Pipeline::getEvacuation() {
+  return  ::hawthornpin::wire::Evacuation::Pipeline(_typeless.getPointerField(2));
+}
+#endif  // !CAPNP_LITE
+inline void Node::ShareParams::Builder::setEvacuation( ::hawthornpin::wire::Evacuation::Reader value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::Evacuation>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::hawthornpin::wire::Evacuation::Builder Node::ShareParams::Builder::initEvacuation() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Evacuation>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Node::ShareParams::Builder::adoptEvacuation(
+    ::capnp::Orphan< ::hawthornpin::wire::Evacuation>&& value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::Evacuation>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::hawthornpin::wire::Evacuation> Node::ShareParams::Builder::disownEvacuation() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Evacuation>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline bool Node::ShareResults::Reader::hasEntries() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -12447,6 +12901,45 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool Node::ShareResults::Reader::hasEvacuation() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Node::ShareResults::Builder::hasEvacuation() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::hawthornpin::wire::Evacuation::Reader Node::ShareResults::Reader::getEvacuation() const {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Evacuation>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::hawthornpin::wire::Evacuation::Builder Node::ShareResults::Builder::getEvacuation() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Evacuation>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::hawthornpin::wire::Evacuation::Pipeline Node::ShareResults::Pipeline::getEvacuation() {
+  return  ::hawthornpin::wire::Evacuation::Pipeline(_typeless.getPointerField(2));
+}
+#endif  // !CAPNP_LITE
+inline void Node::ShareResults::Builder::setEvacuation( ::hawthornpin::wire::Evacuation::Reader value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::Evacuation>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::hawthornpin::wire::Evacuation::Builder Node::ShareResults::Builder::initEvacuation() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Evacuation>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Node::ShareResults::Builder::adoptEvacuation(
+    ::capnp::Orphan< ::hawthornpin::wire::Evacuation>&& value) {
+  ::capnp::_::PointerHelpers< ::hawthornpin::wire::Evacuation>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::hawthornpin::wire::Evacuation> Node::ShareResults::Builder::disownEvacuation() {
+  return ::capnp::_::PointerHelpers< ::hawthornpin::wire::Evacuation>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline bool Node::AttendParams::Reader::hasPresence() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/rpc/home_session_wire.cpp
+++ b/rpc/home_session_wire.cpp
@@ -96,13 +96,16 @@
     to.getSession().setIncarnation(from.m_session.m_incarnation);
     to.setClockSeen(from.m_clock_seen);
     to.setHomesPerAgent(from.m_homes_per_agent);
+    if (from.m_evacuation)
+        write_wire(to.initEvacuation(), from.m_evacuation);
 }
 
 entry_heartbeat read_wire(wire::EntryPresence::Reader from)
 {
     return {{from.getSession().getId().cStr(), from.getSession().getIncarnation()},
             from.getClockSeen(),
-            from.getHomesPerAgent()};
+            from.getHomesPerAgent(),
+            read_wire(from.getEvacuation())};
 }
 
 void write_wire(wire::HomeStatus::Builder to, const home_status& from)
--- a/rpc/run_wire.cpp
+++ b/rpc/run_wire.cpp
@@ -112,6 +112,31 @@
     return result;
 }
 
+void write_wire(wire::Evacuation::Builder to, const std::optional<evacuation_report>& from)
+{
+    if (!from)
+        return;
+    to.setIsKnown(true);
+    to.setOffset(from->m_state.m_offset);
+    auto zones = to.initZones(static_cast<unsigned>(from->m_state.m_zones.size()));
+    unsigned index = 0;
+    for (const std::string& zone : from->m_state.m_zones)
+        zones.set(index++, zone);
+    to.setAgeMs(to_wire_ms(from->m_age));
+}
+
+std::optional<evacuation_report> read_wire(wire::Evacuation::Reader from)
+{
+    if (!from.getIsKnown())
+        return std::nullopt;
+    evacuation_report report;
+    report.m_state.m_offset = from.getOffset();
+    for (const auto zone : from.getZones())
+        report.m_state.m_zones.insert(zone.cStr());
+    report.m_age = milliseconds(from.getAgeMs());
+    return report;
+}
+
 void write_wire(wire::OrderBatch::Builder to, const order_batch& from)
 {
     to.initHome().setId(from.m_home.m_id);
@@ -128,6 +153,8 @@
     for (unsigned index = 0; index < from.m_stops.size(); ++index)
         write_run(stops[index], from.m_stops[index]);
     write_wire(to.initEntries(static_cast<unsigned>(from.m_entries.size())), from.m_entries);
+    if (from.m_evacuation)
+        write_wire(to.initEvacuation(), from.m_evacuation);
 }
 
 order_batch read_wire(wire::OrderBatch::Reader from)
@@ -143,6 +170,7 @@
     for (const auto run : from.getStops())
         batch.m_stops.push_back(read_run(run));
     batch.m_entries = read_wire(from.getEntries());
+    batch.m_evacuation = read_wire(from.getEvacuation());
     return batch;
 }
 
--- a/rpc/run_wire.h
+++ b/rpc/run_wire.h
@@ -5,6 +5,7 @@
 #include "rpc/hawthornpin.capnp.h"
 #include "world/run_messages.h"
 
+#include <optional>
 #include <vector>
 
 namespace hawthornpin {
@@ -12,6 +13,10 @@
 void write_wire(wire::Resources::Builder to, const resources& from);
 resources read_wire(wire::Resources::Reader from);
 
+// Writes nothing without a report; a receiver then reads none.
+void write_wire(wire::Evacuation::Builder to, const std::optional<evacuation_report>& from);
+std::optional<evacuation_report> read_wire(wire::Evacuation::Reader from);
+
 void write_wire(wire::OrderBatch::Builder to, const order_batch& from);
 order_batch read_wire(wire::OrderBatch::Reader from);
 
--- a/tests/dispatch/job_scheduler_test.cpp
+++ b/tests/dispatch/job_scheduler_test.cpp
@@ -237,4 +237,32 @@
     CHECK(refused_after_waiting * 20 < completed);
 }
 
+// Guards against agents that are not told of an evacuation, and against orders to those that have returned
+// them because of one.
+TEST_CASE_FIXTURE(scheduler_fixture, "a home tells its agents the evacuated zones and orders elsewhere")
+{
+    add_agent("a", 0);
+    evacuation_view view;
+    view.m_limits = evacuation_limits{};
+    merge_evacuation(view, {7, {"z"}}, at_ms(0), at_ms(0));
+    set_evacuation(m_scheduler, view);
+    const auto batches = take_batches(m_scheduler, at_ms(100));
+    REQUIRE(batches.size() == 1);
+    CHECK(batches[0].m_batch.m_evacuation == evacuation_report{{7, {"z"}}, milliseconds(100)});
+    m_last_batch["a"] = batches[0].m_batch.m_number;
+    answer("a", 1, 101);
+    submit(make_request("job", 1), 101);
+    REQUIRE(take_orders(101).size() == 1);
+    agent_status evacuated = make_status("a", 1, true);
+    evacuated.m_state = agent_state::evacuated;
+    on_agent_report(m_scheduler, evacuated,
+                    {{{{"job", 0, 0, 0}, 1}, run_result::not_started, milliseconds(0), verdict::not_run}},
+                    at_ms(105));
+    add_agent("b", 106);
+    tick(106, 110);
+    const auto orders = take_orders(110);
+    REQUIRE(orders.size() == 1);
+    CHECK(orders[0].first == "b");
+}
+
 } // namespace hawthornpin
--- a/tests/main/docs_test.cpp
+++ b/tests/main/docs_test.cpp
@@ -50,9 +50,9 @@
 {
     const std::string page = read_page("docs/OPERATIONS.md");
     std::string sources;
-    for (const char* file :
-         {"job_home", "platform_agent", "platform_agent_home", "platform_agent_worker", "platform_entry",
-          "platform_entry_callers", "platform_entry_homes", "platform_process", "loop_watch"})
+    for (const char* file : {"job_home", "platform_agent", "platform_agent_home", "platform_agent_worker",
+                             "platform_entry", "platform_entry_callers", "platform_entry_homes",
+                             "platform_process", "loop_watch", "evacuation_watch"})
         sources += read_page(std::string("main/") + file + ".cpp");
     sources += read_page("platform/directory_follower.cpp");
     sources += read_page("platform/http_client.cpp");
--- a/tests/platform/client_contract_test.cpp
+++ b/tests/platform/client_contract_test.cpp
@@ -234,4 +234,60 @@
     CHECK(versions == std::vector<std::int64_t>{3, 4});
 }
 
+// Guards against evacuations that are missed when records expire, and against a state that counts as
+// confirmed although the log has further records.
+TEST_CASE("evacuations are followed across expired records, outages and partial reads")
+{
+    scripted_server peer;
+    peer.add(503, "");
+    peer.add(200, R"({"items":[{"key":"evacuate/a","value":"e30=","offset":1}],"end_offset":2})");
+    peer.add(200, make_log_header(4) + encode_keyed_record("evacuate/b", "{}"));
+    peer.add(200, make_log_header(4) + encode_keyed_record("evacuate/a", ""));
+    peer.add(410, R"({"first_offset":9})");
+    peer.add(200, R"({"items":[],"end_offset":10})");
+    peer.add(200, make_log_header(10));
+    store_client store(peer.address());
+    std::vector<evacuation_update> updates;
+    const instant begun_at = boot_now();
+    const directory_follower follower(
+        store, [](const service_directory&, const std::string&) {},
+        [&](const evacuation_update& update) {
+            updates.push_back(update);
+            if (updates.size() == 5)
+                peer.m_loop.stop();
+        });
+    peer.m_loop.run();
+    REQUIRE(updates.size() == 5);
+    CHECK(updates[0].m_is_snapshot);
+    CHECK(updates[0].m_records == std::vector<evacuation_record>{{"a", true}});
+    CHECK(updates[0].m_offset == 2);
+    REQUIRE(updates[0].m_confirmed_at);
+    CHECK(*updates[0].m_confirmed_at >= begun_at);
+    CHECK_FALSE(updates[1].m_is_snapshot);
+    CHECK(updates[1].m_records == std::vector<evacuation_record>{{"b", true}});
+    CHECK(updates[1].m_offset == 3);
+    CHECK_FALSE(updates[1].m_confirmed_at);
+    CHECK(updates[2].m_records == std::vector<evacuation_record>{{"a", false}});
+    CHECK(updates[2].m_offset == 4);
+    CHECK(updates[2].m_confirmed_at);
+    // The zone whose evacuation was revoked in an expired record is absent from the snapshot.
+    CHECK(updates[3].m_is_snapshot);
+    CHECK(updates[3].m_records.empty());
+    // An answer without new records confirms the state.
+    CHECK(updates[4].m_offset == 10);
+    CHECK(updates[4].m_confirmed_at);
+}
+
+// Guards against a confirmation by the time of the answer, which may come long after the store read its log.
+TEST_CASE("a state is confirmed as of the sending of the read")
+{
+    scripted_server peer;
+    peer.add(200, R"({"items":[],"end_offset":2})");
+    store_client store(peer.address());
+    const instant sent_at = boot_now();
+    const auto page = run_until_complete(peer.m_loop, store.read_newest(operator_topic));
+    REQUIRE(page);
+    CHECK(make_evacuation_snapshot(*page, sent_at).m_confirmed_at == sent_at);
+}
+
 } // namespace hawthornpin
--- a/tests/platform/message_decoding_test.cpp
+++ b/tests/platform/message_decoding_test.cpp
@@ -259,4 +259,29 @@
     CHECK_FALSE(is_job_id("5c0e7a21d94b36fg"));
 }
 
+TEST_CASE("evacuations are decoded from the operator's records")
+{
+    CHECK(decode_evacuation({1, "evacuate/z1", "{}"}) == evacuation_record{"z1", true});
+    CHECK(decode_evacuation({1, "evacuate/z1", ""}) == evacuation_record{"z1", false});
+    // A value that is not understood still evacuates the zone.
+    CHECK(decode_evacuation({1, "evacuate/r/z 1", "?"}) == evacuation_record{"r/z 1", true});
+    CHECK_FALSE(decode_evacuation({1, "evacuate/", "{}"}));
+    CHECK_FALSE(decode_evacuation({1, "config", "{}"}));
+}
+
+// Guards against a follower that never gets behind a record of another writer at the end of the log.
+TEST_CASE("the offset after a batch of records counts those that can't be decoded")
+{
+    const std::string header = std::string(7, '\0') + static_cast<char>(9) + std::string(8, '\0');
+    // A record of two bytes whose key would be longer than the record.
+    const std::string unframed = std::string(3, '\0') + "\2\7x";
+    last_reason why;
+    const auto batch = decode_log_batch(header + encode_keyed_record("k", "v") + unframed, 7, why);
+    REQUIRE(batch);
+    CHECK(batch->m_records.size() == 1);
+    CHECK(batch->m_next_offset == 9);
+    CHECK(batch->m_end_offset == 9);
+    CHECK(decode_log_batch(header, 7, why)->m_next_offset == 7);
+}
+
 } // namespace hawthornpin
--- a/tests/platform/node_settings_test.cpp
+++ b/tests/platform/node_settings_test.cpp
@@ -106,4 +106,24 @@
     CHECK_FALSE(read_node_settings("no such file", why));
 }
 
+// Guards against evacuation bounds that are ignored because of a wrong type, or assumed where none are set.
+TEST_CASE("the bounds of evacuations are optional, and named if they have the wrong type")
+{
+    last_reason why;
+    const temporary_file without(good_settings);
+    const auto none = read_node_settings(without.path(), why);
+    REQUIRE(none);
+    CHECK_FALSE(none->m_evacuate_within);
+    const temporary_file with(std::string(good_settings) + "evacuate_ms = 5000\n");
+    const auto settings = read_node_settings(with.path(), why);
+    REQUIRE(settings);
+    CHECK(settings->m_evacuate_within == milliseconds(5'000));
+    CHECK(settings->m_max_evacuation_stretch == milliseconds(6'000));
+    const temporary_file both(std::string(good_settings) + "evacuate_ms = 500.0\nmax_stretch_ms = 700\n");
+    CHECK(read_node_settings(both.path(), why)->m_max_evacuation_stretch == milliseconds(700));
+    const temporary_file wrong(std::string(good_settings) + "evacuate_ms = \"5000\"\n");
+    CHECK_FALSE(read_node_settings(wrong.path(), why));
+    CHECK(why.text().find("bounds.evacuate_ms") != std::string::npos);
+}
+
 } // namespace hawthornpin
--- a/tests/routing/agent_table_test.cpp
+++ b/tests/routing/agent_table_test.cpp
@@ -156,4 +156,27 @@
     CHECK(m_table.m_agents.at("a").m_status.m_identity.m_incarnation == 2);
 }
 
+// Guards against orders to agents of an evacuated zone that have not noticed it yet, and against admitting
+// jobs for their capacity.
+TEST_CASE_FIXTURE(table_fixture, "agents of evacuated zones are neither usable nor capacity")
+{
+    add("first", 16'000, "a");
+    add("second", 4'000, "b");
+    add("third", 4'000, "c");
+    m_table.m_evacuated_zones = {"a", "c"};
+    CHECK(choose(4'000) == "second");
+    CHECK(choose(5'000).empty());
+    CHECK_FALSE(is_usable(m_table, m_table.m_agents.at("first"), at_ms(1)));
+    CHECK_FALSE(has_room(m_table, "svc", {5'000, 64, 0}, at_ms(1)));
+    CHECK(measure_service(m_table, "svc", at_ms(1)).m_capacity_milli == 16'000);
+    // Whether a job could ever run does not change: an evacuation ends.
+    placement_request request;
+    request.m_service = "svc";
+    request.m_needs = {16'000, 64, 0};
+    m_table.m_evacuated_zones = {"a", "b", "c"};
+    CHECK(check_feasibility(m_table, request, at_ms(1)) == feasibility::feasible);
+    m_table.m_evacuated_zones.clear();
+    CHECK(choose(5'000) == "first");
+}
+
 } // namespace hawthornpin
--- a/tests/rpc/run_wire_test.cpp
+++ b/tests/rpc/run_wire_test.cpp
@@ -1,5 +1,6 @@
 // Tests of messages about runs on the wire.
 
+#include "rpc/home_session_wire.h"
 #include "rpc/run_wire.h"
 
 #include <capnp/message.h>
@@ -36,6 +37,7 @@
     batch.m_starts = {make_order(0, 0), make_order(0, 1), make_order(1, 0)};
     batch.m_stops = {make_order(0, 2).m_run};
     batch.m_entries = {"127.0.0.1:7721"};
+    batch.m_evacuation = evacuation_report{{11, {"z1", "z2"}}, milliseconds(12)};
     capnp::MallocMessageBuilder message;
     write_wire(message.initRoot<wire::OrderBatch>(), batch);
     CHECK(read_wire(message.getRoot<wire::OrderBatch>().asReader()) == batch);
@@ -63,4 +65,35 @@
     CHECK(read_wire(message.getRoot<wire::AgentStatus>().asReader()) == status);
 }
 
+// Guards against taking a message of an older build, or of a process without a state, for one that tells that
+// no zone is evacuated.
+TEST_CASE("a batch without a state of the evacuated zones is read as one that tells none")
+{
+    order_batch batch;
+    batch.m_home = {"entry-1", 7};
+    capnp::MallocMessageBuilder message;
+    write_wire(message.initRoot<wire::OrderBatch>(), batch);
+    CHECK_FALSE(read_wire(message.getRoot<wire::OrderBatch>().asReader()).m_evacuation);
+    capnp::MallocMessageBuilder heartbeat;
+    write_wire(heartbeat.initRoot<wire::EntryPresence>(), entry_heartbeat());
+    CHECK_FALSE(read_wire(heartbeat.getRoot<wire::EntryPresence>().asReader()).m_evacuation);
+}
+
+TEST_CASE("an entry's heartbeat is the same after it was sent")
+{
+    entry_heartbeat sent{{"entry-1", 7}, 8, 9, evacuation_report{{11, {}}, milliseconds(0)}};
+    capnp::MallocMessageBuilder message;
+    write_wire(message.initRoot<wire::EntryPresence>(), sent);
+    CHECK(read_wire(message.getRoot<wire::EntryPresence>().asReader()) == sent);
+}
+
+// Guards against orders to an agent whose state the receiver does not know.
+TEST_CASE("an agent state of a newer version is read as preparing")
+{
+    capnp::MallocMessageBuilder message;
+    auto status = message.initRoot<wire::AgentStatus>();
+    status.setState(agent_state_count);
+    CHECK(read_wire(status.asReader()).m_state == agent_state::preparing);
+}
+
 } // namespace hawthornpin
--- a/world/home_session.h
+++ b/world/home_session.h
@@ -5,6 +5,7 @@
 #include "world/run_messages.h"
 
 #include <cstdint>
+#include <optional>
 
 namespace hawthornpin {
 
@@ -17,6 +18,8 @@
     std::uint64_t m_clock_seen = 0;
     // How many homes an agent takes orders from.
     std::uint32_t m_homes_per_agent = 1;
+    // The evacuated zones; empty if the entry does not know them. The age counts from m_clock_seen.
+    std::optional<evacuation_report> m_evacuation;
 
     friend bool operator==(const entry_heartbeat&, const entry_heartbeat&) = default;
 };
--- a/world/run_messages.cpp
+++ b/world/run_messages.cpp
@@ -39,9 +39,11 @@
     case agent_state::worker_silent:
         return "worker_silent";
     case agent_state::assigned_elsewhere:
+        return "assigned_elsewhere";
+    case agent_state::evacuated:
         break;
     }
-    return "assigned_elsewhere";
+    return "evacuated";
 }
 
 } // namespace hawthornpin
--- a/world/run_messages.h
+++ b/world/run_messages.h
@@ -4,9 +4,11 @@
 
 #include "core/instant.h"
 #include "core/verdict.h"
+#include "world/evacuation_state.h"
 #include "world/work_request.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -78,7 +80,9 @@
 
 // Whether an agent takes orders.
 enum class agent_state : std::uint8_t {
-    // The worker has not reported, or runs of an earlier incarnation of the agent are still being stopped.
+    // The worker has not reported, runs of an earlier incarnation of the agent are still being stopped, or
+    // the
+    // agent does not know for certain which zones are evacuated.
     preparing,
     serving,
     // The worker is draining, or the agent is shutting down.
@@ -87,9 +91,10 @@
     worker_silent,
     // The agent works with another home than the receiver.
     assigned_elsewhere,
+    // The agent's availability zone is evacuated.
+    evacuated,
 };
-inline constexpr std::uint8_t agent_state_count =
-    static_cast<std::uint8_t>(agent_state::assigned_elsewhere) + 1;
+inline constexpr std::uint8_t agent_state_count = static_cast<std::uint8_t>(agent_state::evacuated) + 1;
 
 const char* to_text(agent_state state);
 
@@ -133,6 +138,8 @@
     std::vector<run_id> m_stops;
     // Addresses of entries that the home knows.
     std::vector<std::string> m_entries;
+    // The evacuated zones; empty if the home does not know them. The age counts from m_clock_seen.
+    std::optional<evacuation_report> m_evacuation;
 
     friend bool operator==(const order_batch&, const order_batch&) = default;
 };
