Counters for limits on peers, and counts without a metrics object

Cause: the clients of other processes (links, HTTP connections) have no metrics object, and their limits need counters. Change: enumerators for the limits that the next commits add, and count_in_process(), whose counts every metrics object of the process includes. No behaviour changes.

--- a/core/metrics.cpp
+++ b/core/metrics.cpp
@@ -36,6 +36,13 @@
     "leases_renewed",
     "connections_closed_for_budget",
     "rpc_authentication_failures",
+    "rpc_authentication_timeouts",
+    "rpc_unauthenticated_evicted",
+    "rpc_unauthenticated_oversized",
+    "rpc_messages_too_large",
+    "rpc_incomplete_messages_evicted",
+    "http_answer_heads_too_large",
+    "http_answer_bodies_too_large",
 };
 
 constexpr std::array<std::string_view, distribution_count> distribution_names = {
@@ -43,6 +50,12 @@
 
 const std::vector<double> reported_quantiles = {0.5, 0.9, 0.99, 0.999};
 
+std::array<std::uint64_t, counter_count>& process_counts()
+{
+    static std::array<std::uint64_t, counter_count> counts{};
+    return counts;
+}
+
 void write_by_reason(std::ostream& out, std::string_view name,
                      const std::array<std::uint64_t, reason_count>& values)
 {
@@ -55,6 +68,11 @@
 
 } // namespace
 
+void count_in_process(counter which)
+{
+    ++process_counts().at(static_cast<std::size_t>(which));
+}
+
 metrics::metrics()
 {
     namespace tag = boost::accumulators::tag;
@@ -94,7 +112,8 @@
 
 std::uint64_t metrics::value(counter which) const
 {
-    return m_counters.at(static_cast<std::size_t>(which));
+    const auto index = static_cast<std::size_t>(which);
+    return m_counters.at(index) + process_counts().at(index);
 }
 
 std::uint64_t metrics::refusals(reason why) const
@@ -108,7 +127,8 @@
     std::ostringstream out;
     for (std::size_t index = 0; index < counter_count; ++index) {
         out << "# TYPE hawthornpin_" << counter_names.at(index) << "_total counter\n";
-        out << "hawthornpin_" << counter_names.at(index) << "_total " << m_counters.at(index) << '\n';
+        out << "hawthornpin_" << counter_names.at(index) << "_total " << value(static_cast<counter>(index))
+            << '\n';
     }
     write_by_reason(out, "refusals", m_refusals);
     write_by_reason(out, "retries", m_retries);
--- a/core/metrics.h
+++ b/core/metrics.h
@@ -50,9 +50,20 @@
     leases_renewed,
     connections_closed_for_budget,
     rpc_authentication_failures,
+    rpc_authentication_timeouts,
+    rpc_unauthenticated_evicted,
+    rpc_unauthenticated_oversized,
+    rpc_messages_too_large,
+    rpc_incomplete_messages_evicted,
+    http_answer_heads_too_large,
+    http_answer_bodies_too_large,
 };
 inline constexpr std::size_t counter_count =
-    static_cast<std::size_t>(counter::rpc_authentication_failures) + 1;
+    static_cast<std::size_t>(counter::http_answer_bodies_too_large) + 1;
+
+// Counts an event in code that is used without a metrics object, such as the clients of other processes. The
+// metrics of the process include these counts.
+void count_in_process(counter which);
 
 // Measured durations, in seconds.
 enum class distribution {
