Bounded input at the RPC port and on links

Cause: before it had authenticated, a peer could announce and send messages of 20 MiB; Cap'n Proto's reader allocates what is announced. Nothing bounded the incomplete messages of all connections. At m_max_connections the connection accepted first was closed, so strangers closed those of this system's processes. Change: bounded_message_stream reads the table itself, checks it, and reads the content into memory that doubles as it fills. Before authentication 4 KiB in total are accepted. message_budget (pure) bounds the incomplete messages of a server, and of a pool of links, to 32 MiB; the message that has been incomplete longest gives way, by closing its connection. Connections that have not authenticated (at most 256) are kept apart and replace only each other; at most 16 are accepted in an iteration of the loop, so that handshakes proceed. A counter for each limit. Legitimate sizes: a handshake takes 854 bytes in both directions together (300 peers that connect at once all authenticate); a job of 770 payloads of the default maximum 12 MiB, a shared directory a few MiB, an order for a platform job up to 256 KiB. The limit of 20 MiB for a message is unchanged.

--- a/rpc/link.cpp
+++ b/rpc/link.cpp
@@ -45,7 +45,15 @@
 struct connection : kj::Refcounted {
     using system = capnp::RpcSystem<capnp::rpc::twoparty::VatId>;
 
+    connection(std::shared_ptr<incomplete_messages> incomplete, message_limits limits)
+        : m_incomplete_messages(std::move(incomplete)), m_limits(limits)
+    {
+    }
+
+    std::shared_ptr<incomplete_messages> m_incomplete_messages;
+    message_limits m_limits;
     kj::Own<glib_stream> m_stream;
+    kj::Own<bounded_message_stream> m_messages;
     kj::Own<capnp::TwoPartyVatNetwork> m_network;
     kj::Own<system> m_system;
 };
@@ -55,14 +63,22 @@
 {
     return connect_stream(address).then([opened = kj::mv(opened), key](kj::Own<glib_stream> stream) mutable {
         opened->m_stream = kj::mv(stream);
+        opened->m_messages = kj::heap<bounded_message_stream>(
+            *opened->m_stream, *opened->m_incomplete_messages, opened->m_limits);
         opened->m_network = kj::heap<capnp::TwoPartyVatNetwork>(
-            *opened->m_stream, capnp::rpc::twoparty::Side::CLIENT, rpc_reader_options());
+            *opened->m_messages, capnp::rpc::twoparty::Side::CLIENT, rpc_reader_options());
         opened->m_system = kj::heap<connection::system>(capnp::makeRpcClient(*opened->m_network));
         capnp::MallocMessageBuilder message;
         auto server = message.initRoot<capnp::rpc::twoparty::VatId>();
         server.setSide(capnp::rpc::twoparty::Side::SERVER);
         auto node = authenticate(opened->m_system->bootstrap(server).castAs<wire::Authenticator>(), key);
-        return node.attach(kj::mv(opened));
+        // The peer has accepted the proof of this process. What it sends next are answers.
+        return node
+            .then([&messages = *opened->m_messages](wire::Node::Client authenticated) {
+                messages.set_authenticated();
+                return authenticated;
+            })
+            .attach(kj::mv(opened));
     });
 }
 
@@ -71,8 +87,8 @@
 // One connection. The node promise is shared by all calls.
 class link_pool::link {
 public:
-    link(const std::string& address, const std::string& key)
-        : m_connection(kj::refcounted<connection>()),
+    link(const std::string& address, const std::string& key, kj::Own<connection> opened)
+        : m_connection(kj::mv(opened)),
           m_node(with_timeout(open_connection(kj::addRef(*m_connection), address, key), connect_timeout_ms)
                      .fork())
     {
@@ -100,8 +116,9 @@
     std::optional<instant> m_unanswered_since;
 };
 
-link_pool::link_pool(std::string cluster_key, std::size_t max_links)
-    : m_cluster_key(std::move(cluster_key)), m_max_links(max_links)
+link_pool::link_pool(std::string cluster_key, std::size_t max_links, message_limits limits)
+    : m_cluster_key(std::move(cluster_key)), m_max_links(max_links), m_message_limits(limits),
+      m_incomplete_messages(std::make_shared<incomplete_messages>(limits.m_max_incomplete_bytes))
 {
 }
 
@@ -112,7 +129,11 @@
     auto found = m_links.find(address);
     if (found == m_links.end()) {
         evict_if_full();
-        found = m_links.emplace(address, std::make_unique<link>(address, m_cluster_key)).first;
+        found = m_links
+                    .emplace(address, std::make_unique<link>(address, m_cluster_key,
+                                                             kj::refcounted<connection>(m_incomplete_messages,
+                                                                                        m_message_limits)))
+                    .first;
     }
     found->second->m_last_use = ++m_use_count;
     return found->second->node();
--- a/rpc/link.h
+++ b/rpc/link.h
@@ -5,6 +5,7 @@
 #include "core/deferred_deletion.h"
 #include "core/glib_stream.h"
 #include "core/instant.h"
+#include "rpc/bounded_message_stream.h"
 #include "rpc/hawthornpin.capnp.h"
 
 #include <kj/refcount.h>
@@ -33,7 +34,7 @@
 // A pool of links by address. A new link beyond the limit replaces the least recently used one.
 class link_pool {
 public:
-    link_pool(std::string cluster_key, std::size_t max_links);
+    link_pool(std::string cluster_key, std::size_t max_links, message_limits limits = {});
     ~link_pool();
     link_pool(const link_pool&) = delete;
     link_pool& operator=(const link_pool&) = delete;
@@ -51,6 +52,8 @@
     void record_timeout(const std::string& address);
 
     std::size_t size() const { return m_links.size(); }
+    // Memory held for answers that have not arrived completely.
+    std::size_t incomplete_bytes() const { return m_incomplete_messages->bytes(); }
 
 private:
     class link;
@@ -59,6 +62,9 @@
 
     std::string m_cluster_key;
     std::size_t m_max_links;
+    message_limits m_message_limits;
+    // Shared with the connections, some of which outlive their link.
+    std::shared_ptr<incomplete_messages> m_incomplete_messages;
     std::uint64_t m_use_count = 0;
     std::map<std::string, std::unique_ptr<link>> m_links;
     deferred_deletion<link> m_closed_links;
--- a/rpc/rpc_server.h
+++ b/rpc/rpc_server.h
@@ -6,25 +6,27 @@
 #include "core/deferred_deletion.h"
 #include "core/glib_stream.h"
 #include "core/metrics.h"
+#include "rpc/bounded_message_stream.h"
 #include "rpc/hawthornpin.capnp.h"
 
-#include <capnp/message.h>
-
 #include <list>
 
 namespace hawthornpin {
 
-// Largest message that is accepted; a job of 770 payloads of the maximum size fits.
-inline constexpr std::size_t max_rpc_message_bytes = 20 * 1024 * 1024;
-
 struct rpc_server_limits {
+    // Authenticated connections. Beyond it, the one that authenticated first is closed.
     std::size_t m_max_connections = 48;
+    // Connections that have not authenticated. Beyond it, the one that was accepted first is closed. More
+    // than the agents that connect to an entry while its loop is paused for a second (262 agents that present
+    // themselves every 1.5 s); each holds about 20 KiB.
+    std::size_t m_max_unauthenticated = 256;
     // A connection that has not authenticated within this time is closed.
     unsigned m_authentication_timeout_ms = 5'000;
+    message_limits m_messages;
 };
 
-// Accepts connections on one address and serves the given node to authenticated peers. When the limit is
-// reached, the connection that was accepted first is closed.
+// Accepts connections on one address and serves the given node to authenticated peers. Connections that have
+// not authenticated never replace those that have.
 class rpc_server {
 public:
     rpc_server(file_descriptor socket, std::string cluster_key, wire::Node::Client node,
@@ -34,7 +36,10 @@
     rpc_server& operator=(const rpc_server&) = delete;
 
     const std::string& address() const { return m_address; }
-    std::size_t connections() const { return m_connections.size(); }
+    // Number of open connections, authenticated or not.
+    std::size_t connections() const { return m_connections.size() + m_unauthenticated.size(); }
+    // Memory held for messages that have not arrived completely.
+    std::size_t incomplete_bytes() const { return m_incomplete_messages.bytes(); }
 
     // Stops accepting; existing connections stay open.
     void stop_accepting();
@@ -44,9 +49,11 @@
     using connection_list = std::list<std::unique_ptr<connection>>;
 
     static gboolean on_acceptable(gint descriptor, GIOCondition condition, gpointer data);
-    void accept_all();
+    void accept_some();
     void close_connection(connection* closed);
-    void evict_if_full();
+    bool close_connection(connection_list& list, connection* closed);
+    // Called when a connection has authenticated.
+    void keep_connection(connection* authenticated);
 
     file_descriptor m_socket;
     std::string m_address;
@@ -54,15 +61,15 @@
     wire::Node::Client m_node;
     rpc_server_limits m_limits;
     metrics& m_metrics;
-    // In the order in which they were accepted.
+    incomplete_messages m_incomplete_messages;
+    // In the order in which they authenticated.
     connection_list m_connections;
+    // In the order in which they were accepted.
+    connection_list m_unauthenticated;
     deferred_deletion<connection> m_closed_connections;
     guint m_source = 0;
 };
 
-// Reader options for both ends of a connection.
-capnp::ReaderOptions rpc_reader_options();
-
 // The answer to an authentication challenge, which proves that the peer knows the cluster key.
 std::string compute_challenge_proof(const std::string& cluster_key, const std::string& nonce);
 
