--- a/tests/rpc/rpc_limits_test.cpp
+++ b/tests/rpc/rpc_limits_test.cpp
@@ -213,8 +213,10 @@
     authenticated_peer peer(fixture);
     link_pool links(cluster_key, 4);
     auto node = run_until_complete(fixture.m_loop, links.node(fixture.m_server->address()));
+    constexpr std::size_t stranger_count = 60;
     std::vector<kj::Own<glib_stream>> strangers;
-    for (int count = 0; count < 60; ++count)
+    strangers.reserve(stranger_count);
+    for (std::size_t count = 0; count < stranger_count; ++count)
         strangers.push_back(fixture.connect());
     fixture.run_loop_for(50);
     CHECK_FALSE(peer.stream().has_hung_up());
