--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -1,9 +1,9 @@
 // hawthornpin-soak: simulates the platform around real entries and agents on loopback, injects faults, and
 // verifies what callers and workers see. See tests/soak/run-soak.
 
-#include "core/json.h"
 #include "tests/soak/late_reads.h"
 #include "tests/soak/soak_callers.h"
+#include "tests/soak/soak_configuration.h"
 #include "tests/soak/soak_faults.h"
 
 #include <boost/program_options.hpp>
@@ -59,7 +59,7 @@
 
     bool start(last_reason& why)
     {
-        publish_configuration();
+        m_store.append("keyed.op", "config", make_configuration());
         if (!m_store.listen(m_settings.m_network + ".0.1" + store_port, why))
             return false;
         std::vector<std::string> entries;
@@ -121,22 +121,6 @@
     }
 
 private:
-    void publish_configuration()
-    {
-        json_writer body;
-        body.begin_object().key("version").integer(1).key("routes").begin_array();
-        for (const char* queue : {"wide", "long", "short"}) {
-            body.begin_object().key("name").text(queue).key("host").text("soak.example");
-            body.key("path_prefix").text(std::string("/") + queue + "/").key("service").text("svc");
-            body.key("priority").integer(0).key("max_attempts").integer(3).key("stretch").decimal(1.6);
-            body.key("target_latency_ms").integer(60).end_object();
-        }
-        body.end_array().key("services").begin_array();
-        body.begin_object().key("name").text("svc").key("enforces_capacity").flag(false).end_object();
-        body.end_array().end_object();
-        m_store.append("keyed.op", "config", body.to_string());
-    }
-
     bool add_node(const std::string& name, const std::string& suffix, last_reason& why)
     {
         soak_node node;
--- a/tests/soak/soak_requests.cpp
+++ b/tests/soak/soak_requests.cpp
@@ -6,6 +6,7 @@
 #include "core/json.h"
 #include "tests/soak/soak_worker.h"
 
+#include <algorithm>
 #include <array>
 
 namespace hawthornpin::soak {
@@ -83,6 +84,16 @@
     return {id, queue, tasks, body.to_string()};
 }
 
+std::string pad_object(const std::string& object, std::size_t size)
+{
+    const bool is_empty = object == "{}";
+    const std::string begin =
+        object.substr(0, object.size() - 1) + (is_empty ? R"("padding":")" : R"(,"padding":")");
+    const std::string end = R"("})";
+    const std::size_t least = begin.size() + end.size();
+    return begin + std::string(std::max(size, least) - least, 'x') + end;
+}
+
 http_request make_submission(const std::string& entry, const soak_job& job,
                              std::optional<unsigned> deadline_ms)
 {
--- a/tests/soak/soak_requests.h
+++ b/tests/soak/soak_requests.h
@@ -25,6 +25,9 @@
 soak_job make_job(const std::string& id, const std::string& queue, std::uint32_t tasks, long long duration_ms,
                   long long estimate_ms);
 
+// A JSON object with a further member, so that it has exactly `size` bytes, if that is enough for both.
+std::string pad_object(const std::string& object, std::size_t size);
+
 // The submission of a job at an entry. Without a deadline, Deadline-Ms is not sent.
 http_request make_submission(const std::string& entry, const soak_job& job,
                              std::optional<unsigned> deadline_ms);
