The model of the platform plays evacuations, with a rule and a mutant

Cause: the pure tests check each decision alone, not that a state reaches the agents in time over several processes.

Change: an operator of the model evacuates zones and revokes that; the store rejects single processes for up to 14.5 s or is down for all; entries follow the log, agents and homes read it when they are not told, and states pass with the messages that carry them in the programs. Rule EVAC: no run starts in a zone that has been evacuated for longer than evacuate_ms, or by max_stretch_ms more if the store rejected a process before that. The mutant is an agent that ignores the state. Schedules without evacuations draw the same random numbers as before.

--- a/tests/model/model_processes.h
+++ b/tests/model/model_processes.h
@@ -44,6 +44,12 @@
     bool m_is_draining_inbox = false;
     // Submissions that were received and not read, with the number of the caller's attempt.
     std::set<std::pair<std::string, int>> m_unread;
+    // What the process knows of evacuated zones, and its reads of the store.
+    evacuation_view m_evacuation;
+    bool m_is_reading_store = false;
+    long long m_next_store_read = 0;
+    // Until when the store rejects the process.
+    long long m_rejected_until = 0;
 };
 
 // A process that schedules jobs: an entry or, with forwarding, a home.
@@ -76,6 +82,8 @@
 
 struct platform_model::agent_process : process {
     std::string m_id;
+    // Empty without evacuations.
+    std::string m_zone;
     run_guard m_guard;
     std::unique_ptr<model_worker> m_worker;
     std::uint64_t m_sequence = 0;
--- a/tests/model/platform_model.cpp
+++ b/tests/model/platform_model.cpp
@@ -16,6 +16,8 @@
     for (std::size_t index = 0; index < m_settings.m_agents; ++index) {
         m_agents.push_back(std::make_unique<agent_process>());
         m_agents.back()->m_id = "agent-" + std::to_string(index);
+        if (m_settings.m_evacuation)
+            m_agents.back()->m_zone = "zone-" + std::to_string(index % m_settings.m_zones);
         m_agents.back()->m_worker =
             std::make_unique<model_worker>("i-" + std::to_string(index), m_now, m_settings.m_worker_capacity);
         start_agent(*m_agents.back());
@@ -77,6 +79,11 @@
         make_run_guard_limits(milliseconds(1'000), milliseconds(50), milliseconds(resubmit_after_ms));
     agent.m_guard.m_incarnation = agent.m_incarnation;
     agent.m_guard.m_fence = m_now;
+    agent.m_guard.m_zone = agent.m_zone;
+    begin_evacuation_state(agent);
+    if (m_settings.m_defect == model_defect::ignores_evacuation)
+        agent.m_evacuation.m_limits.reset();
+    agent.m_guard.m_evacuation = agent.m_evacuation;
     agent.m_sequence = 0;
     agent.m_reporting_to.clear();
     agent.m_assignment = home_assignment();
@@ -95,6 +102,7 @@
     home.m_is_up = true;
     home.m_suspended_until = 0;
     home.m_scheduler = job_scheduler();
+    begin_evacuation_state(home);
     home.m_leases = entry_leases();
     home.m_leases.m_limits = make_entry_lease_limits(milliseconds(resubmit_after_ms));
     home.m_hosted.clear();
@@ -108,6 +116,10 @@
         make_run_guard_limits(milliseconds(1'000), milliseconds(50), milliseconds(resubmit_after_ms)));
     if (m_settings.m_defect == model_defect::retries_runs_too_early)
         home.m_scheduler.m_agents.m_limits.m_lost_after = milliseconds(300);
+    if (!m_settings.m_is_forwarding) {
+        follow_store(home, 0);
+        share_evacuation(home);
+    }
     tick_home(home);
 }
 
@@ -115,6 +127,7 @@
 {
     agent_status status;
     status.m_identity = {agent.m_id, agent.m_incarnation};
+    status.m_zone = agent.m_zone;
     status.m_service = "svc";
     status.m_state = state_of(agent.m_guard, now());
     status.m_is_reconciled = agent.m_guard.m_has_listing && agent.m_guard.m_orphans.empty();
@@ -164,6 +177,7 @@
     call(
         agent, home, call_timeout_ms,
         [this, &home, status] { on_agent_report(home.m_scheduler, status, {}, now()); }, [](bool) {});
+    exchange_evacuation(agent, home);
 }
 
 void platform_model::tick_agent(agent_process& agent)
@@ -192,6 +206,9 @@
             run.m_next_call_at = now();
         }
     }
+    if (m_settings.m_defect != model_defect::ignores_evacuation)
+        read_store_if_due(agent);
+    agent.m_guard.m_evacuation = agent.m_evacuation;
     const guard_actions actions = advance(agent.m_guard, now());
     for (const run_order& order : actions.m_starts)
         call_start(agent, order, actions.m_worker_started);
@@ -225,6 +242,7 @@
         *answer = worker.start(order, fence, deadline, duration, m_now);
         if (worker.occupying_runs().size() > runs_before) {
             m_job_statuses.at(order.m_run.m_task.m_job).m_has_started = true;
+            check_evacuation(agent);
             if (!fits(used_before + order.m_needs, worker.capacity()))
                 fail("LIMIT: a run exceeds the capacity of its worker");
         }
@@ -367,6 +385,9 @@
 
 void platform_model::step_home(home_process& home)
 {
+    if (m_settings.m_is_forwarding)
+        read_store_if_due(home);
+    set_evacuation(home.m_scheduler, home.m_evacuation);
     advance(home.m_scheduler, now());
     for (const outgoing_batch& out : take_batches(home.m_scheduler, now())) {
         const auto agent = std::find_if(m_agents.begin(), m_agents.end(),
@@ -379,6 +400,9 @@
                 if (m_settings.m_defect == model_defect::accepts_old_orders)
                     batch.m_clock_seen = static_cast<std::uint64_t>(now().time_since_epoch().count());
                 record_home_orders(to->m_assignment, batch.m_home.m_id, now());
+                if (batch.m_agent_incarnation == to->m_incarnation)
+                    learn_by_clock(*to, batch.m_evacuation, batch.m_clock_seen);
+                to->m_guard.m_evacuation = to->m_evacuation;
                 accept_orders(to->m_guard, batch, now());
                 *status = make_status(*to, &batch.m_home);
                 step_agent_after_event(*to);
--- a/tests/model/platform_model.h
+++ b/tests/model/platform_model.h
@@ -8,6 +8,7 @@
 #include "dispatch/entry_leases.h"
 #include "dispatch/job_scheduler.h"
 #include "dispatch/run_guard.h"
+#include "membership/evacuation.h"
 #include "membership/home_choice.h"
 #include "tests/model/model_worker.h"
 #include "world/home_session.h"
@@ -51,6 +52,12 @@
     // A packet is lost: the message, and all behind it on its connection, is late by 200 ms or, if the
     // retransmissions are lost too, by that and its doublings.
     int m_lose_packet = 0;
+    // The operator evacuates a zone, or revokes its evacuation.
+    int m_evacuate_zone = 0;
+    // The store rejects a process, for up to 14.5 s.
+    int m_reject_reads = 0;
+    // The store is down for 6 s.
+    int m_store_down = 0;
 };
 
 // Deliberate defects that the rule checks must detect.
@@ -77,6 +84,8 @@
     keeps_jobs_of_silent_callers,
     // An entry takes a request for as old as the time since it read it.
     ignores_request_age,
+    // An agent ignores which zones are evacuated.
+    ignores_evacuation,
 };
 
 // Processor time of all processes: each message and step takes m_message_cost_us, multiplied by
@@ -135,6 +144,10 @@
     // Kinds of jobs that arrive; without any, jobs of one to three tasks arrive every m_arrival_ms.
     std::vector<model_job_kind> m_job_kinds;
     resources m_worker_capacity{8'000, 8'192, 0};
+    // Bounds of evacuations; without them, nothing is read from a store. The agents are spread over the
+    // zones.
+    std::optional<evacuation_limits> m_evacuation;
+    std::size_t m_zones = 3;
 };
 
 // Counts of one second of virtual time.
@@ -150,6 +163,8 @@
     int m_jobs = 0;
     int m_completed = 0;
     int m_refused = 0;
+    // Evacuations and revocations by the operator.
+    int m_operator_records = 0;
     // Indexed by seconds since the start.
     std::vector<model_second> m_seconds;
     // By name of the kind.
@@ -275,6 +290,30 @@
     void submit_to_random_entry(const std::string& job, int attempt);
     queue_contract make_queue_contract(const std::string& job) const;
 
+    // The store, and how processes learn which zones are evacuated; see platform_model_evacuation.cpp.
+    void toggle_evacuation();
+    void inject_store_faults();
+    std::vector<process*> list_store_readers() const;
+    bool is_store_down() const { return m_store_down_until > m_now; }
+    void begin_evacuation_state(process& reader);
+    // Reads the records from an offset on, or waits for one; calls on_end with the next offset, or with the
+    // same one if the store did not answer or has no further record.
+    void read_store(process& reader, std::size_t from, long long wait_ms,
+                    std::function<void(std::size_t)> on_end);
+    void answer_read(process& reader, std::size_t from, long long sent, long long until,
+                     std::function<void(std::size_t)> on_end);
+    // Reads the log again and again, as an entry does.
+    void follow_store(process& reader, std::size_t from);
+    // Reads the newest records if nobody has confirmed the state for a while, as an agent does.
+    void read_store_if_due(process& reader);
+    // Learns from a message whose age counts from the receiver's clock in it.
+    void learn_by_clock(process& receiver, const std::optional<evacuation_report>& report,
+                        std::uint64_t clock_seen);
+    // A call that tells both sides what the other one knows.
+    void exchange_evacuation(process& from, process& to);
+    void share_evacuation(process& entry);
+    void check_evacuation(const agent_process& agent);
+
     // Loads of several kinds of jobs; see platform_model_load.cpp.
     void submit_arrivals();
     void submit_job_of_kind(std::size_t kind);
@@ -305,6 +344,17 @@
     // Open connections, each with the time of the first call since the last answer; empty while no call is
     // unanswered.
     std::map<std::pair<process*, process*>, std::optional<long long>> m_links;
+    // The operator's log, and the zones that are evacuated by it.
+    std::vector<evacuation_record> m_operator_log;
+    struct zone_evacuation {
+        long long m_evacuated_ms = 0;
+        // Whether the store rejected a process before the bound.
+        bool m_is_extended = false;
+    };
+    std::map<std::string, zone_evacuation> m_evacuated_zones;
+    long long m_store_down_until = 0;
+    // When the last rejection of a process by the store ends.
+    long long m_last_rejection_end = 0;
     model_result m_result;
 };
 
--- a/tests/model/platform_model_faults.cpp
+++ b/tests/model/platform_model_faults.cpp
@@ -143,6 +143,7 @@
             home->m_suspended_until = m_now + random_fault_ms();
     }
     inject_forwarding_entry_faults();
+    inject_store_faults();
     at(m_now + fault_interval_ms, [this] { inject_faults(); });
 }
 
--- a/tests/model/platform_model_fronts.cpp
+++ b/tests/model/platform_model_fronts.cpp
@@ -25,6 +25,9 @@
     entry.m_homes.m_random.seed(m_settings.m_seed + entry.m_incarnation);
     set_chosen_homes(entry.m_homes,
                      assign_homes(list_homes(), entry.m_id, home_choice_limits().m_homes_per_entry));
+    begin_evacuation_state(entry);
+    follow_store(entry, 0);
+    share_evacuation(entry);
     step_forwarding_entry(entry);
 }
 
@@ -33,14 +36,16 @@
     for (const std::string& home : list_unresponsive_homes(entry.m_homes, now()))
         handle_lost_home(entry, home);
     record_delay(entry.m_overload, estimate_own_delay(entry.m_homes, now()), now());
-    for (const due_home_heartbeat& due : take_due_home_heartbeats(entry.m_homes, now())) {
+    for (due_home_heartbeat& due : take_due_home_heartbeats(entry.m_homes, now())) {
         const auto home = std::find_if(m_home_processes.begin(), m_home_processes.end(),
                                        [&due](const auto& item) { return item->m_id == due.m_home; });
         const auto status = std::make_shared<home_status>();
+        due.m_heartbeat_message.m_evacuation = make_evacuation_report(entry.m_evacuation, now());
         call(
             entry, **home, call_timeout_ms,
             [this, to = home->get(), heartbeat = due.m_heartbeat_message, status] {
                 record_entry_heartbeat(to->m_leases, heartbeat, now());
+                learn_by_clock(*to, heartbeat.m_evacuation, heartbeat.m_clock_seen);
                 *status = make_home_status(*to);
             },
             [this, &entry, id = due.m_home, session = due.m_heartbeat_message.m_session.m_incarnation,
--- a/tests/model/platform_model_test.cpp
+++ b/tests/model/platform_model_test.cpp
@@ -13,6 +13,8 @@
 // Schedules of each kind of faults in CI. HAWTHORNPIN_MODEL_SEED replays a single one,
 // HAWTHORNPIN_MODEL_SCHEDULES sets another number.
 constexpr std::uint64_t schedule_count = 150;
+// Fewer, as each is five times as long.
+constexpr std::uint64_t evacuation_schedule_count = 30;
 
 model_faults all_faults()
 {
@@ -60,6 +62,22 @@
     return platform_model(settings).run();
 }
 
+// A run that is long enough for the bounds of known deployments.
+model_settings evacuation_settings(std::uint64_t seed, bool has_other_faults)
+{
+    model_settings settings;
+    settings.m_seed = seed;
+    settings.m_duration_ms = 30'000;
+    settings.m_evacuation = evacuation_limits{};
+    settings.m_agents = 6;
+    if (has_other_faults)
+        settings.m_faults = all_faults_of_workers();
+    settings.m_faults.m_evacuate_zone = 8;
+    settings.m_faults.m_reject_reads = 8;
+    settings.m_faults.m_store_down = 2;
+    return settings;
+}
+
 // Reads a number from the environment, for longer runs by hand.
 std::uint64_t read_number(const char* name, std::uint64_t fallback)
 {
@@ -186,6 +204,56 @@
     run_schedules(all_faults_of_workers());
 }
 
+// Guards against starts in a zone that was evacuated longer ago than the bound.
+TEST_CASE("model: evacuated zones break no rule, with the store's faults and all others")
+{
+    int records = 0;
+    int completed = 0;
+    const std::uint64_t replayed = read_number("HAWTHORNPIN_MODEL_SEED", 0);
+    const std::uint64_t last = read_number("HAWTHORNPIN_MODEL_SCHEDULES", evacuation_schedule_count);
+    for (const bool has_other_faults : {false, true}) {
+        for (const bool is_forwarding : {false, true}) {
+            CAPTURE(has_other_faults);
+            CAPTURE(is_forwarding);
+            for (std::uint64_t seed = replayed == 0 ? 1 : replayed; seed <= (replayed == 0 ? last : replayed);
+                 ++seed) {
+                INFO("replay with HAWTHORNPIN_MODEL_SEED=", seed);
+                model_settings settings = evacuation_settings(seed, has_other_faults);
+                settings.m_is_forwarding = is_forwarding;
+                const model_result result = platform_model(settings).run();
+                CHECK(result.m_violation == "");
+                records += result.m_operator_records;
+                completed += result.m_completed;
+            }
+        }
+    }
+    // Guards against schedules in which nothing is evacuated, or nothing runs at all.
+    CHECK(records > 0);
+    CHECK(completed > 0);
+}
+
+// The homes do not know of the evacuation while the store rejects them, so only the agents can prevent
+// starts.
+TEST_CASE("model: every agent that ignores evacuations is detected")
+{
+    for (const bool is_forwarding : {false, true}) {
+        CAPTURE(is_forwarding);
+        bool is_detected = false;
+        for (std::uint64_t seed = 1; seed <= schedule_count && !is_detected; ++seed) {
+            model_settings settings = evacuation_settings(seed, false);
+            settings.m_is_forwarding = is_forwarding;
+            settings.m_defect = model_defect::ignores_evacuation;
+            // Few processes that the store often rejects are the only ones that could learn of it.
+            settings.m_homes = 1;
+            settings.m_forwarding_entries = 1;
+            settings.m_faults.m_reject_reads = 40;
+            const std::string violation = platform_model(settings).run().m_violation;
+            is_detected = violation.starts_with("EVAC");
+        }
+        CHECK(is_detected);
+    }
+}
+
 TEST_CASE("model: every defect is detected")
 {
     constexpr std::pair<model_defect, const char*> cases[] = {
