A name of its own for the merging of a report of evacuated zones

Cause: an initializer list for a state could also be taken as one for a report with an age of zero, which the linter noticed in the new tests. Change: merge_evacuation_report(). Evidence: clang-tidy is clean on these files; the module tests of evacuations pass.

--- a/main/evacuation_watch.cpp
+++ b/main/evacuation_watch.cpp
@@ -62,7 +62,7 @@
                              evacuation_source source)
 {
     if (report && is_enabled())
-        on_learned(merge_evacuation(m_view, *report, counted_from, boot_now()), source);
+        on_learned(merge_evacuation_report(m_view, *report, counted_from, boot_now()), source);
 }
 
 void evacuation_watch::learn_by_clock(const std::optional<evacuation_report>& report,
--- a/membership/evacuation.cpp
+++ b/membership/evacuation.cpp
@@ -43,8 +43,8 @@
     return has_changed;
 }
 
-bool merge_evacuation(evacuation_view& view, const evacuation_report& report, instant counted_from,
-                      instant now)
+bool merge_evacuation_report(evacuation_view& view, const evacuation_report& report, instant counted_from,
+                             instant now)
 {
     const bool is_confirmed = report.m_age < unconfirmed_age;
     return merge_evacuation(view, report.m_state,
--- a/membership/evacuation.h
+++ b/membership/evacuation.h
@@ -60,8 +60,8 @@
                       std::optional<instant> confirmed_at, instant now);
 // The same for a report whose age counts from `counted_from`, which must not be later than the sending of the
 // report.
-bool merge_evacuation(evacuation_view& view, const evacuation_report& report, instant counted_from,
-                      instant now);
+bool merge_evacuation_report(evacuation_view& view, const evacuation_report& report, instant counted_from,
+                             instant now);
 
 // Whether the zone is evacuated by the newest state that is known.
 bool is_evacuated(const evacuation_view& view, const std::string& zone);
--- a/tests/membership/evacuation_test.cpp
+++ b/tests/membership/evacuation_test.cpp
@@ -96,7 +96,7 @@
     CHECK_FALSE(make_evacuation_report(first, at_ms(0)));
     merge_evacuation(first, {7, {"a"}}, std::nullopt, at_ms(0));
     evacuation_view second = make_view();
-    merge_evacuation(second, *make_evacuation_report(first, at_ms(0)), at_ms(0), at_ms(5));
+    merge_evacuation_report(second, *make_evacuation_report(first, at_ms(0)), at_ms(0), at_ms(5));
     CHECK(second.m_state == first.m_state);
     CHECK_FALSE(second.m_confirmed_at);
     merge_evacuation(first, {7, {"a"}}, at_ms(0) + microseconds(1), at_ms(0) + microseconds(1));
@@ -104,7 +104,7 @@
     REQUIRE(report);
     CHECK(report->m_age == milliseconds(100));
     // The second process asked at 90 and was answered at 120.
-    merge_evacuation(second, *report, at_ms(90), at_ms(120));
+    merge_evacuation_report(second, *report, at_ms(90), at_ms(120));
     CHECK(evacuation_age(second, at_ms(120)) == milliseconds(130));
 }
 
--- a/tests/model/platform_model_evacuation.cpp
+++ b/tests/model/platform_model_evacuation.cpp
@@ -146,7 +146,7 @@
     if (clock_seen == 0)
         merge_evacuation(receiver.m_evacuation, report->m_state, std::nullopt, now());
     else
-        merge_evacuation(receiver.m_evacuation, *report, instant(microseconds(clock_seen)), now());
+        merge_evacuation_report(receiver.m_evacuation, *report, instant(microseconds(clock_seen)), now());
 }
 
 void platform_model::exchange_evacuation(process& from, process& to)
@@ -164,7 +164,7 @@
         },
         [this, &from, answer, sent = now()](bool is_answered) {
             if (is_answered && *answer)
-                merge_evacuation(from.m_evacuation, **answer, sent, now());
+                merge_evacuation_report(from.m_evacuation, **answer, sent, now());
         });
 }
 
