The soak test evacuates zones among its other faults

Cause: the rule on evacuated zones was tested without real programs, sockets and signals.

The verifier checks each start against the bound, which is extended only by a fault of the store before it, and a run in which no evacuation outlasts its bound fails as inconclusive. The stand-in for the store leaves deleted keys out of log-newest. Without ZONES nothing changes: the settings have no such bounds.

--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -63,6 +63,7 @@
     case 3:
         return inject_link_fault(*node.m_peers, duration_ms);
     case 4:
+        record_store_fault(duration_ms);
         return inject_link_fault(*node.m_store, duration_ms);
     case 5:
         return inject_store_fault(duration_ms);
@@ -159,11 +160,19 @@
     }));
 }
 
+void soak_faults::record_store_fault(unsigned duration_ms)
+{
+    // A call that was not answered is given up, and repeated, within this time after the fault.
+    constexpr milliseconds call_timeout{2'000};
+    m_verifier.record_store_fault(boot_now() + milliseconds(duration_ms) + call_timeout);
+}
+
 void soak_faults::inject_store_fault(unsigned duration_ms)
 {
     constexpr std::array<store_mode, 3> modes = {store_mode::refusing, store_mode::unresponsive,
                                                  store_mode::losing_answers};
     print_fault("store failing", duration_ms);
+    record_store_fault(duration_ms);
     m_store.set_mode(modes.at(draw(3)));
     m_tasks.add(after_delay(duration_ms).then([this] { m_store.set_mode(store_mode::up); }));
 }
--- a/tests/soak/soak_faults.h
+++ b/tests/soak/soak_faults.h
@@ -29,8 +29,9 @@
 class soak_faults {
 public:
     soak_faults(std::uint64_t seed, std::vector<soak_node>& nodes, soak_store& store,
-                const soak_processes& processes)
-        : m_random(seed), m_series_random(~seed), m_nodes(nodes), m_store(store), m_processes(processes)
+                const soak_processes& processes, soak_verifier& verifier)
+        : m_random(seed), m_series_random(~seed), m_nodes(nodes), m_store(store), m_processes(processes),
+          m_verifier(verifier)
     {
     }
 
@@ -49,6 +50,8 @@
     void inject_suspensions();
     kj::Promise<void> suspend_repeatedly(std::string name, std::size_t count);
     void inject_link_fault(fault_proxy& link, unsigned duration_ms);
+    // Tells the verifier that some machines get no answers from the store for this long.
+    void record_store_fault(unsigned duration_ms);
     void inject_store_fault(unsigned duration_ms);
     void inject_worker_fault(const soak_node& node, unsigned duration_ms);
     // Crashes the worker, which is back soon, with all or half of its capacity. Its agent may be suspended
@@ -62,6 +65,7 @@
     std::vector<soak_node>& m_nodes;
     soak_store& m_store;
     const soak_processes& m_processes;
+    soak_verifier& m_verifier;
     background_tasks m_tasks;
     std::unique_ptr<timer> m_tick;
     std::unique_ptr<timer> m_series_tick;
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -5,6 +5,7 @@
 #include "tests/soak/late_reads.h"
 #include "tests/soak/soak_callers.h"
 #include "tests/soak/soak_faults.h"
+#include "tests/soak/soak_operator.h"
 
 #include <boost/program_options.hpp>
 
@@ -47,14 +48,20 @@
     double m_jobs_per_second = 0;
     unsigned m_idle_connections = 0;
     std::size_t m_late_read_rounds = 0;
+    unsigned m_zones = 0;
+    unsigned m_evacuate_ms = 0;
+    unsigned m_max_stretch_ms = 0;
 };
 
 class soak_run {
 public:
     explicit soak_run(const soak_settings& settings)
         : m_settings(settings), m_processes(settings.m_directory),
-          m_faults(settings.m_seed, m_nodes, m_store, m_processes)
+          m_faults(settings.m_seed, m_nodes, m_store, m_processes, m_verifier),
+          m_operator(settings.m_seed, m_store, m_verifier)
     {
+        m_verifier.set_evacuation_bounds(milliseconds(settings.m_evacuate_ms),
+                                         milliseconds(settings.m_max_stretch_ms));
     }
 
     bool start(last_reason& why)
@@ -70,7 +77,7 @@
         }
         for (unsigned index = 1; index <= m_settings.m_agents; ++index) {
             if (!add_node("agent-" + std::to_string(index), ".2." + std::to_string(index), why) ||
-                !add_worker(m_nodes.back(), why))
+                !add_worker(m_nodes.back(), name_zone(index), why))
                 return false;
         }
         m_callers = std::make_unique<soak_callers>(entries, m_settings.m_seed, m_settings.m_jobs_per_second,
@@ -89,10 +96,12 @@
                 if (m_settings.m_fault_ms == 0)
                     return after_delay(m_settings.m_load_ms);
                 m_faults.start();
+                start_operator();
                 return after_delay(m_settings.m_fault_ms);
             })
             .then([this] {
                 m_faults.stop();
+                m_operator.stop();
                 return after_delay(m_settings.m_fault_ms == 0 ? 0 : recovery_ms);
             })
             .then([this] {
@@ -150,11 +159,30 @@
         return is_listening;
     }
 
-    bool add_worker(soak_node& node, last_reason& why)
+    // The zone of the agent with this number; run-soak writes the same into the settings.
+    std::string name_zone(unsigned agent) const
+    {
+        return m_settings.m_zones == 0 ? "z" : "z" + std::to_string((agent - 1) % m_settings.m_zones + 1);
+    }
+
+    void start_operator()
+    {
+        constexpr milliseconds verified_time{1'500};
+        if (m_settings.m_zones == 0)
+            return;
+        std::vector<std::string> zones;
+        for (unsigned zone = 1; zone <= m_settings.m_zones; ++zone)
+            zones.push_back(name_zone(zone));
+        m_operator.start(std::move(zones),
+                         milliseconds(m_settings.m_evacuate_ms + m_settings.m_max_stretch_ms) +
+                             verified_time);
+    }
+
+    bool add_worker(soak_node& node, const std::string& zone, last_reason& why)
     {
         node.m_worker_link = std::make_unique<fault_proxy>(node.m_ip + worker_port);
-        node.m_worker =
-            std::make_unique<soak_worker>("worker-of-" + node.m_name, node.m_ip + report_port, m_verifier);
+        node.m_worker = std::make_unique<soak_worker>("worker-of-" + node.m_name, zone,
+                                                      node.m_ip + report_port, m_verifier);
         return node.m_worker_link->listen(node.m_ip + worker_link_port, why) &&
                node.m_worker->listen(node.m_ip + worker_port, why);
     }
@@ -171,6 +199,10 @@
             std::cout << "violated: RECOVER: no job was completed after the faults\n";
             return false;
         }
+        if (m_settings.m_zones > 0 && m_verifier.verified_evacuations() == 0) {
+            std::cout << "inconclusive: no evacuation lasted for longer than its bound\n";
+            return false;
+        }
         std::cout << "verification passed: no guarantee was violated\n";
         return true;
     }
@@ -181,6 +213,7 @@
     std::vector<soak_node> m_nodes;
     soak_processes m_processes;
     soak_faults m_faults;
+    soak_operator m_operator;
     std::unique_ptr<soak_callers> m_callers;
     std::unique_ptr<late_reads> m_late_reads;
     std::size_t m_completed_at_recovery = 0;
@@ -207,6 +240,12 @@
         "further connections of callers to each entry that stay idle");
     add("late-read-rounds", options::value(&settings.m_late_read_rounds)->default_value(0),
         "in place of load and faults: how often an entry is suspended while it has unread requests");
+    add("zones", options::value(&settings.m_zones)->default_value(0),
+        "zones of the agents, which are evacuated while faults are injected; 0: one that is not");
+    add("evacuate-ms", options::value(&settings.m_evacuate_ms)->default_value(0),
+        "time from an evacuation until nothing may start in the zone");
+    add("max-stretch-ms", options::value(&settings.m_max_stretch_ms)->default_value(0),
+        "extension of that time by faults of the store");
     options::variables_map values;
     options::store(options::parse_command_line(argument_count, arguments, description), values);
     options::notify(values);
--- a/tests/soak/soak_store.cpp
+++ b/tests/soak/soak_store.cpp
@@ -104,6 +104,8 @@
     json_writer body;
     body.begin_object().key("items").begin_array();
     for (const auto& [key, offset] : newest) {
+        if (records[offset].m_value.empty())
+            continue;
         body.begin_object().key("key").text(key);
         body.key("value").text(to_base64(records[offset].m_value));
         body.key("offset").integer(static_cast<std::int64_t>(offset)).end_object();
--- a/tests/soak/soak_store.h
+++ b/tests/soak/soak_store.h
@@ -19,8 +19,10 @@
 
     bool listen(const std::string& address, last_reason& why) { return m_server.listen(address, why); }
     void set_mode(store_mode mode) { m_mode = mode; }
+    // Whether it answers the operator.
+    bool is_up() const { return m_mode == store_mode::up; }
 
-    // Appends a record, as the operator does.
+    // Appends a record, as the operator does. A record without a value deletes its key.
     void append(const std::string& topic, const std::string& key, const std::string& value);
 
 private:
--- a/tests/soak/soak_verifier.cpp
+++ b/tests/soak/soak_verifier.cpp
@@ -4,6 +4,8 @@
 
 #include "platform/message_decoding.h"
 
+#include <algorithm>
+
 namespace hawthornpin::soak {
 
 void soak_verifier::record_violation(const std::string& what)
@@ -13,10 +15,49 @@
         m_violation = what;
 }
 
-void soak_verifier::record_run_start(const std::string& worker, const run_id& run, std::int64_t used_milli,
-                                     std::int64_t capacity_milli)
+void soak_verifier::set_evacuation_bounds(milliseconds evacuate, milliseconds max_stretch)
+{
+    m_evacuate = evacuate;
+    m_max_stretch = max_stretch;
+}
+
+void soak_verifier::record_evacuated(const std::string& zone)
+{
+    const instant now = boot_now();
+    m_evacuated.try_emplace(zone, evacuation{now, m_store_fault_end >= now});
+}
+
+void soak_verifier::record_revoked(const std::string& zone)
+{
+    const auto evacuated = m_evacuated.find(zone);
+    if (evacuated == m_evacuated.end())
+        return;
+    if (boot_now() > evacuation_bound(evacuated->second))
+        ++m_verified_evacuations;
+    m_evacuated.erase(evacuated);
+}
+
+void soak_verifier::record_store_fault(instant until)
+{
+    m_store_fault_end = std::max(m_store_fault_end, until);
+    for (auto& [zone, evacuated] : m_evacuated) {
+        if (boot_now() < evacuated.m_evacuated_at + m_evacuate)
+            evacuated.m_is_extended = true;
+    }
+}
+
+instant soak_verifier::evacuation_bound(const evacuation& zone) const
+{
+    return zone.m_evacuated_at + m_evacuate + (zone.m_is_extended ? m_max_stretch : milliseconds(0));
+}
+
+void soak_verifier::record_run_start(const std::string& worker, const std::string& zone, const run_id& run,
+                                     std::int64_t used_milli, std::int64_t capacity_milli)
 {
     ++m_starts;
+    const auto evacuated = m_evacuated.find(zone);
+    if (evacuated != m_evacuated.end() && boot_now() >= evacuation_bound(evacuated->second))
+        record_violation("EVAC: " + to_text(run) + " starts on " + worker + " in the evacuated zone " + zone);
     if (used_milli > capacity_milli)
         record_violation("LIMIT: " + worker + " exceeds its capacity with " + to_text(run));
     const auto [other, is_inserted] = m_running.emplace(run.m_task, worker);
--- a/tests/soak/soak_worker.cpp
+++ b/tests/soak/soak_worker.cpp
@@ -93,9 +93,10 @@
     return std::to_string(cpu_milli) + " " + std::to_string(duration_ms);
 }
 
-soak_worker::soak_worker(std::string id, std::string report_address, soak_verifier& verifier)
-    : m_id(std::move(id)), m_report_address(std::move(report_address)), m_verifier(verifier),
-      m_worker(m_id, now_ms()), m_incarnation_started(now_ms()), m_reports(1)
+soak_worker::soak_worker(std::string id, std::string zone, std::string report_address,
+                         soak_verifier& verifier)
+    : m_id(std::move(id)), m_zone(std::move(zone)), m_report_address(std::move(report_address)),
+      m_verifier(verifier), m_worker(m_id, now_ms()), m_incarnation_started(now_ms()), m_reports(1)
 {
     m_tasks.add(run_report_loop());
     m_tick = std::make_unique<timer>(tick_ms, [this] {
@@ -233,7 +234,7 @@
     if (answer != start_answer::started)
         return make_answer(409, to_refusal_text(answer));
     if (m_occupying_runs.insert(order.m_run).second)
-        m_verifier.record_run_start(m_id, order.m_run, m_worker.used().m_cpu_milli,
+        m_verifier.record_run_start(m_id, m_zone, order.m_run, m_worker.used().m_cpu_milli,
                                     m_worker.capacity().m_cpu_milli);
     return make_answer(200, "");
 }
@@ -304,7 +305,13 @@
 {
     const worker_report report = m_worker.make_report(now_ms());
     json_writer body;
-    body.begin_object().key("service").text("svc").key("address").text("127.0.0.1:1").key("zone").text("z");
+    body.begin_object()
+        .key("service")
+        .text("svc")
+        .key("address")
+        .text("127.0.0.1:1")
+        .key("zone")
+        .text(m_zone);
     body.key("version").text("v1").key("slots").integer(8).key("state");
     body.text(report.m_is_draining ? "draining" : "ready");
     body.key("capacity").begin_object().key("cpu").integer(report.m_capacity.m_cpu_milli);
--- a/tests/soak/soak_worker.h
+++ b/tests/soak/soak_worker.h
@@ -23,7 +23,7 @@
 class soak_worker {
 public:
     // `report_address` is where the agent accepts worker reports.
-    soak_worker(std::string id, std::string report_address, soak_verifier& verifier);
+    soak_worker(std::string id, std::string zone, std::string report_address, soak_verifier& verifier);
 
     bool listen(const std::string& address, last_reason& why);
 
@@ -58,6 +58,7 @@
     api_response make_answer(unsigned status, const char* reason) const;
 
     std::string m_id;
+    std::string m_zone;
     std::string m_report_address;
     soak_verifier& m_verifier;
     model::model_worker m_worker;
