Soak: slow and small-chunk bodies beside the ordinary load

Cause: the soak's callers send only small bodies, so its guarantees were not checked beside large bodies that are sent slowly, in small chunks or not to their end.

Change: slow_callers sends two bodies a second of up to 262,144 bytes, whole, in pieces or in chunks of 64 KB or one byte, drawn from the seed. Three of four stop short of the end and leave their connection open; their jobs count as refused, so the verifier reports one that starts.

--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -2,6 +2,7 @@
 // verifies what callers and workers see. See tests/soak/run-soak.
 
 #include "tests/soak/late_reads.h"
+#include "tests/soak/slow_callers.h"
 #include "tests/soak/soak_callers.h"
 #include "tests/soak/soak_configuration.h"
 #include "tests/soak/soak_faults.h"
@@ -35,6 +36,8 @@
 constexpr unsigned fault_free_ms = 2'000;
 // Time for the submitted jobs to end.
 constexpr unsigned completion_ms = 6'000;
+// Added to the seed for the callers with slow bodies.
+constexpr std::uint64_t slow_seed_offset = 1'000'000;
 
 struct soak_settings {
     std::string m_network;
@@ -45,6 +48,7 @@
     unsigned m_fault_ms = 0;
     unsigned m_load_ms = 0;
     double m_jobs_per_second = 0;
+    double m_slow_bodies_per_second = 0;
     unsigned m_idle_connections = 0;
     std::size_t m_late_read_rounds = 0;
 };
@@ -75,6 +79,9 @@
         }
         m_callers = std::make_unique<soak_callers>(entries, m_settings.m_seed, m_settings.m_jobs_per_second,
                                                    m_verifier);
+        // A seed of their own, so that a seed draws the same ordinary jobs beside them.
+        m_slow_callers = std::make_unique<slow_callers>(entries, m_settings.m_seed + slow_seed_offset,
+                                                        m_settings.m_slow_bodies_per_second, m_verifier);
         m_late_reads = std::make_unique<late_reads>(entries, m_settings.m_seed, m_verifier, m_processes);
         return true;
     }
@@ -86,6 +93,7 @@
             .then([this] {
                 m_callers->open_idle_connections(m_settings.m_idle_connections);
                 m_callers->start();
+                m_slow_callers->start();
                 if (m_settings.m_fault_ms == 0)
                     return after_delay(m_settings.m_load_ms);
                 m_faults.start();
@@ -101,6 +109,7 @@
             })
             .then([this] {
                 m_callers->stop();
+                m_slow_callers->stop();
                 return after_delay(completion_ms);
             })
             .then([this] { return report_result(); });
@@ -166,6 +175,7 @@
     soak_processes m_processes;
     soak_faults m_faults;
     std::unique_ptr<soak_callers> m_callers;
+    std::unique_ptr<slow_callers> m_slow_callers;
     std::unique_ptr<late_reads> m_late_reads;
     std::size_t m_completed_at_recovery = 0;
 };
@@ -187,6 +197,8 @@
         "duration of the load without faults");
     add("jobs-per-second", options::value(&settings.m_jobs_per_second)->default_value(15),
         "rate of arrivals");
+    add("slow-bodies-per-second", options::value(&settings.m_slow_bodies_per_second)->default_value(2),
+        "rate of large bodies that are sent slowly or in small chunks, most of them incomplete; 0: none");
     add("idle-connections", options::value(&settings.m_idle_connections)->default_value(0),
         "further connections of callers to each entry that stay idle");
     add("late-read-rounds", options::value(&settings.m_late_read_rounds)->default_value(0),
