Reasons for refusals that protect the memory and descriptors of HTTP servers

Cause: requests can only be refused for what a handler finds wrong with them, not for the load that their bodies and connections put on the process. Change: body_budget, body_stalled, body_too_slow and too_many_connections, at the end of the list so that the numbers on the wire stay; the timeouts are answered 408. Nothing uses them yet.

--- a/core/verdict.cpp
+++ b/core/verdict.cpp
@@ -53,6 +53,10 @@
     "revoked",
     "answer_too_large",
     "worker_lost",
+    "body_budget",
+    "body_stalled",
+    "body_too_slow",
+    "too_many_connections",
 };
 
 static_assert(!reason_names.back().empty(), "every reason has a name");
--- a/core/verdict.h
+++ b/core/verdict.h
@@ -64,9 +64,14 @@
     revoked,
     answer_too_large,
     worker_lost,
+    // Refusals that protect the memory and the descriptors of an HTTP server.
+    body_budget,
+    body_stalled,
+    body_too_slow,
+    too_many_connections,
 };
 
-inline constexpr std::size_t reason_count = static_cast<std::size_t>(reason::worker_lost) + 1;
+inline constexpr std::size_t reason_count = static_cast<std::size_t>(reason::too_many_connections) + 1;
 
 // Whether the ticket can still start work: `open` tickets may be submitted again as they are,
 // `closed` ones never start anything more.
--- a/http/caller_messages.cpp
+++ b/http/caller_messages.cpp
@@ -231,6 +231,9 @@
     case reason::unknown_service:
     case reason::unknown_ticket:
         return 404;
+    case reason::body_stalled:
+    case reason::body_too_slow:
+        return 408;
     case reason::body_differs:
     case reason::cancelled:
         return 409;
