HTTP servers bound bodies in progress and connections, and read large inputs in turns

Cause: each connection read its body into its own memory, with 4 to 64 KiB cleared for each read, so that chunks of one byte cost the more the longer the body was; nothing ended stalled bodies before the idle timeout, and a connection's input was processed before that of others. Change: http/input_guard applies the budget, the timeouts and the connection limit to the servers that share it; http/body_reader grows a body within the budget; http/input_scheduler lets connections with much input take turns. An ended connection gets its refusal if the socket takes it at once, and its request never reaches the handler. At most 64 connections are accepted in an iteration of the loop. While a body is read, the guard's timeouts replace the idle timeout.

--- a/core/coalescing_stream.h
+++ b/core/coalescing_stream.h
@@ -29,6 +29,9 @@
     void shutdownWrite() override { m_inner->shutdownWrite(); }
     void abortRead() override { m_inner->abortRead(); }
 
+    // Whether something that was written has not been sent yet.
+    bool has_unsent() const { return m_is_flushing; }
+
     // Fulfilled when all that was written has been sent or the transfer has failed. Only one call may be
     // pending.
     kj::Promise<void> when_flushed();
--- a/http/api_headers.cpp
+++ b/http/api_headers.cpp
@@ -2,6 +2,8 @@
 
 #include "http/api_headers.h"
 
+#include "core/json.h"
+
 #include <glib.h>
 
 #include <algorithm>
@@ -105,6 +107,35 @@
     return headers;
 }
 
+std::string write_last_response(const api_response& response)
+{
+    std::string text = "HTTP/1.1 " + std::to_string(response.m_status) + ' ' +
+                       reason_phrase(response.m_status) + "\r\nConnection: close\r\nServer: hawthornpin" +
+                       "\r\nContent-Type: " + response.m_content_type +
+                       "\r\nHawthornpin-Verdict: " + response.m_verdict;
+    if (!response.m_retry_after.empty())
+        text += "\r\nRetry-After: " + response.m_retry_after;
+    text += "\r\nContent-Length: " + std::to_string(response.m_body.size()) + "\r\n\r\n";
+    return text + response.m_body;
+}
+
+api_response make_input_refusal(const api_limits& limits, reason why)
+{
+    constexpr unsigned status_timeout = 408;
+    constexpr unsigned status_unavailable = 503;
+    // Bodies that take the memory are evicted or time out within seconds.
+    constexpr milliseconds unavailable_for{1'000};
+    const bool is_timeout = why == reason::body_stalled || why == reason::body_too_slow;
+    if (limits.m_make_refusal)
+        return limits.m_make_refusal(why, is_timeout ? milliseconds(0) : unavailable_for);
+    api_response response;
+    response.m_status = is_timeout ? status_timeout : status_unavailable;
+    response.m_body = json_writer().begin_object().key("error").text(to_text(why)).end_object().to_string();
+    response.m_verdict = "not_run";
+    response.m_retry_after = is_timeout ? "0" : "1";
+    return response;
+}
+
 std::size_t count_header_bytes(const kj::HttpHeaders& headers)
 {
     std::size_t bytes = 0;
--- a/http/api_headers.h
+++ b/http/api_headers.h
@@ -40,6 +40,12 @@
     kj::Own<kj::HttpHeaderTable> m_table;
 };
 
+// A whole response in text form, after which the connection is closed.
+std::string write_last_response(const api_response& response);
+
+// The response to a request that the server ends before it reaches the handler.
+api_response make_input_refusal(const api_limits& limits, reason why);
+
 // Number of bytes of the names and values of a request's headers.
 std::size_t count_header_bytes(const kj::HttpHeaders& headers);
 
--- a/http/api_messages.h
+++ b/http/api_messages.h
@@ -54,8 +54,22 @@
     std::vector<std::string> m_extra_headers;
     // Cancels the handler's promise when the client closes its connection, instead of letting it finish.
     bool m_is_cancelled_on_disconnect = false;
+    // Makes the response to a request that the server ends before it reaches the handler; by default a JSON
+    // object with the reason. The response may be sent at any time, also without a request.
+    std::function<api_response(reason, milliseconds retry_after)> m_make_refusal;
 };
 
+// Largest body on ports whose requests need none.
+inline constexpr std::size_t bodyless_port_max_body_bytes = 64 * 1024;
+
+// The limits of a port whose requests need no body.
+inline api_limits bodyless_port_limits()
+{
+    api_limits limits;
+    limits.m_max_body_bytes = bodyless_port_max_body_bytes;
+    return limits;
+}
+
 using api_handler = std::function<kj::Promise<api_response>(api_request)>;
 
 } // namespace hawthornpin
--- a/http/api_server.cpp
+++ b/http/api_server.cpp
@@ -11,7 +11,14 @@
 
 namespace hawthornpin {
 
-api_server::api_server(api_handler handler, const api_limits& limits) : m_context(std::move(handler), limits)
+api_server::api_server(api_handler handler, const api_limits& limits, input_guard& guard)
+    : m_context(std::move(handler), limits, guard)
+{
+}
+
+api_server::api_server(api_handler handler, const api_limits& limits)
+    : m_own_guard(std::make_unique<input_guard>(input_limits())),
+      m_context(std::move(handler), limits, *m_own_guard)
 {
 }
 
@@ -21,6 +28,11 @@
     if (!listener)
         return false;
     m_listener = std::move(*listener);
+    if (m_context.m_guard.limits().m_has_small_receive_buffers) {
+        // Accepted sockets inherit the size, and TCP does not enlarge a buffer that was set.
+        const int bytes = receive_buffer_bytes;
+        ::setsockopt(m_listener.number(), SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+    }
     m_listener_watch.emplace(m_listener.number(), descriptor_watch::interest::reading);
     m_accepting = run_accept_loop().eagerlyEvaluate(nullptr);
     return true;
@@ -50,30 +62,43 @@
     // Retries until descriptors or memory are free again, because the watch reports only new connections, not
     // those that still wait.
     constexpr unsigned retry_ms = 100;
-    if (accept_all())
+    const accept_result result = accept_batch();
+    if (result == accept_result::nothing_left)
         return kj::READY_NOW;
-    return after_delay(retry_ms).then([this] { return accept_pending(); });
+    // Between two batches, other input is checked and the connections that were ended are closed.
+    return after_delay(result == accept_result::batch_done ? 0 : retry_ms).then([this] {
+        return accept_pending();
+    });
 }
 
-bool api_server::accept_all()
+api_server::accept_result api_server::accept_batch()
 {
+    // Bounds the descriptors in use beyond the limit on connections.
+    constexpr int max_batch = 64;
     const instant unread_since = m_listener_watch->unread_since();
-    while (true) {
+    for (int count = 0; count < max_batch; ++count) {
         file_descriptor accepted(
             ::accept4(m_listener.number(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
         if (accepted.is_open())
             serve(std::move(accepted), unread_since);
         else if (errno == EAGAIN || errno == EWOULDBLOCK) {
             m_listener_watch->mark_drained();
-            return true;
+            return accept_result::nothing_left;
         }
         else if (errno != ECONNABORTED && errno != EINTR)
-            return false;
+            return accept_result::out_of_resources;
     }
+    return accept_result::batch_done;
 }
 
 void api_server::serve(file_descriptor socket, instant unread_since)
 {
+    if (!m_context.m_guard.make_room()) {
+        const std::string text =
+            write_last_response(make_input_refusal(m_context.m_limits, reason::too_many_connections));
+        ::send(socket.number(), text.data(), text.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+        return;
+    }
     auto connection = kj::heap<server_connection>(m_context, std::move(socket), unread_since);
     auto served = connection->serve();
     m_tasks.add(served.attach(kj::mv(connection)));
--- a/http/api_server.h
+++ b/http/api_server.h
@@ -7,6 +7,7 @@
 #include "core/last_reason.h"
 #include "http/server_connection.h"
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -16,6 +17,9 @@
 // Listens on one address from listen() until stop_listening().
 class api_server {
 public:
+    // The guard is shared by the servers of a process and outlives them.
+    api_server(api_handler handler, const api_limits& limits, input_guard& guard);
+    // A server with the default limits of the input of a process for itself.
     api_server(api_handler handler, const api_limits& limits);
     api_server(const api_server&) = delete;
     api_server& operator=(const api_server&) = delete;
@@ -34,11 +38,13 @@
     kj::Promise<void> run_accept_loop();
     // Fulfilled when no connection is waiting to be accepted.
     kj::Promise<void> accept_pending();
-    // Accepts and serves the waiting connections; false if descriptors or memory ran out.
-    bool accept_all();
+    enum class accept_result { nothing_left, batch_done, out_of_resources };
+    // Accepts and serves waiting connections.
+    accept_result accept_batch();
     // The client connected no earlier than `unread_since`.
     void serve(file_descriptor socket, instant unread_since);
 
+    std::unique_ptr<input_guard> m_own_guard;
     server_context m_context;
     // The connections.
     background_tasks m_tasks;
--- a/http/server_connection.cpp
+++ b/http/server_connection.cpp
@@ -14,10 +14,8 @@
 
 namespace {
 
-// Bytes of a body that are read at once: at first as many as most bodies have at the most, then as many as
-// were received already.
-constexpr std::size_t least_read_size = 4 * 1024;
-constexpr std::size_t max_read_size = 64 * 1024;
+// Requests of a connection in one iteration of the event loop; more of them may be pipelined.
+constexpr unsigned requests_per_iteration = 8;
 
 kj::HttpServerSettings make_settings(const server_context& context, kj::HttpServerCallbacks& callbacks,
                                      kj::HttpServerErrorHandler& error_handler)
@@ -27,7 +25,9 @@
     settings.headerTimeout = idle_timeout * kj::SECONDS;
     settings.pipelineTimeout = idle_timeout * kj::SECONDS;
     // What is left of a body that is too large is read, so that the client can read the response.
-    settings.canceledUploadGracePeriod = idle_timeout * kj::SECONDS;
+    const milliseconds grace = std::min<milliseconds>(std::chrono::seconds(idle_timeout),
+                                                      context.m_guard.limits().m_bodies.m_stall_timeout);
+    settings.canceledUploadGracePeriod = grace.count() * kj::MILLISECONDS;
     settings.canceledUploadGraceBytes = context.m_limits.m_max_body_bytes;
     settings.callbacks = callbacks;
     settings.errorHandler = error_handler;
@@ -39,8 +39,10 @@
 // A request that is being handled: counted as in progress, and ended when its client disconnects.
 class server_connection::exchange {
 public:
-    exchange(server_context& context, server_stream& socket) : m_context(context), m_socket(socket)
+    exchange(server_context& context, server_stream& socket, bool& is_handling)
+        : m_context(context), m_socket(socket), m_is_handling(is_handling)
     {
+        m_is_handling = true;
         ++m_context.m_in_progress;
         if (!m_context.m_limits.m_is_cancelled_on_disconnect)
             return;
@@ -51,6 +53,7 @@
         m_socket.set_hangup_callback({});
         if (m_is_probing)
             m_socket.end_probe();
+        m_is_handling = false;
         --m_context.m_in_progress;
     }
     exchange(const exchange&) = delete;
@@ -133,34 +136,67 @@
 
     server_context& m_context;
     server_stream& m_socket;
+    bool& m_is_handling;
     kj::PromiseFulfillerPair<void> m_disconnected = kj::newPromiseAndFulfiller<void>();
     kj::Promise<void> m_watch = nullptr;
     bool m_is_probing = false;
 };
 
 server_connection::server_connection(server_context& context, file_descriptor socket, instant unread_since)
-    : server_connection(
-          context,
-          kj::heap<server_stream>(std::move(socket), context.m_limits.m_idle_timeout_seconds, unread_since))
+    : server_connection(context,
+                        kj::heap<server_stream>(std::move(socket), context.m_limits.m_idle_timeout_seconds,
+                                                unread_since, context.m_guard.scheduler()))
 {
 }
 
 server_connection::server_connection(server_context& context, kj::Own<server_stream> socket)
     : m_context(context), m_socket(*socket), m_output(kj::mv(socket)),
+      m_registration(context.m_guard.add_connection(*this)), m_request_quota(requests_per_iteration),
       m_http(m_context.m_clock, m_context.m_headers.table(), *this, make_settings(context, *this, *this))
 {
 }
 
+server_connection::~server_connection() noexcept(false)
+{
+    if (m_registration)
+        m_context.m_guard.remove_connection(*m_registration);
+}
+
+connection_state server_connection::state() const
+{
+    if (m_is_handling)
+        return {connection_phase::handling, m_socket.last_read_since()};
+    if (const auto began_at = m_socket.request_began_at())
+        return {connection_phase::receiving, *began_at};
+    return {connection_phase::idle, m_socket.last_read_since()};
+}
+
+void server_connection::end(reason why)
+{
+    if (!m_registration)
+        return;
+    m_context.m_guard.remove_connection(*std::exchange(m_registration, std::nullopt));
+    if (m_body.get() != nullptr)
+        m_body->release();
+    const bool has_request = m_is_handling || m_socket.request_began_at();
+    if (has_request && !m_output.has_unsent()) {
+        m_socket.discard_input();
+        m_socket.send_last(write_last_response(make_input_refusal(m_context.m_limits, why)));
+    }
+    m_ended.fulfiller->fulfill();
+}
+
 kj::Promise<void> server_connection::serve()
 {
-    return m_http.listenHttpCleanDrain(m_output)
-        .then([this](bool /*is_reusable*/) { return m_output.when_flushed(); })
-        .catch_([](kj::Exception&& error) {
-            // Clients may disconnect at any time.
-            if (error.getType() != kj::Exception::Type::DISCONNECTED)
-                log_event(log_level::warning, "connection_failed",
-                          {{"detail", error.getDescription().cStr()}});
-        });
+    auto served = m_http.listenHttpCleanDrain(m_output)
+                      .then([this](bool /*is_reusable*/) { return m_output.when_flushed(); })
+                      .catch_([](kj::Exception&& error) {
+                          // Clients may disconnect at any time.
+                          if (error.getType() != kj::Exception::Type::DISCONNECTED)
+                              log_event(log_level::warning, "connection_failed",
+                                        {{"detail", error.getDescription().cStr()}});
+                      });
+    return served.exclusiveJoin(kj::mv(m_ended.promise));
 }
 
 kj::Promise<void> server_connection::request(kj::HttpMethod method, kj::StringPtr url,
@@ -181,38 +217,62 @@
         m_output.write(interim_response.begin(), interim_response.size());
     }
     auto reading = read_body(body, *received);
-    return reading.then([this, received = kj::mv(received), &response]() mutable {
+    return reading.then([this, received = kj::mv(received), &response](reason fault) mutable {
+        m_socket.set_idle_timeout_enabled(true);
+        // What was answered as not run must not begin, and is not answered again.
+        if (!m_registration)
+            return kj::Promise<void>(kj::NEVER_DONE);
+        if (fault == reason::body_budget)
+            return refuse(fault, response);
+        received->m_input_fault = fault;
         return handle(kj::mv(*received), response);
     });
 }
 
-kj::Promise<void> server_connection::read_body(kj::AsyncInputStream& body, api_request& request) const
+kj::Promise<reason> server_connection::read_body(kj::AsyncInputStream& body, api_request& request)
 {
-    const std::size_t size = request.m_body.size();
-    const std::size_t read_size = std::clamp(size, least_read_size, max_read_size);
-    request.m_body.resize(size + read_size);
-    return body.tryRead(request.m_body.data() + size, 1, read_size)
-        .then([this, &body, &request, size](std::size_t received) -> kj::Promise<void> {
-            request.m_body.resize(size + received);
-            if (received == 0)
-                return kj::READY_NOW;
-            if (request.m_body.size() <= m_context.m_limits.m_max_body_bytes)
-                return read_body(body, request);
-            request.m_input_fault = reason::body_too_large;
-            request.m_body.clear();
-            return kj::READY_NOW;
-        });
+    const auto begin = [this, &body, &request]() -> kj::Promise<reason> {
+        if (body.tryGetLength().orDefault(1) == 0)
+            return reason::none;
+        // The guard's timeouts hold instead, which leave out pauses of this process.
+        m_socket.set_idle_timeout_enabled(false);
+        m_body = kj::heap<body_reader>(m_context.m_guard, *this, body, m_context.m_limits.m_max_body_bytes,
+                                       request.m_body);
+        return m_body->read();
+    };
+    if (m_request_quota.take())
+        return begin();
+    return m_context.m_guard.scheduler().next_turn().then([this, begin] {
+        m_request_quota.renew();
+        return begin();
+    });
+}
+
+kj::Promise<void> server_connection::refuse(reason why, Response& response)
+{
+    m_body = nullptr;
+    m_is_closing = true;
+    m_socket.read_in_turns();
+    m_context.m_guard.count_end(why);
+    return respond(make_input_refusal(m_context.m_limits, why), response);
 }
 
 kj::Promise<void> server_connection::handle(api_request request, Response& response)
 {
     // The rest of the input may be unread.
-    m_is_closing = m_is_closing || request.m_input_fault != reason::none;
+    if (request.m_input_fault != reason::none) {
+        m_is_closing = true;
+        m_socket.read_in_turns();
+    }
     request.m_age = m_socket.take_request_age(boot_now());
-    auto current = kj::heap<exchange>(m_context, m_socket);
+    auto current = kj::heap<exchange>(m_context, m_socket, m_is_handling);
     auto is_alive = current->watch_client(request);
     auto answered = is_alive
-                        .then([this, request = std::move(request)]() mutable {
+                        .then([this, request = std::move(request)]() mutable -> kj::Promise<api_response> {
+                            // The body may have been evicted while the client was probed.
+                            if (!m_registration)
+                                return kj::NEVER_DONE;
+                            m_body = nullptr;
                             return m_context.m_handler(std::move(request));
                         })
                         .catch_([](kj::Exception&& failure) -> api_response {
--- a/http/server_stream.cpp
+++ b/http/server_stream.cpp
@@ -2,6 +2,7 @@
 
 #include "http/server_stream.h"
 
+#include "admission/input_limits.h"
 #include "core/event_loop.h"
 
 #include <kj/debug.h>
@@ -21,6 +22,10 @@
 
 int open_streams = 0;
 
+// Reads of a connection in one iteration of the event loop. A body of the platform's largest size that has
+// arrived needs as many.
+constexpr unsigned reads_per_iteration = 8;
+
 bool would_block()
 {
     return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
@@ -49,9 +54,11 @@
 
 } // namespace
 
-server_stream::server_stream(file_descriptor socket, unsigned idle_timeout_seconds, instant unread_since)
+server_stream::server_stream(file_descriptor socket, unsigned idle_timeout_seconds, instant unread_since,
+                             input_scheduler& scheduler)
     : m_socket(std::move(socket)), m_watch(m_socket.number()),
-      m_idle_timeout_ms(idle_timeout_seconds * 1'000), m_last_read_since(unread_since)
+      m_idle_timeout_ms(idle_timeout_seconds * 1'000), m_scheduler(scheduler), m_quota(reads_per_iteration),
+      m_last_read_since(unread_since)
 {
     m_watch.set_unread_since(unread_since);
     const int enabled = 1;
@@ -95,6 +102,8 @@
                                              std::size_t done)
 {
     while (done < min_bytes && !std::exchange(m_is_drained, false)) {
+        if (!std::exchange(m_has_turn, false) && !m_quota.take())
+            return fill_in_turn(buffer, min_bytes, max_bytes, done);
         const std::size_t room = max_bytes - done;
         const instant unread_since = m_watch.unread_since();
         const ssize_t received = ::recv(m_socket.number(), buffer + done, room, MSG_DONTWAIT);
@@ -116,7 +125,18 @@
     }
     if (done >= min_bytes)
         return done;
-    return within_idle_timeout(m_watch.when_readable()).then([this, buffer, min_bytes, max_bytes, done] {
+    auto ready = m_watch.when_readable();
+    if (m_is_idle_timeout_enabled)
+        ready = within_idle_timeout(kj::mv(ready));
+    return ready.then(
+        [this, buffer, min_bytes, max_bytes, done] { return fill(buffer, min_bytes, max_bytes, done); });
+}
+
+kj::Promise<std::size_t> server_stream::fill_in_turn(kj::byte* buffer, std::size_t min_bytes,
+                                                     std::size_t max_bytes, std::size_t done)
+{
+    return m_scheduler.next_turn().then([this, buffer, min_bytes, max_bytes, done] {
+        m_has_turn = true;
         return fill(buffer, min_bytes, max_bytes, done);
     });
 }
@@ -202,6 +222,16 @@
     return age;
 }
 
+void server_stream::discard_input()
+{
+    ::recv(m_socket.number(), nullptr, 2 * receive_buffer_bytes, MSG_TRUNC | MSG_DONTWAIT);
+}
+
+void server_stream::send_last(const std::string& text)
+{
+    ::send(m_socket.number(), text.data(), text.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+}
+
 void server_stream::shut_down()
 {
     ::shutdown(m_socket.number(), SHUT_RDWR);
--- a/http/server_stream.h
+++ b/http/server_stream.h
@@ -5,6 +5,7 @@
 #include "admission/request_age.h"
 #include "core/glib_stream.h"
 #include "core/reactor.h"
+#include "http/input_scheduler.h"
 
 #include <kj/async-io.h>
 
@@ -16,7 +17,8 @@
 public:
     // A read or write during which nothing is transferred for the idle timeout fails. The first input arrived
     // no earlier than `unread_since`.
-    server_stream(file_descriptor socket, unsigned idle_timeout_seconds, instant unread_since);
+    server_stream(file_descriptor socket, unsigned idle_timeout_seconds, instant unread_since,
+                  input_scheduler& scheduler);
     ~server_stream() noexcept(false);
     KJ_DISALLOW_COPY(server_stream);
 
@@ -49,17 +51,42 @@
     void probe_peer();
     void end_probe();
 
+    // No later than the arrival of the first byte of a request that is incomplete; empty if there is none.
+    std::optional<instant> request_began_at() const { return m_request_began_at; }
+    // The same of the last byte that was read.
+    instant last_read_since() const { return m_last_read_since; }
+
+    // Whether reads are subject to the idle timeout, as they are at first.
+    void set_idle_timeout_enabled(bool is_enabled) { m_is_idle_timeout_enabled = is_enabled; }
+
+    // From now on each read waits for a turn of the connection.
+    void read_in_turns() { m_quota.set_reads(0); }
+
+    // Discards input that waits unread, up to the size of a receive buffer. Unread input at the end of a
+    // connection makes TCP discard what was sent last.
+    void discard_input();
+    // Sends as much of a last message as the socket takes at once.
+    void send_last(const std::string& text);
+
     // Shuts down both directions: the peer sees the end of the connection, and pending transfers fail.
     void shut_down();
 
 private:
     kj::Promise<std::size_t> fill(kj::byte* buffer, std::size_t min_bytes, std::size_t max_bytes,
                                   std::size_t done);
+    // Calls fill() when it is this connection's turn.
+    kj::Promise<std::size_t> fill_in_turn(kj::byte* buffer, std::size_t min_bytes, std::size_t max_bytes,
+                                          std::size_t done);
     kj::Promise<void> within_idle_timeout(kj::Promise<void> ready) const;
 
     file_descriptor m_socket;
     descriptor_watch m_watch;
     unsigned m_idle_timeout_ms;
+    bool m_is_idle_timeout_enabled = true;
+    input_scheduler& m_scheduler;
+    iteration_quota m_quota;
+    // Whether the next read has waited for its turn.
+    bool m_has_turn = false;
     // Whether the last read emptied the socket; another one before the socket is ready again would find
     // nothing.
     bool m_is_drained = false;
--- a/tests/main/docs_test.cpp
+++ b/tests/main/docs_test.cpp
@@ -57,6 +57,7 @@
     sources += read_page("platform/directory_follower.cpp");
     sources += read_page("platform/http_client.cpp");
     sources += read_page("http/server_connection.cpp");
+    sources += read_page("http/input_guard.cpp");
     const std::size_t begin = page.find("| event |");
     const std::string events = page.substr(begin, page.find("**Refused", begin) - begin);
     const std::regex name("`([a-z]+_[a-z_]+|started|leaving|stopped)`");
