--- a/main/agent_process.cpp
+++ b/main/agent_process.cpp
@@ -51,7 +51,8 @@
       m_links(values.text("keys", "cluster_key"), compute_link_budget(values)),
       m_announcer(make_announcer_settings(values, m_identity), make_announcer_hooks(), m_links, m_clock,
                   m_metrics),
-      m_operator_server(make_operator_handler(make_operator_hooks(), m_metrics), api_limits())
+      m_operator_server(make_operator_handler(make_operator_hooks(), m_metrics), bodyless_port_limits(),
+                        m_input_guard)
 {
     m_drain.m_limits.m_linger = milliseconds(0);
     m_drain.m_limits.m_grace = std::chrono::duration_cast<milliseconds>(values.duration("timing", "grace"));
@@ -265,6 +266,7 @@
 void agent_process::update_gauges(metrics& counts)
 {
     update_process_gauges(counts);
+    m_input_guard.report(counts);
     counts.set_gauge("config_version", static_cast<double>(m_announcer.config_version()));
     counts.set_gauge("connections", static_cast<double>(m_links.size() + m_server->connections()));
     if (!m_dispatcher)
--- a/main/agent_process.h
+++ b/main/agent_process.h
@@ -8,6 +8,7 @@
 #include "http/api_server.h"
 #include "http/target_client.h"
 #include "main/announcer.h"
+#include "main/input_settings.h"
 #include "main/operator_api.h"
 #include "membership/drain.h"
 #include "rpc/link.h"
@@ -78,6 +79,7 @@
     target_client m_target;
     link_pool m_links;
     announcer m_announcer;
+    input_guard m_input_guard{read_input_limits(m_settings)};
     api_server m_operator_server;
     std::unique_ptr<rpc_server> m_server;
     // Set once the target's capacity is known.
--- a/main/entry_process.cpp
+++ b/main/entry_process.cpp
@@ -5,6 +5,7 @@
 #include "config/record_json.h"
 #include "core/json.h"
 #include "core/logging.h"
+#include "http/caller_messages.h"
 #include "main/entry_node.h"
 #include "main/process_gauges.h"
 #include "main/process_settings.h"
@@ -37,6 +38,9 @@
     api_limits limits;
     limits.m_max_body_bytes = static_cast<std::size_t>(values.integer("limits", "body"));
     limits.m_max_header_bytes = static_cast<std::size_t>(values.integer("limits", "headers"));
+    limits.m_make_refusal = [](reason why, milliseconds retry_after) {
+        return make_problem_response({verdict::not_run, why, ticket_state::open}, retry_after);
+    };
     return limits;
 }
 
@@ -62,8 +66,9 @@
           static_cast<unsigned>(values.integer("platform", "checkpoint_every")), [] {}, m_metrics),
       m_callers(make_caller_context()),
       m_caller_server([this](const api_request& request) { return m_callers.handle(request); },
-                      read_api_limits(values)),
-      m_operator_server(make_operator_handler(make_operator_hooks(), m_metrics), api_limits())
+                      read_api_limits(values), m_input_guard),
+      m_operator_server(make_operator_handler(make_operator_hooks(), m_metrics), bodyless_port_limits(),
+                        m_input_guard)
 {
     m_members.m_limits = {read_timing(values, "suspect_after"), read_timing(values, "forget_after")};
     m_members.m_changes = static_cast<std::uint64_t>(to_unix_ms(m_clock.now())) << change_counter_shift;
@@ -298,6 +303,7 @@
 void entry_process::update_gauges(metrics& counts)
 {
     update_process_gauges(counts);
+    m_input_guard.report(counts);
     counts.set_gauge("config_version", static_cast<double>(m_config.state().m_version));
     counts.set_gauge("log_down", m_config.is_log_down() ? 1 : 0);
     counts.set_gauge("members", static_cast<double>(m_members.m_members.size()));
--- a/main/entry_process.h
+++ b/main/entry_process.h
@@ -7,6 +7,7 @@
 #include "http/api_server.h"
 #include "main/caller_api.h"
 #include "main/config_follower.h"
+#include "main/input_settings.h"
 #include "main/operator_api.h"
 #include "membership/drain.h"
 #include "rpc/link.h"
@@ -62,6 +63,7 @@
     link_pool m_links;
     config_follower m_config;
     caller_api m_callers;
+    input_guard m_input_guard{read_input_limits(m_settings)};
     api_server m_caller_server;
     api_server m_operator_server;
     std::unique_ptr<rpc_server> m_server;
--- a/main/platform_agent.cpp
+++ b/main/platform_agent.cpp
@@ -30,6 +30,8 @@
 // Enough for all entries of a large system, the agents to which this one sends orders as a home, and its own
 // homes. A link that is closed to make room for another one would be opened again within seconds.
 constexpr std::size_t max_links = 256;
+// Largest report of a worker.
+constexpr std::size_t max_report_bytes = std::size_t{4} * 1024 * 1024;
 constexpr std::size_t max_peer_connections = 256;
 
 } // namespace
@@ -113,8 +115,10 @@
 
 bool platform_agent::start(last_reason& why)
 {
+    api_limits limits;
+    limits.m_max_body_bytes = max_report_bytes;
     m_report_server = std::make_unique<api_server>(
-        [this](const api_request& request) { return on_worker_call(request); }, api_limits());
+        [this](const api_request& request) { return on_worker_call(request); }, limits, m_input_guard);
     if (!m_report_server->listen(m_settings.m_report_address, why))
         return false;
     auto socket = listen_on(m_settings.m_peer_listen_address, why);
@@ -132,6 +136,7 @@
 metrics& platform_agent::collect_metrics()
 {
     update_process_gauges(m_metrics);
+    m_input_guard.report(m_metrics);
     m_metrics.set_gauge("jobs_hosted", static_cast<double>(m_hosted.size()));
     return m_metrics;
 }
--- a/main/platform_agent.h
+++ b/main/platform_agent.h
@@ -7,6 +7,7 @@
 #include "dispatch/entry_leases.h"
 #include "dispatch/run_guard.h"
 #include "http/api_server.h"
+#include "main/input_settings.h"
 #include "main/job_home.h"
 #include "main/loop_watch.h"
 #include "main/platform_link.h"
@@ -40,6 +41,8 @@
 
     // Updates the gauges and returns all metrics.
     metrics& collect_metrics();
+    // Limits of the HTTP input of the whole process.
+    input_guard& http_input() { return m_input_guard; }
 
 private:
     class node_server;
@@ -104,6 +107,7 @@
     entry_leases m_entry_leases;
     // Entries that wait for the end of a hosted job, by job.
     std::map<std::string, std::vector<hosted_waiter>> m_hosted;
+    input_guard m_input_guard{read_input_limits(m_settings)};
     std::unique_ptr<api_server> m_report_server;
     std::unique_ptr<rpc_server> m_rpc_server;
     loop_watch m_loop_watch{decision_tick, m_metrics};
--- a/main/platform_entry.cpp
+++ b/main/platform_entry.cpp
@@ -87,7 +87,8 @@
 bool platform_entry::start(last_reason& why)
 {
     m_ready_server = std::make_unique<api_server>(
-        [this](const api_request& request) { return on_readiness_probe(request); }, api_limits());
+        [this](const api_request& request) { return on_readiness_probe(request); }, bodyless_port_limits(),
+        m_input_guard);
     if (!m_ready_server->listen(m_settings.m_ready_address, why))
         return false;
     api_limits limits;
@@ -103,7 +104,7 @@
                 return response;
             });
         },
-        limits);
+        limits, m_input_guard);
     if (!m_caller_server->listen(m_settings.m_caller_address, why))
         return false;
     auto socket = listen_on(m_settings.m_peer_listen_address, why);
@@ -168,6 +169,7 @@
 metrics& platform_entry::collect_metrics()
 {
     update_process_gauges(m_metrics);
+    m_input_guard.report(m_metrics);
     m_metrics.set_gauge("requests_in_progress", m_caller_server->in_progress());
     m_metrics.set_gauge("jobs_handed_on", static_cast<double>(m_forwarded.size()));
     return m_metrics;
--- a/main/platform_entry.h
+++ b/main/platform_entry.h
@@ -10,6 +10,7 @@
 #include "core/metrics.h"
 #include "dispatch/run_guard.h"
 #include "http/api_server.h"
+#include "main/input_settings.h"
 #include "main/job_home.h"
 #include "main/loop_watch.h"
 #include "main/platform_link.h"
@@ -46,6 +47,8 @@
 
     // Updates the gauges and returns all metrics.
     metrics& collect_metrics();
+    // Limits of the HTTP input of the whole process.
+    input_guard& http_input() { return m_input_guard; }
 
 private:
     // The balancer stops sending connections after two failed probes, a second apart; a connection that is
@@ -156,6 +159,7 @@
     instant m_homes_chosen_at;
     instant m_homes_checked_at;
     std::unique_ptr<directory_follower> m_follower;
+    input_guard m_input_guard{read_input_limits(m_settings)};
     std::unique_ptr<api_server> m_caller_server;
     std::unique_ptr<api_server> m_ready_server;
     std::unique_ptr<rpc_server> m_rpc_server;
--- a/main/platform_process.cpp
+++ b/main/platform_process.cpp
@@ -25,7 +25,7 @@
 class metrics_server {
 public:
     // `read` updates the gauges and returns the metrics.
-    explicit metrics_server(std::function<metrics&()> read)
+    metrics_server(std::function<metrics&()> read, input_guard& guard)
         : m_server(
               [read = std::move(read)](const api_request& request) -> kj::Promise<api_response> {
                   api_response response;
@@ -39,7 +39,7 @@
                   response.m_body = counts.to_exposition();
                   return response;
               },
-              api_limits())
+              bodyless_port_limits(), guard)
     {
     }
 
@@ -68,7 +68,8 @@
         log_event(log_level::error, "start_failed", {{"reason", why.text()}});
         return exit_code::failure;
     }
-    metrics_server metrics_server([&process]() -> metrics& { return process.collect_metrics(); });
+    metrics_server metrics_server([&process]() -> metrics& { return process.collect_metrics(); },
+                                  process.http_input());
     const std::string metrics_address = settings->m_ip + ":" + std::to_string(options.m_metrics_port);
     if (options.m_metrics_port != 0 && !metrics_server.listen(metrics_address, why))
         log_event(log_level::warning, "metrics_unavailable", {{"reason", why.text()}});
--- a/main/process_settings.cpp
+++ b/main/process_settings.cpp
@@ -30,6 +30,12 @@
                        "One-way latency added to every RPC message; for measuring only."),
         ranged_setting(setting_kind::duration, "timing", "grace", "30s", 0, 3600 * second,
                        "Maximum time that a graceful shutdown waits for requests in progress."),
+        ranged_setting(setting_kind::integer, "limits", "memory_mb", "0", 0, 1'000'000,
+                       "Memory of this process in MB, from which the limits of request bodies and HTTP "
+                       "connections follow; 0 if it is not known: bodies in progress then get 64 MiB."),
+        ranged_setting(setting_kind::integer, "limits", "max_fds", "0", 0, 10'000'000,
+                       "Descriptors that this process may open, which limit its HTTP connections; 0 if it "
+                       "is not known."),
         choice_setting("placement", "policy", "least_loaded",
                        {"random", "round_robin", "two_choices", "least_loaded"},
                        "How homes and workers are chosen."),
--- a/tests/platform/node_settings_test.cpp
+++ b/tests/platform/node_settings_test.cpp
@@ -73,6 +73,25 @@
     CHECK(settings->m_shutdown_grace == milliseconds(6'000));
     CHECK(settings->m_max_stop_time == milliseconds(50));
     CHECK(settings->m_caller_address.empty());
+    CHECK_FALSE(settings->m_memory_mb);
+    CHECK_FALSE(settings->m_max_descriptors);
+}
+
+TEST_CASE("limits of the process are optional, but a wrong one is named")
+{
+    last_reason why;
+    const temporary_file good(std::string(good_settings) + "[limits]\nmemory_mb = 120\nmax_fds = 3075\n");
+    const auto settings = read_node_settings(good.path(), why);
+    INFO(why.text());
+    REQUIRE(settings);
+    CHECK(settings->m_memory_mb == 120);
+    CHECK(settings->m_max_descriptors == 3'075);
+    for (const char* wrong : {"memory_mb = \"120\"", "memory_mb = 0", "max_fds = -1"}) {
+        CAPTURE(wrong);
+        const temporary_file file(std::string(good_settings) + "[limits]\n" + wrong + "\n");
+        CHECK_FALSE(read_node_settings(file.path(), why));
+        CHECK(why.text().find("limits.m") != std::string::npos);
+    }
 }
 
 TEST_CASE("a missing, wrong-typed or unreadable setting is named")
