--- a/tests/http/crowd.h
+++ b/tests/http/crowd.h
@@ -12,8 +12,10 @@
 #include <array>
 #include <cerrno>
 #include <functional>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <string>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <vector>
 
@@ -54,6 +56,13 @@
 
     bool has_sent_all() const { return m_sent == m_text.size(); }
     std::size_t unsent() const { return m_text.size() - m_sent; }
+    // Bytes that the server's system has not received.
+    std::size_t unacknowledged() const
+    {
+        int bytes = 0;
+        REQUIRE(::ioctl(m_socket.number(), SIOCOUTQ, &bytes) == 0);
+        return static_cast<std::size_t>(bytes);
+    }
     bool is_closed() const { return m_is_closed; }
     const std::string& received() const { return m_received; }
     bool has_response(const std::string& end) const { return m_received.ends_with(end); }
--- a/tests/http/input_guard_test.cpp
+++ b/tests/http/input_guard_test.cpp
@@ -1,6 +1,7 @@
 // Tests that crowds of clients stay within the limits on request bodies and connections, and that ordinary
 // requests are served beside them.
 
+#include "http/caller_messages.h"
 #include "tests/http/crowd.h"
 
 #include <doctest/doctest.h>
@@ -307,6 +308,53 @@
     CHECK(server_stream::count_open() == 0);
 }
 
+// Guards against refusals that callers of a port with another form of errors can't read.
+TEST_CASE("a port's own form of refusals is used")
+{
+    input_limits limits;
+    limits.m_bodies.m_stall_timeout = milliseconds(300);
+    api_limits port_limits = crowd::make_port_limits();
+    port_limits.m_make_refusal = [](reason why, milliseconds) {
+        return make_problem_response({verdict::not_run, why, ticket_state::open}, milliseconds(0));
+    };
+    crowd played(limits, port_limits);
+    const crowd_client& stalled = played.add(plain_request(100, 99));
+    played.run_until([&] { return stalled.is_closed(); });
+    CHECK(stalled.received().starts_with("HTTP/1.1 408 Request Timeout\r\n"));
+    CHECK(stalled.received().find("Content-Type: application/problem+json\r\n") != std::string::npos);
+    CHECK(stalled.received().find("\"reason\":\"body_stalled\"") != std::string::npos);
+}
+
+// Guards against the idle timeout, which counts a pause of the process, as a second timeout of bodies.
+TEST_CASE("the idle timeout does not end a body whose stall timeout is longer")
+{
+    api_limits port_limits = crowd::make_port_limits();
+    port_limits.m_idle_timeout_seconds = 1;
+    crowd played(input_limits(), port_limits);
+    crowd_client& client = played.add(plain_request(100, 99));
+    played.run_for(milliseconds(1'300));
+    client.send("x");
+    played.run_until([&] { return client.has_response(crowd::answer(100)) || client.is_closed(); });
+    CHECK(client.has_response(crowd::answer(100)));
+    // It holds again between requests.
+    played.run_until([&] { return client.is_closed(); });
+}
+
+// Guards against unread input in the kernel that grows with what clients send.
+TEST_CASE("connections have small receive buffers if the memory of the process is known")
+{
+    input_limits limits;
+    limits.m_has_small_receive_buffers = true;
+    crowd played(limits);
+    const std::size_t sent_bytes = 8 * 1024 * 1024;
+    crowd_client& client =
+        played.add(plain_request(1, 1, crowd::waiting_path) + std::string(sent_bytes, 'x'));
+    played.run_until([&] { return played.m_waiting.size() == 1; });
+    played.run_for(milliseconds(200));
+    // The kernel acknowledges what is in the receive buffer.
+    CHECK(client.unacknowledged() + client.unsent() > sent_bytes - 4 * receive_buffer_bytes);
+}
+
 TEST_CASE("what the limits ended is counted once")
 {
     crowd played(limit_connections(1));
