Unread responses don't keep connections open or take memory

Cause: a connection whose response its client does not read counted as being handled, so the connection limit could not close it; a client that pipelines requests and reads no response could make up to 256 KiB of responses pile up; TCP enlarges the send buffer of an accepted socket to megabytes. Change: a connection counts as being handled until its handler has answered; a request waits while more than 16 KiB of its connection's responses is unsent; the send buffer is limited like the receive buffer where limits.memory_mb is set. The test of receive buffers reads the size of the accepted socket, because its earlier form also passed without the limit. Evidence: in the new test such a client takes 174 KB, and 880 KB without the wait (trial); what the 174 KB consist of was not isolated.

--- a/admission/input_limits.cpp
+++ b/admission/input_limits.cpp
@@ -14,7 +14,7 @@
 constexpr std::size_t connection_share = 2;
 // Memory of a connection in the worst case: its receive buffer as the kernel counts it, the largest header
 // buffer of KJ's HTTP library (64 KiB), and the objects of the connection (less than 8 KiB).
-constexpr std::size_t connection_cost_bytes = 2 * receive_buffer_bytes + std::size_t{72} * 1024;
+constexpr std::size_t connection_cost_bytes = 2 * socket_buffer_bytes + std::size_t{72} * 1024;
 // Descriptors for files, and the part of the others that is left to calls between processes, to the store
 // and to workers.
 constexpr std::size_t reserved_descriptors = 200;
@@ -39,7 +39,7 @@
     input_limits limits;
     if (resources.m_memory_bytes) {
         limits.m_bodies.m_max_bytes = *resources.m_memory_bytes / body_share;
-        limits.m_has_small_receive_buffers = true;
+        limits.m_has_small_socket_buffers = true;
         limits.m_max_connections = count_within_memory(*resources.m_memory_bytes);
     }
     if (resources.m_descriptors)
--- a/admission/input_limits.h
+++ b/admission/input_limits.h
@@ -9,14 +9,14 @@
 
 namespace hawthornpin {
 
-// Size to request for the receive buffer of an accepted socket. The kernel doubles it for its own use.
-inline constexpr std::size_t receive_buffer_bytes = std::size_t{32} * 1024;
+// Size to request for each of the two buffers of an accepted socket. The kernel doubles it for its own use.
+inline constexpr std::size_t socket_buffer_bytes = std::size_t{32} * 1024;
 
 struct input_limits {
     body_limits m_bodies;
     std::size_t m_max_connections = std::numeric_limits<std::size_t>::max();
-    // Whether the receive buffers of accepted sockets are limited to receive_buffer_bytes.
-    bool m_has_small_receive_buffers = false;
+    // Whether the buffers of accepted sockets are limited to socket_buffer_bytes.
+    bool m_has_small_socket_buffers = false;
 
     friend bool operator==(const input_limits&, const input_limits&) = default;
 };
--- a/core/coalescing_stream.h
+++ b/core/coalescing_stream.h
@@ -31,6 +31,8 @@
 
     // Whether something that was written has not been sent yet.
     bool has_unsent() const { return m_is_flushing; }
+    // Number of bytes that are kept because they may not have been sent yet.
+    std::size_t unsent_bytes() const { return m_pending.size() + m_sending.size(); }
 
     // Fulfilled when all that was written has been sent or the transfer has failed. Only one call may be
     // pending.
--- a/http/api_server.cpp
+++ b/http/api_server.cpp
@@ -28,10 +28,11 @@
     if (!listener)
         return false;
     m_listener = std::move(*listener);
-    if (m_context.m_guard.limits().m_has_small_receive_buffers) {
-        // Accepted sockets inherit the size, and TCP does not enlarge a buffer that was set.
-        const int bytes = receive_buffer_bytes;
+    if (m_context.m_guard.limits().m_has_small_socket_buffers) {
+        // Accepted sockets inherit the sizes, and TCP does not enlarge a buffer that was set.
+        const int bytes = socket_buffer_bytes;
         ::setsockopt(m_listener.number(), SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+        ::setsockopt(m_listener.number(), SOL_SOCKET, SO_SNDBUF, &bytes, sizeof(bytes));
     }
     m_listener_watch.emplace(m_listener.number(), descriptor_watch::interest::reading);
     m_accepting = run_accept_loop().eagerlyEvaluate(nullptr);
--- a/http/server_connection.cpp
+++ b/http/server_connection.cpp
@@ -16,6 +16,9 @@
 
 // Requests of a connection in one iteration of the event loop; more of them may be pipelined.
 constexpr unsigned requests_per_iteration = 8;
+// While more of the responses is unsent, no further request is begun, so that a client that pipelines
+// requests and reads no response takes little memory.
+constexpr std::size_t max_unsent_at_request = 16 * 1024;
 
 kj::HttpServerSettings make_settings(const server_context& context, kj::HttpServerCallbacks& callbacks,
                                      kj::HttpServerErrorHandler& error_handler)
@@ -240,6 +243,8 @@
                                        request.m_body);
         return m_body->read();
     };
+    if (m_output.unsent_bytes() > max_unsent_at_request)
+        return m_output.when_flushed().then([begin] { return begin(); });
     if (m_request_quota.take())
         return begin();
     return m_context.m_guard.scheduler().next_turn().then([this, begin] {
@@ -294,6 +299,8 @@
 
 kj::Promise<void> server_connection::respond(api_response&& answer, Response& response)
 {
+    // The client may never read the response.
+    m_is_handling = false;
     if (answer.m_is_connection_dropped) {
         m_socket.shut_down();
         return KJ_EXCEPTION(DISCONNECTED, "the connection was closed without a response");
--- a/http/server_stream.cpp
+++ b/http/server_stream.cpp
@@ -224,7 +224,7 @@
 
 void server_stream::discard_input()
 {
-    ::recv(m_socket.number(), nullptr, 2 * receive_buffer_bytes, MSG_TRUNC | MSG_DONTWAIT);
+    ::recv(m_socket.number(), nullptr, 2 * socket_buffer_bytes, MSG_TRUNC | MSG_DONTWAIT);
 }
 
 void server_stream::send_last(const std::string& text)
--- a/tests/admission/input_limits_test.cpp
+++ b/tests/admission/input_limits_test.cpp
@@ -30,8 +30,8 @@
     const input_limits limits = derive_input_limits({120 * megabyte, 3'075});
     CHECK(limits.m_bodies.m_max_bytes == 15 * megabyte);
     CHECK(limits.m_max_connections > 400);
-    CHECK(limits.m_max_connections * 2 * receive_buffer_bytes < 60 * megabyte);
-    CHECK(limits.m_has_small_receive_buffers);
+    CHECK(limits.m_max_connections * 2 * socket_buffer_bytes < 60 * megabyte);
+    CHECK(limits.m_has_small_socket_buffers);
 }
 
 // Guards against HTTP clients that take the descriptors which calls to agents, workers and the store need.
@@ -40,7 +40,7 @@
     CHECK(derive_input_limits({4'000 * megabyte, 3'075}).m_max_connections == (3'075 - 200) / 2);
     const input_limits limits = derive_input_limits({std::nullopt, 1'000});
     CHECK(limits.m_max_connections == 400);
-    CHECK_FALSE(limits.m_has_small_receive_buffers);
+    CHECK_FALSE(limits.m_has_small_socket_buffers);
 }
 
 TEST_CASE("some connections are served whatever the settings are")
--- a/tests/http/crowd.h
+++ b/tests/http/crowd.h
@@ -12,10 +12,8 @@
 #include <array>
 #include <cerrno>
 #include <functional>
-#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <string>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <vector>
 
@@ -46,6 +44,8 @@
             size == 0 ? 0 : ::send(m_socket.number(), m_text.data() + m_sent, size, MSG_NOSIGNAL);
         if (sent > 0)
             m_sent += static_cast<std::size_t>(sent);
+        if (!m_is_reading)
+            return;
         std::array<char, 4096> buffer{};
         const ssize_t received = ::recv(m_socket.number(), buffer.data(), buffer.size(), MSG_DONTWAIT);
         if (received > 0)
@@ -54,14 +54,15 @@
             m_is_closed = true;
     }
 
+    void stop_reading() { m_is_reading = false; }
     bool has_sent_all() const { return m_sent == m_text.size(); }
     std::size_t unsent() const { return m_text.size() - m_sent; }
-    // Bytes that the server's system has not received.
-    std::size_t unacknowledged() const
+    std::uint16_t port() const
     {
-        int bytes = 0;
-        REQUIRE(::ioctl(m_socket.number(), SIOCOUTQ, &bytes) == 0);
-        return static_cast<std::size_t>(bytes);
+        sockaddr_in own{};
+        socklen_t length = sizeof(own);
+        REQUIRE(::getsockname(m_socket.number(), reinterpret_cast<sockaddr*>(&own), &length) == 0);
+        return ntohs(own.sin_port);
     }
     bool is_closed() const { return m_is_closed; }
     const std::string& received() const { return m_received; }
@@ -73,6 +74,7 @@
     std::size_t m_sent = 0;
     std::string m_received;
     bool m_is_closed = false;
+    bool m_is_reading = true;
 };
 
 class crowd {
@@ -131,6 +133,9 @@
     // Requests with this path are answered when the test fulfils the promise.
     static constexpr const char* waiting_path = "/wait";
 
+    // Requests with this path get a response that is larger than the buffers of sockets.
+    static constexpr const char* large_path = "/large";
+
     event_loop m_loop;
     input_guard m_guard;
     std::size_t m_piece = 1'000'000;
@@ -144,6 +149,9 @@
         ++m_handled;
         api_response response;
         response.m_body = request.m_input_fault == reason::none ? answer(request.m_body.size()) : "fault.";
+        constexpr std::size_t large_bytes = 16 * 1024 * 1024;
+        if (request.m_path == large_path)
+            response.m_body.resize(large_bytes);
         if (request.m_path != waiting_path)
             return response;
         auto pair = kj::newPromiseAndFulfiller<void>();
--- a/tests/http/input_guard_test.cpp
+++ b/tests/http/input_guard_test.cpp
@@ -38,6 +38,20 @@
            text.ends_with("{\"error\":\"" + why + "\"}");
 }
 
+// The descriptor of this process whose peer has the port; -1 if there is none.
+int find_descriptor_of_peer(std::uint16_t port)
+{
+    constexpr int max_descriptors = 1'024;
+    for (int descriptor = 0; descriptor < max_descriptors; ++descriptor) {
+        sockaddr_in peer{};
+        socklen_t length = sizeof(peer);
+        if (::getpeername(descriptor, reinterpret_cast<sockaddr*>(&peer), &length) == 0 &&
+            peer.sin_family == AF_INET && peer.sin_port == htons(port))
+            return descriptor;
+    }
+    return -1;
+}
+
 // Plays clients that stop short of the end of their bodies, and an ordinary request among them.
 void check_stalled_crowd(const std::string& text, std::size_t piece)
 {
@@ -295,17 +309,45 @@
     CHECK(used_after < used_before + texts + connections * responses);
 }
 
-TEST_CASE("an unread response does not keep a connection open whose next body is evicted")
+// Guards against connections that can't be closed because their responses wait for the client.
+TEST_CASE("a connection whose client does not read its response can be closed")
+{
+    crowd played(limit_connections(1));
+    crowd_client& client = played.add(plain_request(1, 1, crowd::large_path));
+    client.stop_reading();
+    played.run_until([&] { return played.m_handled == 1; });
+    played.run_for(milliseconds(20));
+    const crowd_client& other = played.add(plain_request(2, 2));
+    played.run_until([&] { return other.has_response(crowd::answer(2)); });
+    CHECK(played.m_guard.connections() == 1);
+    CHECK(server_stream::count_open() == 1);
+}
+
+// Guards against responses that pile up in the process.
+TEST_CASE("a client that pipelines requests and reads no response is held back")
 {
     input_limits limits;
-    limits.m_bodies.m_stall_timeout = milliseconds(300);
+    limits.m_has_small_socket_buffers = true;
     crowd played(limits);
-    crowd_client& client = played.add(plain_request(1, 1));
-    played.run_until([&] { return client.has_response(crowd::answer(1)); });
-    client.send(plain_request(100, 99));
-    played.run_until([&] { return client.is_closed(); });
-    CHECK(played.m_guard.connections() == 0);
-    CHECK(server_stream::count_open() == 0);
+    constexpr int pipelined = 40'000;
+    std::string text;
+    for (int count = 0; count < pipelined; ++count)
+        text += "GET /job HTTP/1.1\r\nHost: h\r\n\r\n";
+    crowd_client& client = played.add(text);
+    client.stop_reading();
+    const std::size_t used_before = ::mallinfo2().uordblks;
+    int handled = -1;
+    while (handled != played.m_handled) {
+        handled = played.m_handled;
+        played.run_for(milliseconds(300));
+    }
+    CHECK(handled > 0);
+    CHECK(handled < pipelined);
+    const std::size_t used_after = ::mallinfo2().uordblks;
+    MESSAGE("memory taken: " << used_after - used_before);
+    // Measured: 174 KB, and 880 KB if requests are begun whatever is unsent.
+    constexpr std::size_t max_growth = 300'000;
+    CHECK(used_after < used_before + max_growth);
 }
 
 // Guards against refusals that callers of a port with another form of errors can't read.
@@ -340,19 +382,22 @@
     played.run_until([&] { return client.is_closed(); });
 }
 
-// Guards against unread input in the kernel that grows with what clients send.
+// Guards against unread input in the kernel, which counts towards the machine's memory. TCP enlarges buffers
+// whose size is not set.
 TEST_CASE("connections have small receive buffers if the memory of the process is known")
 {
     input_limits limits;
-    limits.m_has_small_receive_buffers = true;
-    crowd played(limits);
-    const std::size_t sent_bytes = 8 * 1024 * 1024;
-    crowd_client& client =
-        played.add(plain_request(1, 1, crowd::waiting_path) + std::string(sent_bytes, 'x'));
-    played.run_until([&] { return played.m_waiting.size() == 1; });
-    played.run_for(milliseconds(200));
-    // The kernel acknowledges what is in the receive buffer.
-    CHECK(client.unacknowledged() + client.unsent() > sent_bytes - 4 * receive_buffer_bytes);
+    for (const bool is_known : {false, true}) {
+        limits.m_has_small_socket_buffers = is_known;
+        crowd played(limits);
+        const crowd_client& client = played.add(plain_request(1, 1));
+        played.run_until([&] { return client.has_response(crowd::answer(1)); });
+        const int peer = find_descriptor_of_peer(client.port());
+        int bytes = 0;
+        socklen_t length = sizeof(bytes);
+        REQUIRE(::getsockopt(peer, SOL_SOCKET, SO_RCVBUF, &bytes, &length) == 0);
+        CHECK((bytes == 2 * static_cast<int>(socket_buffer_bytes)) == is_known);
+    }
 }
 
 TEST_CASE("what the limits ended is counted once")
