--- a/tests/soak/slow_bodies_main.cpp
+++ b/tests/soak/slow_bodies_main.cpp
@@ -124,7 +124,7 @@
         for (unsigned number = 1; number <= m_agents; ++number) {
             const std::string ip = m_settings.agent_ip(number);
             m_workers.push_back(std::make_unique<soak_worker>("worker-of-agent-" + std::to_string(number),
-                                                              ip + ":" + std::to_string(report_port),
+                                                              "z", ip + ":" + std::to_string(report_port),
                                                               m_verifier));
             if (!m_workers.back()->listen(ip + ":" + std::to_string(worker_port), why))
                 return false;
