Agents and entries don't take a part of the newest records for the evacuated zones

Cause: store_client ends a read of log-newest early when the last key of a page can't be read back, or no key on it can be read. It returned what it had, and the entry and the agent took that for all records: a zone on a later page counted as not evacuated, with a confirmation, and the log from the end offset on does not contain its record either. Such a read neither replaces nor confirms the state, and the log that follows is not applied to it. Agents then start nothing after the staleness bound, as with a store that is down. Configurations are delivered as before.

--- a/main/platform_agent.cpp
+++ b/main/platform_agent.cpp
@@ -364,7 +364,9 @@
     const instant sent_at = boot_now();
     m_tasks.add(m_store.read_newest(operator_topic).then([this, sent_at](std::optional<newest_page> page) {
         m_is_reading_evacuation = false;
-        if (!page || !m_evacuation.learn_from_store(make_evacuation_snapshot(*page, sent_at)))
+        // A zone could be on a page that was not read.
+        if (!page || page->m_has_more ||
+            !m_evacuation.learn_from_store(make_evacuation_snapshot(*page, sent_at)))
             return;
         // The store may turn the entries away.
         for (const auto& [address, entry] : m_entries.m_entries) {
--- a/tests/platform/client_contract_test.cpp
+++ b/tests/platform/client_contract_test.cpp
@@ -278,6 +278,41 @@
     CHECK(updates[4].m_confirmed_at);
 }
 
+// Guards against an evacuation on a page that can't be reached, which would count as known and absent. The
+// log that follows does not contain it either.
+TEST_CASE("newest records that end before the last page are not delivered as the evacuated zones")
+{
+    scripted_server peer;
+    SUBCASE("the key of the last record can't be read back")
+    {
+        const char* const page =
+            R"({"items":[{"key":"config","value":"MQ==","offset":1}],"has_more":true,"end_offset":2})";
+        peer.add(200, page);
+        peer.add(200, page);
+    }
+    SUBCASE("no key on the page can be read")
+    {
+        peer.add(200, R"({"items":[{"offset":1}],"has_more":true,"end_offset":2})");
+    }
+    peer.add(200, make_log_header(3) + encode_keyed_record("evacuate/a", "{}"));
+    peer.add(410, R"({"first_offset":9})");
+    peer.add(200, R"({"items":[{"key":"evacuate/a","value":"e30=","offset":2}],"end_offset":10})");
+    peer.add(200, make_log_header(10));
+    store_client store(peer.address());
+    std::vector<evacuation_update> updates;
+    const directory_follower follower(
+        store, [](const service_directory&, const std::string&) {},
+        [&](const evacuation_update& update) {
+            updates.push_back(update);
+            if (update.m_offset == 10)
+                peer.m_loop.stop();
+        });
+    peer.m_loop.run();
+    REQUIRE(updates.size() == 1);
+    CHECK(updates[0].m_is_snapshot);
+    CHECK(updates[0].m_records == std::vector<evacuation_record>{{"a", true}});
+}
+
 // Guards against a confirmation by the time of the answer, which may come long after the store read its log.
 TEST_CASE("a state is confirmed as of the sending of the read")
 {
