Comments and messages on evacuations and message limits use the usual terms

Cause: figurative wording (messages that give way, processes that are told, a store that turns entries away), and a comment in run_messages.h that was wrapped in the middle of a sentence.

--- a/main/platform_agent.cpp
+++ b/main/platform_agent.cpp
@@ -340,14 +340,14 @@
 
 void platform_agent::schedule_evacuation_read(milliseconds delay)
 {
-    // Spreads the reads of many agents that cease to be told at the same time.
+    // Spreads the reads of many agents that lose contact with their homes at the same time.
     constexpr std::size_t jitter_ms = 250;
     m_next_evacuation_read_at = boot_now() + delay + milliseconds(random_below(m_random, jitter_ms));
 }
 
 void platform_agent::read_evacuation_if_due()
 {
-    // Homes tell the state every 100 ms; it is then up to a second old.
+    // Homes send the state every 100 ms; it is then up to a second old.
     constexpr milliseconds read_after{1'500};
     constexpr milliseconds read_interval{1'000};
     const bool is_due = m_evacuation.is_enabled() && !m_is_reading_evacuation &&
@@ -368,7 +368,7 @@
         if (!page || page->m_has_more ||
             !m_evacuation.learn_from_store(make_evacuation_snapshot(*page, sent_at)))
             return;
-        // The store may turn the entries away.
+        // The store may be rejecting the entries' reads.
         for (const auto& [address, entry] : m_entries.m_entries) {
             if (!m_registrations_in_flight.contains(address))
                 register_with(address);
--- a/membership/evacuation.h
+++ b/membership/evacuation.h
@@ -69,7 +69,7 @@
 bool is_current(const evacuation_view& view, instant now);
 // Time since the confirmation; empty without one.
 std::optional<milliseconds> evacuation_age(const evacuation_view& view, instant now);
-// What to tell other processes; empty while there is nothing to tell.
+// The report for other processes; empty while no state is known.
 std::optional<evacuation_report> make_evacuation_report(const evacuation_view& view, instant now);
 
 // Why nothing may start on a worker.
--- a/rpc/bounded_message_stream.cpp
+++ b/rpc/bounded_message_stream.cpp
@@ -164,7 +164,8 @@
         message.m_entry.emplace(m_incomplete, [this] { disconnect_peer(); });
     message.m_entry->resize(words * sizeof(capnp::word));
     if (m_has_violated)
-        return make_disconnected_error("the message gave way to others");
+        return make_disconnected_error(
+            "the message was evicted because the budget for incomplete messages is exhausted");
     message.grow(words);
     const std::size_t wanted = words - message.m_received_words;
     return read_exactly(message.m_content.begin() + message.m_received_words, wanted * sizeof(capnp::word))
--- a/rpc/bounded_message_stream.h
+++ b/rpc/bounded_message_stream.h
@@ -41,7 +41,7 @@
     // Allows messages of any accepted size from now on.
     void set_authenticated() { m_is_authenticated = true; }
 
-    // Called once when the peer has exceeded a limit or its message had to give way.
+    // Called once when the peer has exceeded a limit or its message was evicted from the budget.
     void set_violation_callback(std::function<void()> action) { m_on_violation = std::move(action); }
 
     kj::Promise<kj::Maybe<capnp::MessageReaderAndFds>>
--- a/rpc/incomplete_messages.h
+++ b/rpc/incomplete_messages.h
@@ -16,7 +16,7 @@
     // One message, for as long as it is incomplete.
     class entry {
     public:
-        // `on_evicted` is called when the message has to give way to others.
+        // `on_evicted` is called when the message is evicted.
         entry(incomplete_messages& owner, std::function<void()> on_evicted);
         ~entry();
         entry(const entry&) = delete;
--- a/rpc/message_budget.h
+++ b/rpc/message_budget.h
@@ -10,8 +10,8 @@
 namespace hawthornpin {
 
 // The memory held for incomplete messages. When it exceeds the bound, the messages that have been incomplete
-// longest give way: messages of peers that transfer without stalling are complete within milliseconds, so a
-// peer that sends a byte now and then gains nothing.
+// longest are evicted: messages of peers that transfer without stalling are complete within milliseconds, so
+// a peer that sends a byte now and then gains nothing.
 class message_budget {
 public:
     // Ascending in the order in which the messages began.
@@ -20,10 +20,10 @@
     explicit message_budget(std::size_t max_bytes) : m_max_bytes(max_bytes) {}
 
     message_id begin();
-    // Sets the memory held for a message. Returns the messages that give way, which may include this one.
+    // Sets the memory held for a message. Returns the evicted messages, which may include this one.
     // They are no longer counted.
     std::vector<message_id> resize(message_id message, std::size_t bytes);
-    // The message is complete or was given up. Without effect for one that gave way.
+    // The message is complete or was given up. Without effect for one that was evicted.
     void end(message_id message);
 
     std::size_t bytes() const { return m_bytes; }
--- a/world/evacuation_state.h
+++ b/world/evacuation_state.h
@@ -1,4 +1,4 @@
-// The evacuated availability zones as processes tell them to each other, as immutable values.
+// The evacuated availability zones as processes report them to each other, as immutable values.
 
 #pragma once
 
--- a/world/run_messages.h
+++ b/world/run_messages.h
@@ -81,8 +81,7 @@
 // Whether an agent takes orders.
 enum class agent_state : std::uint8_t {
     // The worker has not reported, runs of an earlier incarnation of the agent are still being stopped, or
-    // the
-    // agent does not know for certain which zones are evacuated.
+    // the agent's state of the evacuated zones is unknown or too old.
     preparing,
     serving,
     // The worker is draining, or the agent is shutting down.
