--- a/main/agent_process.cpp
+++ b/main/agent_process.cpp
@@ -48,7 +48,7 @@
     : m_loop(loop), m_settings(values), m_identity(make_identity(values)),
       m_target(values.text("agent", "target_address"),
                static_cast<unsigned>(values.integer("limits", "connections"))),
-      m_links(values.text("keys", "cluster_key"), compute_link_budget(values)),
+      m_links(values.text("keys", "cluster_key"), compute_link_budget(values), read_message_limits(values)),
       m_announcer(make_announcer_settings(values, m_identity), make_announcer_hooks(), m_links, m_clock,
                   m_metrics),
       m_operator_server(make_operator_handler(make_operator_hooks(), m_metrics), bodyless_port_limits(),
@@ -94,6 +94,7 @@
         return false;
     rpc_server_limits limits;
     limits.m_max_connections = compute_link_budget(m_settings);
+    limits.m_messages = read_message_limits(m_settings);
     m_server = std::make_unique<rpc_server>(std::move(*socket), m_settings.text("keys", "cluster_key"),
                                             kj::heap<node_server>(*this), limits, m_metrics);
     m_timers.push_back(std::make_unique<timer>(timer_ms(m_settings, "timing", "target_poll"), [this] {
--- a/main/entry_process.cpp
+++ b/main/entry_process.cpp
@@ -60,7 +60,7 @@
 entry_process::entry_process(event_loop& loop, const settings& values)
     : m_loop(loop), m_settings(values), m_id(values.text("entry", "id")),
       m_links(values.text("keys", "cluster_key"),
-              static_cast<std::size_t>(values.integer("limits", "agent_links"))),
+              static_cast<std::size_t>(values.integer("limits", "agent_links")), read_message_limits(values)),
       m_config(
           log_client(values.text("platform", "log_address"), values.text("platform", "config_stream")),
           static_cast<unsigned>(values.integer("platform", "checkpoint_every")), [] {}, m_metrics),
@@ -112,6 +112,7 @@
         return false;
     rpc_server_limits limits;
     limits.m_max_connections = static_cast<std::size_t>(m_settings.integer("limits", "agent_connections"));
+    limits.m_messages = read_message_limits(m_settings);
     m_server = std::make_unique<rpc_server>(std::move(*socket), m_settings.text("keys", "cluster_key"),
                                             kj::heap<node_server>(*this), limits, m_metrics);
     m_config.start();
--- a/main/process_settings.cpp
+++ b/main/process_settings.cpp
@@ -33,6 +33,10 @@
         ranged_setting(setting_kind::integer, "limits", "memory_mb", "0", 0, 1'000'000,
                        "Memory of this process in MB, from which the limits of request bodies and HTTP "
                        "connections follow; 0 if it is not known: bodies in progress then get 64 MiB."),
+        ranged_setting(setting_kind::size, "limits", "incomplete_messages", "128MiB", 32 * mebibyte,
+                       4096 * mebibyte,
+                       "Maximum memory of RPC messages that have arrived in part, at the RPC port and the "
+                       "same on links. Must exceed some of the largest jobs."),
         ranged_setting(setting_kind::integer, "limits", "max_fds", "0", 0, 10'000'000,
                        "Descriptors that this process may open, which limit its HTTP connections; 0 if it "
                        "is not known."),
@@ -164,6 +168,13 @@
     return placement;
 }
 
+message_limits read_message_limits(const settings& values)
+{
+    message_limits limits;
+    limits.m_max_incomplete_bytes = static_cast<std::size_t>(values.integer("limits", "incomplete_messages"));
+    return limits;
+}
+
 log_level read_log_level(const settings& values)
 {
     const std::string& text = values.text("log", "level");
--- a/rpc/bounded_message_stream.h
+++ b/rpc/bounded_message_stream.h
@@ -23,9 +23,9 @@
     // What a peer may send in total until it is authenticated. The handshake takes less than 700 bytes in
     // either direction.
     std::size_t m_max_unauthenticated_bytes = 4 * 1024;
-    // Memory for the incomplete messages of all connections: two jobs of 770 payloads of the default maximum
-    // (12 MiB each), or 100 orders for the platform's largest jobs, and a quarter of an agent's memory. The
-    // allocator may keep about twice as much.
+    // Memory for the incomplete messages of all connections on the platform: two jobs of 770 payloads of the
+    // default maximum (12 MiB each), or 100 orders for the platform's largest jobs, and a quarter of an
+    // agent's memory. The allocator may keep about twice as much.
     std::size_t m_max_incomplete_bytes = 32 * 1024 * 1024;
 };
 
