Agents of an evacuated zone read the store less, and short bounds leave time to start

Cause: an evacuated agent gets no orders, hears of the state only with its registrations (1.5 to 3 s), and so read the store once a second for as long as the evacuation lasted; a zone of 500 agents would send 500 reads/s. It now reads when its state is older than the staleness bound, and learns of the end from its registrations. Bounds below one second together made the longest age negative: nothing would ever start.

--- a/main/evacuation_watch.cpp
+++ b/main/evacuation_watch.cpp
@@ -94,12 +94,6 @@
     m_receive(m_view);
 }
 
-bool evacuation_watch::is_older_than(milliseconds age) const
-{
-    const auto known = evacuation_age(m_view, boot_now());
-    return !known || *known > age;
-}
-
 void evacuation_watch::log_confirmation()
 {
     const bool is_confirmed = is_current(m_view, boot_now());
--- a/main/evacuation_watch.h
+++ b/main/evacuation_watch.h
@@ -43,9 +43,6 @@
     // Handles a message that was sent at an unknown time: it confirms nothing.
     void learn_unconfirmed(const std::optional<evacuation_report>& report, evacuation_source source);
 
-    // Whether the state is unknown or was confirmed longer ago than this.
-    bool is_older_than(milliseconds age) const;
-
     // Logs when the state becomes too old to start tasks, and when it is recent again. For agents.
     void log_confirmation();
     void set_gauges(metrics& counts) const;
--- a/main/platform_agent.cpp
+++ b/main/platform_agent.cpp
@@ -352,12 +352,10 @@
 
 void platform_agent::read_evacuation_if_due()
 {
-    // Homes send the state every 100 ms; it is then up to a second old.
-    constexpr milliseconds read_after{1'500};
     constexpr milliseconds read_interval{1'000};
-    const bool is_due = m_evacuation.is_enabled() && !m_is_reading_evacuation &&
-                        m_next_evacuation_read_at <= boot_now() && m_evacuation.is_older_than(read_after);
-    if (!is_due)
+    const instant now = boot_now();
+    if (m_is_reading_evacuation || now < m_next_evacuation_read_at ||
+        !is_store_read_due(m_evacuation.view(), m_settings.m_zone, now))
         return;
     schedule_evacuation_read(read_interval);
     read_evacuation();
--- a/membership/evacuation.cpp
+++ b/membership/evacuation.cpp
@@ -16,7 +16,19 @@
 milliseconds max_evacuation_age(const evacuation_limits& limits)
 {
     constexpr milliseconds start_in_flight{1'000};
-    return limits.m_evacuate + limits.m_max_stretch - start_in_flight;
+    const milliseconds bound = limits.m_evacuate + limits.m_max_stretch;
+    return bound - std::min(start_in_flight, bound / 2);
+}
+
+bool is_store_read_due(const evacuation_view& view, const std::string& zone, instant now)
+{
+    // Homes send the state every 100 ms; it is then up to a second old.
+    constexpr milliseconds usual_age{1'500};
+    if (!view.m_limits)
+        return false;
+    const auto age = evacuation_age(view, now);
+    const milliseconds tolerated = is_evacuated(view, zone) ? max_evacuation_age(*view.m_limits) : usual_age;
+    return !view.m_state || !age || *age > tolerated;
 }
 
 void evacuation_state_builder::apply(const evacuation_record& record)
--- a/membership/evacuation.h
+++ b/membership/evacuation.h
@@ -23,8 +23,8 @@
     friend bool operator==(const evacuation_limits&, const evacuation_limits&) = default;
 };
 
-// A process whose state was confirmed longer ago starts nothing. One second less than the operator's bounds:
-// a start in flight is over by then.
+// A process whose state was confirmed longer ago starts nothing. One second less than the operator's bounds,
+// or half of them if they are shorter than two: a start in flight is over by then.
 milliseconds max_evacuation_age(const evacuation_limits& limits);
 
 // What a process knows. Without limits, the settings ask for no evacuations and nothing is restricted.
@@ -69,6 +69,9 @@
 bool is_current(const evacuation_view& view, instant now);
 // Time since the confirmation; empty without one.
 std::optional<milliseconds> evacuation_age(const evacuation_view& view, instant now);
+// Whether an agent in the zone reads the store itself, because other processes tell it too little. Agents of
+// an evacuated zone start nothing whatever the state's age, so they need not all read the store every second.
+bool is_store_read_due(const evacuation_view& view, const std::string& zone, instant now);
 // The report for other processes; empty while no state is known.
 std::optional<evacuation_report> make_evacuation_report(const evacuation_view& view, instant now);
 
--- a/tests/membership/evacuation_test.cpp
+++ b/tests/membership/evacuation_test.cpp
@@ -35,6 +35,26 @@
     CHECK(builder.build().m_zones.empty());
 }
 
+// Guards against a zone whose agents all read the store every second for as long as it is evacuated.
+TEST_CASE("an agent reads the store when others tell it too little, in an evacuated zone much later")
+{
+    evacuation_view view = make_view();
+    CHECK(is_store_read_due(view, "a", at_ms(0)));
+    merge_evacuation(view, {7, {"a"}}, at_ms(0), at_ms(0));
+    CHECK_FALSE(is_store_read_due(view, "b", at_ms(1'500)));
+    CHECK(is_store_read_due(view, "b", at_ms(1'501)));
+    CHECK_FALSE(is_store_read_due(view, "a", at_ms(10'000)));
+    CHECK(is_store_read_due(view, "a", at_ms(10'001)));
+    CHECK_FALSE(is_store_read_due(evacuation_view(), "a", at_ms(0)));
+}
+
+// Guards against agents that never start anything because the operator's bounds are short.
+TEST_CASE("the longest age of a state is positive for every bound")
+{
+    CHECK(max_evacuation_age({milliseconds(800), milliseconds(0)}) == milliseconds(400));
+    CHECK(max_evacuation_age({milliseconds(5'000), milliseconds(6'000)}) == milliseconds(10'000));
+}
+
 // Guards against a delayed message that evacuates a zone again, or revokes an evacuation, by an old state.
 TEST_CASE("a state with a higher offset replaces a lower one, in any order of arrival")
 {
